--- /dev/null
+++ b/admission.go
@@ -0,0 +1,58 @@
+package eelgrassladder
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/class"
+)
+
+// Waiting is what admission sees of a request that waits for a slot.
+type Waiting struct {
+	// Caller is the authenticated caller.
+	Caller string
+	// Class is the class in force when the request arrived.
+	Class class.Class
+	// Arrived is when the first proxy had the whole request.
+	Arrived time.Time
+	// Pinned is true inside a transaction that has begun.
+	Pinned bool
+}
+
+// Load is what admission sees of a member.
+type Load struct {
+	// Slots is how many statements the member runs at one time.
+	Slots int
+	// Paying is how many of them paying work holds.
+	Paying int
+	// Free is how many of them other work holds.
+	Free int
+	// PayingRate is paying requests a second that lately came for the member.
+	PayingRate float64
+	// Service is the forecast time of one request at the member.
+	Service time.Duration
+	// PayingQueued is how many paying requests wait for the member.
+	PayingQueued int
+	// Ahead is how many waiting requests would go before a new one.
+	Ahead int
+}
+
+// Verdict says what to do with a request.
+type Verdict struct {
+	// Refuse is true when the request must be told that it was not run.
+	Refuse bool
+	// RetryAfter is when another try may succeed.
+	RetryAfter time.Duration
+}
+
+// Admission decides which work goes first and which is refused. It does no
+// I/O and keeps no state.
+type Admission interface {
+	// Before reports whether a goes before b.
+	Before(now time.Time, a, b Waiting) bool
+	// Admits reports whether w may take a free slot of the member now.
+	Admits(w Waiting, l Load) bool
+	// Arriving judges a request when it arrives.
+	Arriving(now time.Time, w Waiting, l Load) Verdict
+	// Overdue judges a request that still waits.
+	Overdue(now time.Time, w Waiting, l Load) Verdict
+}
--- /dev/null
+++ b/internal/host/finding/document.go
@@ -0,0 +1,175 @@
+package finding
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Document is a file of JSON with comments while it is being checked.
+type Document struct {
+	// file is the name used in findings.
+	file string
+	// text is the file as it was read.
+	text []byte
+	// lines maps the path of each value to its line.
+	lines map[string]int
+	// findings grows while the document is checked.
+	findings Findings
+}
+
+// Decode reads text into target, a pointer to a struct whose field names are
+// the keys. Unknown keys, values of a wrong type and bad syntax are
+// findings. Check the values through the returned document, then ask it for
+// all findings.
+//
+//	var s Settings
+//	d := finding.Decode("settings.json", text, &s)
+//	if s.Name == "" {
+//		d.Add("/Name", "must not be empty")
+//	}
+//	return s, d.Findings()
+func Decode(file string, text []byte, target any) *Document {
+	d := &Document{file: file, text: text, lines: map[string]int{}}
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		d.findings = append(d.findings, Finding{File: file, Line: 1, Path: "/", Message: err.Error()})
+		return d
+	}
+	d.walk(tree, "", reflect.TypeOf(target).Elem())
+	if len(d.findings) > 0 {
+		return d
+	}
+	tree.Standardize()
+	if err := json.Unmarshal(tree.Pack(), target); err != nil {
+		d.Add("/", "%s", err.Error())
+	}
+	return d
+}
+
+// Add records a finding about the value at path, or its nearest parent that
+// the file holds.
+func (d *Document) Add(path, message string, arguments ...any) {
+	line := 1
+	for p := path; p != ""; p = parent(p) {
+		if l, ok := d.lines[p]; ok {
+			line = l
+			break
+		}
+	}
+	d.findings = append(d.findings, Finding{
+		File: d.file, Line: line, Path: path, Message: fmt.Sprintf(message, arguments...),
+	})
+}
+
+// Findings returns all findings so far, in order of line.
+func (d *Document) Findings() Findings { return d.findings.sorted() }
+
+// Err returns all findings as one error, or nil.
+func (d *Document) Err() error { return errors.WithStack(d.Findings().Err()) }
+
+// walk compares the tree with the type and records the line of each value.
+func (d *Document) walk(v hujson.Value, path string, t reflect.Type) {
+	d.lines[path] = 1 + bytes.Count(d.text[:v.StartOffset], []byte("\n"))
+	if reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+		d.checkText(v, path, t)
+		return
+	}
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		d.walkObject(value, path, t)
+	case *hujson.Array:
+		d.walkArray(value, path, t)
+	case hujson.Literal:
+		d.checkLiteral(value, path, t)
+	}
+}
+
+// walkObject checks the keys of an object against the fields of a struct.
+func (d *Document) walkObject(o *hujson.Object, path string, t reflect.Type) {
+	if t.Kind() != reflect.Struct {
+		d.Add(path, "must be %s, not an object", describe(t))
+		return
+	}
+	seen := map[string]bool{}
+	for _, m := range o.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		place := path + "/" + name
+		field, ok := t.FieldByName(name)
+		d.lines[place] = 1 + bytes.Count(d.text[:m.Name.StartOffset], []byte("\n"))
+		switch {
+		case !ok:
+			d.Add(place, "unknown key")
+		case seen[name]:
+			d.Add(place, "key stands twice")
+		default:
+			d.walk(m.Value, place, field.Type)
+		}
+		seen[name] = true
+	}
+}
+
+// walkArray checks each value of an array.
+func (d *Document) walkArray(a *hujson.Array, path string, t reflect.Type) {
+	if t.Kind() != reflect.Slice {
+		d.Add(path, "must be %s, not an array", describe(t))
+		return
+	}
+	for i, e := range a.Elements {
+		d.walk(e, path+"/"+strconv.Itoa(i), t.Elem())
+	}
+}
+
+// checkText checks a text whose type reads itself.
+func (d *Document) checkText(v hujson.Value, path string, t reflect.Type) {
+	l, ok := v.Value.(hujson.Literal)
+	if !ok || l.Kind() != '"' {
+		d.Add(path, "must be a string")
+		return
+	}
+	target := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+	if err := target.UnmarshalText([]byte(l.String())); err != nil {
+		d.Add(path, "%s", err.Error())
+	}
+}
+
+// checkLiteral checks the kind of a string, number or truth value.
+func (d *Document) checkLiteral(l hujson.Literal, path string, t reflect.Type) {
+	if err := json.Unmarshal(l, reflect.New(t).Interface()); err != nil || l.Kind() == 'n' {
+		d.Add(path, "must be %s", describe(t))
+	}
+}
+
+// describe names a type in the words of the file format.
+func describe(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number in range"
+	}
+}
+
+// parent returns the path that holds the value at path.
+func parent(path string) string {
+	for i := len(path) - 1; i >= 0; i-- {
+		if path[i] == '/' {
+			return path[:i]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/host/password/server.go
@@ -0,0 +1,64 @@
+package password
+
+import (
+	"slices"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+// Authenticate runs the server's side of SCRAM-SHA-256 on a connection whose
+// start-up message has been read. It sends neither the final AuthenticationOk
+// nor an error.
+func Authenticate(backend *pgproto3.Backend, verifier string) error {
+	conversation, err := NewConversation(verifier)
+	if err != nil {
+		return err
+	}
+	backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{Mechanism}})
+	first, err := receive[*pgproto3.SASLInitialResponse](backend, pgproto3.AuthTypeSASL)
+	if err != nil {
+		return err
+	}
+	if first.AuthMechanism != Mechanism {
+		return errors.Errorf("mechanism is not %s", Mechanism)
+	}
+	challenge, err := conversation.Step(string(slices.Clone(first.Data)))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	second, err := receive[*pgproto3.SASLResponse](backend, pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return err
+	}
+	final, err := conversation.Step(string(second.Data))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if !conversation.Valid() {
+		return errors.New("password is wrong")
+	}
+	backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return nil
+}
+
+// receive flushes what was sent and reads the one message that may follow.
+func receive[M pgproto3.FrontendMessage](backend *pgproto3.Backend, stage uint32) (M, error) {
+	var none M
+	if err := backend.Flush(); err != nil {
+		return none, errors.WithStack(err)
+	}
+	if err := backend.SetAuthType(stage); err != nil {
+		return none, errors.WithStack(err)
+	}
+	received, err := backend.Receive()
+	if err != nil {
+		return none, errors.WithStack(err)
+	}
+	wanted, ok := received.(M)
+	if !ok {
+		return none, errors.Errorf("unexpected message %T during authentication", received)
+	}
+	return wanted, nil
+}
--- /dev/null
+++ b/internal/host/timer/schedule.go
@@ -0,0 +1,59 @@
+package timer
+
+import "time"
+
+// entry is one subscription.
+type entry struct {
+	// due is the next time at which the subscription fires.
+	due time.Time
+	// period is zero for a subscription that fires once.
+	period time.Duration
+	// times has room for one time.
+	times chan time.Time
+	// index is the place in the schedule, or -1 when it has left it.
+	index int
+	// remove takes the entry off the schedule that it was put on.
+	remove func(*entry)
+}
+
+// C returns the channel of times.
+func (e *entry) C() <-chan time.Time { return e.times }
+
+// Stop takes the subscription off its schedule.
+func (e *entry) Stop() { e.remove(e) }
+
+// send delivers a time unless the last one still waits.
+func (e *entry) send(now time.Time) {
+	select {
+	case e.times <- now:
+	default:
+	}
+}
+
+// schedule is a heap of entries with the earliest first.
+type schedule []*entry
+
+func (s schedule) Len() int           { return len(s) }
+func (s schedule) Less(a, b int) bool { return s[a].due.Before(s[b].due) }
+
+func (s schedule) Swap(a, b int) {
+	s[a], s[b] = s[b], s[a]
+	s[a].index = a
+	s[b].index = b
+}
+
+// Push adds an entry, for container/heap.
+func (s *schedule) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*s)
+	*s = append(*s, e)
+}
+
+// Pop removes the last entry, for container/heap.
+func (s *schedule) Pop() any {
+	old := *s
+	e := old[len(old)-1]
+	e.index = -1
+	*s = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/internal/lab/group/call.go
@@ -0,0 +1,132 @@
+package group
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/sql"
+	trade "eelgrassladder.example/eelgrassladder/internal/trade/group"
+)
+
+// progressColumns are the columns of every function that answers a progress.
+var progressColumns = []sql.Column{
+	{Name: "term"}, {Name: "role", Text: true}, {Name: "log_term"},
+	{Name: "received"}, {Name: "applied"}, {Name: "contact_ms"},
+}
+
+// call runs the functions that the platform offers on each member.
+func (p *session) call(ctx context.Context, s sql.Statement, arguments []any) (sql.Result, error) {
+	switch s.Table {
+	case "":
+		return p.constant(ctx, s, arguments)
+	case "pg_sleep":
+		seconds, _ := strconv.ParseFloat(text(s.Value(0, arguments)), 64)
+		err := p.occupy(ctx, time.Duration(seconds*float64(time.Second)))
+		return sql.Result{Columns: []sql.Column{{Name: "pg_sleep", Text: true}}, Rows: []sql.Row{{""}}, Tag: "SELECT 1"}, err
+	case "group_position":
+		return p.position()
+	case "group_progress":
+		known := trade.Progress{
+			Term:     whole(s.Value(0, arguments)),
+			Role:     trade.Role(text(s.Value(1, arguments))),
+			Received: whole(s.Value(2, arguments)),
+			Applied:  whole(s.Value(3, arguments)),
+		}
+		limit := time.Duration(whole(s.Value(4, arguments))) * time.Millisecond
+		return answer(p.awaitProgress(ctx, known, limit), nil)
+	case "group_fence":
+		return answer(p.member.fence(whole(s.Value(0, arguments)), text(s.Value(1, arguments))))
+	case "group_promote":
+		return answer(p.member.promote(whole(s.Value(0, arguments)), text(s.Value(1, arguments))))
+	case "group_follow":
+		return p.follow(whole(s.Value(0, arguments)), text(s.Value(1, arguments)))
+	default:
+		return sql.Result{}, sql.Fail(sql.CodeNoFunction, "function "+s.Table+" does not exist")
+	}
+}
+
+// constant answers SELECT of a constant, which holds a slot like any read.
+func (p *session) constant(ctx context.Context, s sql.Statement, arguments []any) (sql.Result, error) {
+	if err := p.occupy(ctx, p.member.Conditions().Service); err != nil {
+		return sql.Result{}, err
+	}
+	v := s.Value(0, arguments)
+	_, isText := v.(string)
+	return sql.Result{Columns: []sql.Column{{Name: "?column?", Text: isText}}, Rows: []sql.Row{{v}}, Tag: "SELECT 1"}, nil
+}
+
+// position answers the term and the last place that reads of this member
+// could see. It runs outside slots.
+func (p *session) position() (sql.Result, error) {
+	p.member.mutex.Lock()
+	defer p.member.mutex.Unlock()
+	if err := p.member.superseded(p.term); err != nil {
+		return sql.Result{}, err
+	}
+	return sql.Result{
+		Columns: []sql.Column{{Name: "term"}, {Name: "applied"}},
+		Rows:    []sql.Row{{int64(p.member.term), int64(p.member.applied)}}, Tag: "SELECT 1",
+	}, nil
+}
+
+// awaitProgress waits until the member differs from what is known.
+func (p *session) awaitProgress(ctx context.Context, known trade.Progress, limit time.Duration) trade.Progress {
+	deadline := time.Now().Add(limit)
+	for {
+		p.member.mutex.Lock()
+		now := time.Now()
+		current, changed := p.member.progress(now), p.member.changed
+		p.member.mutex.Unlock()
+		same := current.Term == known.Term && current.Role == known.Role &&
+			current.Received == known.Received && current.Applied == known.Applied
+		if !same || !now.Before(deadline) || ctx.Err() != nil {
+			return current
+		}
+		wait(ctx, changed, deadline.Sub(now))
+	}
+}
+
+// follow finds the primary by name and follows it.
+func (p *session) follow(term uint64, primary string) (sql.Result, error) {
+	source := p.server.group.Member(primary)
+	if source == nil {
+		return sql.Result{}, sql.Fail("22023", "no such member")
+	}
+	return answer(p.member.follow(term, source))
+}
+
+// answer turns a progress into a row.
+func answer(p trade.Progress, err error) (sql.Result, error) {
+	if err != nil {
+		return sql.Result{}, err
+	}
+	row := sql.Row{
+		int64(p.Term), string(p.Role), int64(p.LogTerm),
+		int64(p.Received), int64(p.Applied), p.Contact.Milliseconds(),
+	}
+	return sql.Result{Columns: progressColumns, Rows: []sql.Row{row}, Tag: "SELECT 1"}, nil
+}
+
+// text returns the value as text.
+func text(v any) string {
+	switch x := v.(type) {
+	case string:
+		return x
+	case int64:
+		return strconv.FormatInt(x, 10)
+	case float64:
+		return strconv.FormatFloat(x, 'g', -1, 64)
+	default:
+		return ""
+	}
+}
+
+// whole returns the value as a whole number that is not negative.
+func whole(v any) uint64 {
+	n, err := strconv.ParseUint(text(v), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/lab/group/extended.go
@@ -0,0 +1,245 @@
+package group
+
+import (
+	"context"
+	"encoding/binary"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/sql"
+)
+
+// extended answers one message of the extended protocol.
+func (p *session) extended(ctx context.Context, received pgproto3.FrontendMessage) error {
+	switch m := received.(type) {
+	case *pgproto3.Parse:
+		return p.parse(m)
+	case *pgproto3.Bind:
+		return p.bind(m)
+	case *pgproto3.Describe:
+		return p.describe(m)
+	case *pgproto3.Execute:
+		return p.runPortal(ctx, m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(p.prepared, m.Name)
+		} else {
+			delete(p.portals, m.Name)
+		}
+		p.backend.Send(&pgproto3.CloseComplete{})
+	}
+	return nil
+}
+
+func (p *session) parse(m *pgproto3.Parse) error {
+	statements, err := sql.Parse(m.Query)
+	if err != nil {
+		return err
+	}
+	if len(statements) > 1 {
+		return sql.Fail(sql.CodeSyntax, "cannot insert multiple commands into a prepared statement")
+	}
+	if _, ok := p.prepared[m.Name]; ok && m.Name != "" {
+		return sql.Fail("42P05", "prepared statement \""+m.Name+"\" already exists")
+	}
+	one := preparedStatement{types: append([]uint32(nil), m.ParameterOIDs...)}
+	if len(statements) == 1 {
+		one.statement = statements[0]
+	}
+	columns := p.parameterColumns(one.statement)
+	for i := len(one.types); i < one.statement.Parameters; i++ {
+		one.types = append(one.types, 0)
+	}
+	for i, t := range one.types {
+		if t == 0 && i < len(columns) {
+			one.types[i] = oid(columns[i])
+		}
+	}
+	p.prepared[m.Name] = one
+	p.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (p *session) bind(m *pgproto3.Bind) error {
+	one, ok := p.prepared[m.PreparedStatement]
+	if !ok {
+		return sql.Fail("26000", "prepared statement \""+m.PreparedStatement+"\" does not exist")
+	}
+	if len(m.Parameters) != one.statement.Parameters {
+		return sql.Fail("08P01", "bind message has another number of parameters than the statement")
+	}
+	arguments := make([]any, len(m.Parameters))
+	for i, raw := range m.Parameters {
+		v, err := decode(raw, one.types[i], format(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		arguments[i] = v
+	}
+	formats := append([]int16(nil), m.ResultFormatCodes...)
+	p.portals[m.DestinationPortal] = portal{preparedStatement: one, arguments: arguments, formats: formats}
+	p.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (p *session) describe(m *pgproto3.Describe) error {
+	var one preparedStatement
+	var formats []int16
+	var ok bool
+	if m.ObjectType == 'S' {
+		one, ok = p.prepared[m.Name]
+	} else {
+		var found portal
+		found, ok = p.portals[m.Name]
+		one, formats = found.preparedStatement, found.formats
+	}
+	if !ok {
+		return sql.Fail("26000", "prepared statement or portal does not exist")
+	}
+	columns, err := p.columns(one.statement)
+	if err != nil {
+		return err
+	}
+	if m.ObjectType == 'S' {
+		p.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: one.types})
+	}
+	if len(columns) == 0 {
+		p.backend.Send(&pgproto3.NoData{})
+		return nil
+	}
+	p.backend.Send(describe(columns, formats))
+	return nil
+}
+
+// columns returns the columns that a statement will answer.
+func (p *session) columns(s sql.Statement) ([]sql.Column, error) {
+	switch s.Verb {
+	case sql.Select, sql.Insert, sql.Update, sql.Delete:
+		p.member.mutex.Lock()
+		defer p.member.mutex.Unlock()
+		return p.describer().Describe(s)
+	case sql.Show:
+		return []sql.Column{{Name: s.Table, Text: true}}, nil
+	case sql.Call:
+		if s.Table == "pg_sleep" {
+			return []sql.Column{{Name: "pg_sleep", Text: true}}, nil
+		}
+		if s.Table == "" {
+			_, isText := s.Value(0, nil).(string)
+			return []sql.Column{{Name: "?column?", Text: isText}}, nil
+		}
+		return progressColumns, nil
+	default:
+		return nil, nil
+	}
+}
+
+// parameterColumns returns the columns whose types the parameters take.
+func (p *session) parameterColumns(s sql.Statement) []sql.Column {
+	p.member.mutex.Lock()
+	defer p.member.mutex.Unlock()
+	return p.describer().ParameterColumns(s)
+}
+
+// describer returns a transaction for a caller that holds the mutex.
+func (p *session) describer() *sql.Transaction {
+	if p.open != nil {
+		return p.open
+	}
+	if p.implicit != nil {
+		return p.implicit
+	}
+	return sql.NewTransaction(p.member.database, p.own, true)
+}
+
+func (p *session) runPortal(ctx context.Context, m *pgproto3.Execute) error {
+	one, ok := p.portals[m.Portal]
+	if !ok {
+		return sql.Fail("34000", "portal \""+m.Portal+"\" does not exist")
+	}
+	if one.statement.Verb == sql.Empty {
+		p.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	result, err := p.execute(ctx, one.statement, one.arguments)
+	if err != nil {
+		return err
+	}
+	p.sendRows(result, one.formats)
+	return nil
+}
+
+// describe returns the description of columns.
+func describe(columns []sql.Column, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, c := range columns {
+		size := int16(8)
+		if c.Text {
+			size = -1
+		}
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name: []byte(c.Name), DataTypeOID: oid(c), DataTypeSize: size, TypeModifier: -1, Format: format(formats, i),
+		})
+	}
+	return d
+}
+
+// oid returns the type of a column.
+func oid(c sql.Column) uint32 {
+	if c.Text {
+		return pgtype.TextOID
+	}
+	return pgtype.Int8OID
+}
+
+// format returns the format code of the value at an index.
+func format(formats []int16, i int) int16 {
+	switch {
+	case len(formats) == 0:
+		return pgtype.TextFormatCode
+	case len(formats) == 1:
+		return formats[0]
+	case i < len(formats):
+		return formats[i]
+	default:
+		return pgtype.TextFormatCode
+	}
+}
+
+// encode returns a value in a format; nil is null.
+func encode(v any, format int16) []byte {
+	switch x := v.(type) {
+	case int64:
+		if format == pgtype.BinaryFormatCode {
+			return binary.BigEndian.AppendUint64(nil, uint64(x))
+		}
+		return strconv.AppendInt(nil, x, 10)
+	case string:
+		return []byte(x)
+	default:
+		return nil
+	}
+}
+
+// decode reads an argument.
+func decode(raw []byte, oid uint32, format int16) (any, error) {
+	if raw == nil {
+		return nil, nil
+	}
+	number := oid == pgtype.Int8OID || oid == pgtype.Int4OID || oid == pgtype.Int2OID
+	if !number || format == pgtype.TextFormatCode {
+		return string(raw), nil
+	}
+	switch len(raw) {
+	case 8:
+		return int64(binary.BigEndian.Uint64(raw)), nil
+	case 4:
+		return int64(int32(binary.BigEndian.Uint32(raw))), nil
+	case 2:
+		return int64(int16(binary.BigEndian.Uint16(raw))), nil
+	default:
+		return nil, sql.Fail("22P03", "incorrect binary data format")
+	}
+}
--- /dev/null
+++ b/internal/lab/group/fault.go
@@ -0,0 +1,51 @@
+package group
+
+import "time"
+
+// Conditions are the adjustable properties and faults of one member. The
+// value is immutable; set a changed copy with Member.Set.
+type Conditions struct {
+	// Service is how long a statement holds a slot.
+	Service time.Duration
+	// Connect is how long a new connection takes.
+	Connect time.Duration
+	// Receive is how long log entries take from the primary to this member.
+	Receive time.Duration
+	// Apply is how long a received entry waits until reads see it.
+	Apply time.Duration
+	// Crashed refuses and cuts all connections; the log survives.
+	Crashed bool
+	// Paused stops all processing, as of a process that was stopped.
+	Paused bool
+	// Isolated cuts the member off from its peers, not from the proxies.
+	Isolated bool
+	// LoseAnswers cuts the connection after a commit has taken effect.
+	LoseAnswers bool
+	// Careless lets a fenced or superseded primary go on committing. It
+	// exists to show that the checkers see it.
+	Careless bool
+}
+
+// WithCrashed returns the conditions with a crash or its end.
+func (c Conditions) WithCrashed(on bool) Conditions { c.Crashed = on; return c }
+
+// WithPaused returns the conditions with a pause or its end.
+func (c Conditions) WithPaused(on bool) Conditions { c.Paused = on; return c }
+
+// WithIsolated returns the conditions with a partition from the peers.
+func (c Conditions) WithIsolated(on bool) Conditions { c.Isolated = on; return c }
+
+// WithLoseAnswers returns the conditions with answers lost after the effect.
+func (c Conditions) WithLoseAnswers(on bool) Conditions { c.LoseAnswers = on; return c }
+
+// WithCareless returns the conditions with a primary that ignores fences.
+func (c Conditions) WithCareless(on bool) Conditions { c.Careless = on; return c }
+
+// WithApply returns the conditions with another apply delay.
+func (c Conditions) WithApply(d time.Duration) Conditions { c.Apply = d; return c }
+
+// WithReceive returns the conditions with another receive delay.
+func (c Conditions) WithReceive(d time.Duration) Conditions { c.Receive = d; return c }
+
+// WithService returns the conditions with another service time.
+func (c Conditions) WithService(d time.Duration) Conditions { c.Service = d; return c }
--- /dev/null
+++ b/internal/lab/group/group.go
@@ -0,0 +1,119 @@
+package group
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	trade "eelgrassladder.example/eelgrassladder/internal/trade/group"
+)
+
+// Group is a running stand-in for a database group.
+type Group struct {
+	// name is the name of the group and of its database.
+	name string
+	// members never changes after Start.
+	members []*Member
+	// descriptions has one entry a member, in the same order.
+	descriptions []trade.Member
+}
+
+// Size describes the members of a group.
+type Size struct {
+	// Slots is how many statements a member runs at one time.
+	Slots int
+	// Connections is how many connections a member accepts.
+	Connections int
+	// DataCentres has one name for each member.
+	DataCentres []string
+	// Password is what connections must know; empty asks for none.
+	Password string
+}
+
+// Start listens on loopback, one port a member, and runs the group until the
+// task group ends. The first member starts as the primary of term 1.
+func Start(g *task.Group, name string, size Size, c Conditions) (*Group, error) {
+	made := &Group{name: name}
+	for i, centre := range size.DataCentres {
+		m := newMember(name+"-"+string(rune('a'+i)), size.Slots, size.Connections, c)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		made.members = append(made.members, m)
+		made.descriptions = append(made.descriptions, trade.Member{
+			Name: m.name, DataCentre: centre, Address: listener.Addr().String(),
+			Slots: size.Slots, Connections: size.Connections,
+		})
+		s := &server{member: m, group: made, listener: listener, tasks: g, password: size.Password}
+		g.Go(m.name+" listener", s.listen)
+		g.Go(m.name+" replication", m.replicate)
+		g.Go(m.name+" apply", m.apply)
+	}
+	return made, made.bootstrap()
+}
+
+// bootstrap makes the first member the primary of term 1.
+func (g *Group) bootstrap() error {
+	for _, m := range g.members {
+		if _, err := m.fence(1, "bootstrap"); err != nil {
+			return err
+		}
+	}
+	if _, err := g.members[0].promote(1, "bootstrap"); err != nil {
+		return err
+	}
+	for _, m := range g.members[1:] {
+		if _, err := m.follow(1, g.members[0]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Name returns the name of the group.
+func (g *Group) Name() string { return g.name }
+
+// Members returns the members in order of name.
+func (g *Group) Members() []*Member { return g.members }
+
+// Descriptions returns what the platform's host list says of the members.
+func (g *Group) Descriptions() []trade.Member { return g.descriptions }
+
+// Member returns the member with the name, or nil.
+func (g *Group) Member(name string) *Member {
+	for _, m := range g.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// Primary returns the primary of the highest term, or nil while there is none.
+func (g *Group) Primary() *Member {
+	var found *Member
+	var highest uint64
+	for _, m := range g.members {
+		p := m.Progress()
+		if p.Role == trade.Primary && p.Term > highest {
+			found, highest = m, p.Term
+		}
+	}
+	return found
+}
+
+// WaitPrimary returns the primary of a term above the one given, or nil when
+// ctx ends first.
+func (g *Group) WaitPrimary(ctx context.Context, above uint64) *Member {
+	for ctx.Err() == nil {
+		if m := g.Primary(); m != nil && m.Progress().Term > above {
+			return m
+		}
+		wait(ctx, nil, 5*time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/group/member.go
@@ -0,0 +1,247 @@
+// Package group is the stand-in for a database group: members with terms, a
+// replicated log, slots, connection limits and switches for faults. Each
+// member is a real PostgreSQL listener on loopback.
+package group
+
+import (
+	"sync"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/sql"
+	trade "eelgrassladder.example/eelgrassladder/internal/trade/group"
+)
+
+// CodeSuperseded is how a member refuses work of another term.
+const CodeSuperseded = "GT001"
+
+// entry is one place of the log.
+type entry struct {
+	term    uint64
+	changes []sql.Change
+	// arrived is when this member received the entry.
+	arrived time.Time
+}
+
+// Lineage is the start of a term's part of the log.
+type Lineage struct {
+	Term uint64
+	// From is the first log place written in the term.
+	From uint64
+}
+
+// Member is one database of a group.
+type Member struct {
+	// name is unique in the system.
+	name string
+	// slots holds a token for each statement that runs.
+	slots chan struct{}
+	// limit is how many connections are accepted.
+	limit int
+
+	// mutex guards everything below. It is a leaf.
+	mutex sync.Mutex
+	// changed is closed and replaced whenever something below changes.
+	changed chan struct{}
+	// conditions are the faults in force.
+	conditions Conditions
+	// term is the highest term granted or joined.
+	term uint64
+	// proposer is who the term was granted to.
+	proposer string
+	// role is the member's role in the term.
+	role trade.Role
+	// upstream is the primary that a replica follows.
+	upstream *Member
+	// contact is when a replica last heard from its primary.
+	contact time.Time
+	// log holds the entries; place n is log[n-1].
+	log []entry
+	// applied is the number of entries that reads can see.
+	applied uint64
+	// database holds the applied entries.
+	database *sql.Database
+	// connections counts the open connections.
+	connections int
+	// started counts statements, for the harness.
+	started uint64
+}
+
+// newMember returns a member in term zero.
+func newMember(name string, slots, limit int, c Conditions) *Member {
+	return &Member{
+		name: name, slots: make(chan struct{}, slots), limit: limit, changed: make(chan struct{}),
+		conditions: c, role: trade.Fenced, database: sql.NewDatabase(),
+	}
+}
+
+// Name returns the member's name.
+func (m *Member) Name() string { return m.name }
+
+// Conditions returns the conditions in force.
+func (m *Member) Conditions() Conditions {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.conditions
+}
+
+// Set puts the conditions into force.
+func (m *Member) Set(c Conditions) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.conditions = c
+	m.notify()
+}
+
+// Progress returns what the member says of itself.
+func (m *Member) Progress() trade.Progress {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.progress(time.Now())
+}
+
+// Lineages returns the start of each term in the member's log.
+func (m *Member) Lineages() []Lineage {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var all []Lineage
+	var last uint64
+	for i, e := range m.log {
+		if e.term != last {
+			all = append(all, Lineage{Term: e.term, From: uint64(i + 1)})
+			last = e.term
+		}
+	}
+	return all
+}
+
+// Started returns how many statements the member has begun.
+func (m *Member) Started() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.started
+}
+
+// notify wakes everyone that waits for a change. The caller holds the mutex.
+func (m *Member) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// progress is Progress for a caller that holds the mutex.
+func (m *Member) progress(now time.Time) trade.Progress {
+	p := trade.Progress{Term: m.term, Role: m.role, Received: uint64(len(m.log)), Applied: m.applied}
+	if len(m.log) > 0 {
+		p.LogTerm = m.log[len(m.log)-1].term
+	}
+	if m.role != trade.Primary {
+		p.Contact = now.Sub(m.contact)
+	}
+	return p
+}
+
+// superseded refuses work of a connection that belongs to another term. The
+// caller holds the mutex.
+func (m *Member) superseded(term uint64) error {
+	if term == 0 || m.conditions.Careless {
+		return nil
+	}
+	if term != m.term || m.role == trade.Fenced {
+		return sql.Fail(CodeSuperseded, "the member is in another term")
+	}
+	return nil
+}
+
+// commit appends the changes to the log of a primary and applies them. It
+// returns the place of the entry, or the end of the log without changes.
+func (m *Member) commit(term uint64, t *sql.Transaction) (uint64, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.superseded(term); err != nil {
+		return 0, err
+	}
+	if len(t.Changes()) == 0 {
+		return m.applied, nil
+	}
+	if m.role != trade.Primary && !m.conditions.Careless {
+		return 0, sql.Fail(sql.CodeReadOnly, "the member is a replica")
+	}
+	if err := t.Conflict(); err != nil {
+		return 0, err
+	}
+	m.append(entry{term: m.term, changes: t.Changes(), arrived: time.Now()})
+	m.applyAll()
+	m.notify()
+	return uint64(len(m.log)), nil
+}
+
+// append adds an entry to the log. The caller holds the mutex.
+func (m *Member) append(e entry) { m.log = append(m.log, e) }
+
+// applyAll applies every received entry. The caller holds the mutex.
+func (m *Member) applyAll() {
+	for m.applied < uint64(len(m.log)) {
+		m.database.Apply(m.log[m.applied].changes)
+		m.applied++
+	}
+}
+
+// truncate removes the entries after the place. The caller holds the mutex.
+func (m *Member) truncate(to uint64) {
+	for m.applied > to {
+		m.applied--
+		m.database.Undo(m.log[m.applied].changes)
+	}
+	m.log = m.log[:to:to]
+}
+
+// fence grants a term to a proposer.
+func (m *Member) fence(term uint64, proposer string) (trade.Progress, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term < m.term || (term == m.term && proposer != m.proposer) {
+		return trade.Progress{}, sql.Fail(CodeSuperseded, "a higher term was granted, or this one to another")
+	}
+	if term > m.term {
+		m.term = term
+		m.proposer = proposer
+		m.role = trade.Fenced
+		m.upstream = nil
+		m.notify()
+	}
+	return m.progress(time.Now()), nil
+}
+
+// promote makes the member the primary of a term granted to the proposer.
+func (m *Member) promote(term uint64, proposer string) (trade.Progress, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term != m.term || proposer != m.proposer {
+		return trade.Progress{}, sql.Fail(CodeSuperseded, "the term was not granted to this proposer")
+	}
+	if m.role != trade.Primary {
+		m.role = trade.Primary
+		m.upstream = nil
+		m.append(entry{term: term, arrived: time.Now()})
+		m.applyAll()
+		m.notify()
+	}
+	return m.progress(time.Now()), nil
+}
+
+// follow makes the member a replica of the primary of a term.
+func (m *Member) follow(term uint64, primary *Member) (trade.Progress, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term < m.term || (term == m.term && m.role == trade.Primary) || primary == m {
+		return trade.Progress{}, sql.Fail(CodeSuperseded, "the member is in a higher term, or the primary of this one")
+	}
+	if term > m.term {
+		m.proposer = ""
+	}
+	m.term = term
+	m.role = trade.Replica
+	m.upstream = primary
+	m.contact = time.Now()
+	m.notify()
+	return m.progress(time.Now()), nil
+}
--- /dev/null
+++ b/internal/lab/group/server.go
@@ -0,0 +1,191 @@
+package group
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/password"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+)
+
+// acceptPeriod is how often a crashed member looks whether it is back.
+const acceptPeriod = 5 * time.Millisecond
+
+// termParameter is the start-up parameter that binds a connection to a term.
+const termParameter = "group.term"
+
+// server is the listener of one member.
+type server struct {
+	member   *Member
+	group    *Group
+	listener net.Listener
+	tasks    *task.Group
+	password string
+	// last is the number of the newest connection.
+	last atomic.Uint32
+	// sessions maps the number of a connection to its session, for cancels.
+	sessions sessionTable
+}
+
+// listen accepts connections until ctx ends.
+func (s *server) listen(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return errors.WithStack(err)
+		}
+		if s.member.Conditions().Crashed {
+			_ = c.Close()
+			continue
+		}
+		s.tasks.Detach(s.member.name+" connection", func(ctx context.Context) { s.serve(ctx, c) })
+	}
+}
+
+// serve runs one connection until it ends or the member crashes.
+func (s *server) serve(ctx context.Context, c net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	defer c.Close()
+	s.tasks.Detach(s.member.name+" crash watch", func(context.Context) { s.watchCrash(ctx, cancel) })
+	backend := pgproto3.NewBackend(c, c)
+	p, err := s.startup(ctx, c, backend)
+	if err != nil || p == nil {
+		return
+	}
+	defer s.leave()
+	p.number = s.last.Add(1)
+	s.sessions.add(p)
+	defer s.sessions.remove(p.number)
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "16.0"})
+	backend.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
+	backend.Send(&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: p.number, SecretKey: []byte{0, 0, 0, 1}})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if backend.Flush() != nil {
+		return
+	}
+	p.run(ctx)
+}
+
+// watchCrash cuts the connection when the member crashes.
+func (s *server) watchCrash(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		s.member.mutex.Lock()
+		crashed, changed := s.member.conditions.Crashed, s.member.changed
+		s.member.mutex.Unlock()
+		if crashed {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			// Changes come with every commit; looking once in a while is enough.
+			wait(ctx, nil, acceptPeriod)
+		}
+	}
+}
+
+// startup answers the start-up message. It returns nil for a connection that
+// only carried a cancel.
+func (s *server) startup(ctx context.Context, c net.Conn, backend *pgproto3.Backend) (*session, error) {
+	for {
+		first, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		switch m := first.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.Write([]byte("N")); err != nil {
+				return nil, errors.WithStack(err)
+			}
+		case *pgproto3.CancelRequest:
+			s.sessions.cancel(m.ProcessID)
+			return nil, nil
+		case *pgproto3.StartupMessage:
+			return s.open(ctx, backend, m)
+		}
+	}
+}
+
+// open admits a connection within the member's limit.
+func (s *server) open(ctx context.Context, backend *pgproto3.Backend, m *pgproto3.StartupMessage) (*session, error) {
+	s.member.waitWhilePaused(ctx)
+	wait(ctx, nil, s.member.Conditions().Connect)
+	if m.Parameters["database"] != s.group.name {
+		return nil, refuse(backend, "3D000", "database does not exist")
+	}
+	if err := s.authenticate(backend); err != nil {
+		return nil, refuse(backend, "28P01", "password authentication failed")
+	}
+	if !s.enter() {
+		return nil, refuse(backend, "53300", "too many connections")
+	}
+	term, _ := strconv.ParseUint(m.Parameters[termParameter], 10, 64)
+	return newSession(s, backend, term), nil
+}
+
+// authenticate asks for the password with SCRAM, if the group has one.
+func (s *server) authenticate(backend *pgproto3.Backend) error {
+	if s.password == "" {
+		return nil
+	}
+	verifier, err := password.NewVerifier(s.password)
+	if err != nil {
+		return err
+	}
+	return password.Authenticate(backend, verifier)
+}
+
+// enter counts a connection, unless the limit is reached.
+func (s *server) enter() bool {
+	s.member.mutex.Lock()
+	defer s.member.mutex.Unlock()
+	if s.member.connections >= s.member.limit {
+		return false
+	}
+	s.member.connections++
+	return true
+}
+
+// leave gives the connection's place back.
+func (s *server) leave() {
+	s.member.mutex.Lock()
+	defer s.member.mutex.Unlock()
+	s.member.connections--
+}
+
+// refuse sends an error and ends the connection.
+func refuse(backend *pgproto3.Backend, code, message string) error {
+	backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: code, Message: message})
+	_ = backend.Flush()
+	return errors.New(message)
+}
+
+// waitWhilePaused blocks while the member is paused.
+func (m *Member) waitWhilePaused(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mutex.Lock()
+		paused, changed := m.conditions.Paused, m.changed
+		m.mutex.Unlock()
+		if !paused {
+			return
+		}
+		wait(ctx, changed, heartbeatPeriod)
+	}
+}
--- /dev/null
+++ b/internal/lab/group/session.go
@@ -0,0 +1,356 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/sql"
+	trade "eelgrassladder.example/eelgrassladder/internal/trade/group"
+)
+
+// session is one connection after its start-up.
+type session struct {
+	server  *server
+	member  *Member
+	backend *pgproto3.Backend
+	// number identifies the session for cancels.
+	number uint32
+	// term is the term that the connection belongs to; zero for control.
+	term uint64
+	// cancelled is closed by a cancel and replaced with each statement.
+	cancelled chan struct{}
+	// settings are those of SET; Reset clears them.
+	settings map[string]string
+	// own holds temporary tables; Reset clears it.
+	own *sql.Database
+	// open is the transaction of BEGIN, or nil.
+	open *sql.Transaction
+	// implicit collects the statements of one extended batch, or nil.
+	implicit *sql.Transaction
+	// aborted is true after a failure inside BEGIN.
+	aborted bool
+	// skipping is true after a failure in an extended batch, until Sync.
+	skipping bool
+	prepared map[string]preparedStatement
+	portals  map[string]portal
+}
+
+// preparedStatement is a statement that Parse has named.
+type preparedStatement struct {
+	statement sql.Statement
+	types     []uint32
+}
+
+// portal is a statement with its arguments.
+type portal struct {
+	preparedStatement
+	arguments []any
+	formats   []int16
+}
+
+// newSession returns a session without settings.
+func newSession(s *server, backend *pgproto3.Backend, term uint64) *session {
+	return &session{
+		server: s, member: s.member, backend: backend, term: term,
+		cancelled: make(chan struct{}), settings: map[string]string{}, own: sql.NewDatabase(),
+		prepared: map[string]preparedStatement{}, portals: map[string]portal{},
+	}
+}
+
+// sessionTable finds sessions by number.
+type sessionTable struct {
+	mutex    sync.Mutex
+	sessions map[uint32]*session
+}
+
+func (t *sessionTable) add(p *session) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.sessions == nil {
+		t.sessions = map[uint32]*session{}
+	}
+	t.sessions[p.number] = p
+}
+
+func (t *sessionTable) remove(number uint32) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.sessions, number)
+}
+
+func (t *sessionTable) cancel(number uint32) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if p, ok := t.sessions[number]; ok {
+		close(p.cancelled)
+		p.cancelled = make(chan struct{})
+	}
+}
+
+// cancelledChannel returns the channel that a cancel closes.
+func (p *session) cancelledChannel() chan struct{} {
+	p.server.sessions.mutex.Lock()
+	defer p.server.sessions.mutex.Unlock()
+	return p.cancelled
+}
+
+// run answers messages until the connection ends.
+func (p *session) run(ctx context.Context) {
+	for {
+		received, err := p.backend.Receive()
+		if err != nil {
+			return
+		}
+		p.member.waitWhilePaused(ctx)
+		if ctx.Err() != nil || !p.handle(ctx, received) {
+			return
+		}
+	}
+}
+
+// handle answers one message and reports whether the connection goes on.
+func (p *session) handle(ctx context.Context, received pgproto3.FrontendMessage) bool {
+	switch m := received.(type) {
+	case *pgproto3.Terminate:
+		return false
+	case *pgproto3.Query:
+		p.simple(ctx, m.String)
+		return p.ready(ctx)
+	case *pgproto3.Sync:
+		if !p.skipping {
+			p.fail(p.finish())
+		} else {
+			p.implicit = nil
+		}
+		p.skipping = false
+		return p.ready(ctx)
+	case *pgproto3.Flush:
+		return p.backend.Flush() == nil
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		if p.skipping {
+			return true
+		}
+		if err := p.extended(ctx, m); err != nil {
+			p.fail(err)
+			p.skipping = true
+			p.implicit = nil
+		}
+		return true
+	default:
+		p.fail(sql.Fail("08P01", "unexpected message"))
+		return p.ready(ctx)
+	}
+}
+
+// ready ends an answer. With answers being lost it cuts the connection.
+func (p *session) ready(ctx context.Context) bool {
+	p.member.waitWhilePaused(ctx)
+	c := p.member.Conditions()
+	if c.Crashed || (c.LoseAnswers && p.term != 0) {
+		return false
+	}
+	status := byte('I')
+	if p.open != nil {
+		status = 'T'
+	}
+	if p.aborted {
+		status = 'E'
+	}
+	p.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	return p.backend.Flush() == nil
+}
+
+// fail sends an error and aborts an open transaction; nil does nothing.
+func (p *session) fail(err error) {
+	if err == nil {
+		return
+	}
+	if p.open != nil {
+		p.aborted = true
+	}
+	code, message := "XX000", err.Error()
+	var known *sql.Error
+	if errors.As(err, &known) {
+		code, message = known.Code, known.Message
+	}
+	p.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+}
+
+// finish commits the statements of a batch outside BEGIN.
+func (p *session) finish() error {
+	t := p.implicit
+	p.implicit = nil
+	if t == nil {
+		return nil
+	}
+	_, err := p.member.commit(p.term, t)
+	return err
+}
+
+// simple runs the statements of one Query message as one transaction.
+func (p *session) simple(ctx context.Context, source string) {
+	statements, err := sql.Parse(source)
+	if err != nil {
+		p.fail(err)
+		return
+	}
+	if len(statements) == 0 {
+		p.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	var results []sql.Result
+	for _, s := range statements {
+		result, err := p.execute(ctx, s, nil)
+		if err != nil {
+			p.implicit = nil
+			p.send(results, nil)
+			p.fail(err)
+			return
+		}
+		results = append(results, result)
+	}
+	if err := p.finish(); err != nil {
+		p.fail(err)
+		return
+	}
+	p.send(results, nil)
+}
+
+// send sends results with their columns, in text unless formats say so.
+func (p *session) send(results []sql.Result, formats []int16) {
+	for _, r := range results {
+		if len(r.Columns) > 0 {
+			p.backend.Send(describe(r.Columns, formats))
+		}
+		p.sendRows(r, formats)
+	}
+}
+
+func (p *session) sendRows(r sql.Result, formats []int16) {
+	for _, row := range r.Rows {
+		values := make([][]byte, len(row))
+		for i, v := range row {
+			values[i] = encode(v, format(formats, i))
+		}
+		p.backend.Send(&pgproto3.DataRow{Values: values})
+	}
+	p.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(r.Tag)})
+}
+
+// execute runs one statement.
+func (p *session) execute(ctx context.Context, s sql.Statement, arguments []any) (sql.Result, error) {
+	if p.aborted && s.Verb != sql.Rollback && s.Verb != sql.Commit {
+		return sql.Result{}, sql.Fail(sql.CodeAborted, "current transaction is aborted")
+	}
+	switch s.Verb {
+	case sql.Begin, sql.Commit, sql.Rollback:
+		return p.control(s)
+	case sql.Set:
+		p.settings[s.Table] = text(s.Value(0, arguments))
+		return sql.Result{Tag: "SET"}, nil
+	case sql.Show:
+		return sql.Result{
+			Columns: []sql.Column{{Name: s.Table, Text: true}},
+			Rows:    []sql.Row{{p.settings[s.Table]}}, Tag: "SHOW",
+		}, nil
+	case sql.Reset:
+		p.reset()
+		return sql.Result{Tag: "DISCARD ALL"}, nil
+	case sql.Call:
+		return p.call(ctx, s, arguments)
+	default:
+		return p.work(ctx, s, arguments)
+	}
+}
+
+// reset clears everything that a caller may have left behind.
+func (p *session) reset() {
+	p.settings = map[string]string{}
+	p.own = sql.NewDatabase()
+	p.prepared = map[string]preparedStatement{}
+	p.portals = map[string]portal{}
+}
+
+// control runs BEGIN, COMMIT and ROLLBACK.
+func (p *session) control(s sql.Statement) (sql.Result, error) {
+	switch {
+	case s.Verb == sql.Begin:
+		if p.open == nil {
+			p.open = p.begin(s.ReadOnly)
+		}
+		return sql.Result{Tag: "BEGIN"}, nil
+	case s.Verb == sql.Rollback || p.aborted:
+		p.open = nil
+		p.aborted = false
+		return sql.Result{Tag: "ROLLBACK"}, nil
+	case p.open == nil:
+		return sql.Result{Tag: "COMMIT"}, nil
+	default:
+		t := p.open
+		p.open = nil
+		_, err := p.member.commit(p.term, t)
+		return sql.Result{Tag: "COMMIT"}, err
+	}
+}
+
+// begin returns a transaction; on a replica it only reads.
+func (p *session) begin(readOnly bool) *sql.Transaction {
+	p.member.mutex.Lock()
+	defer p.member.mutex.Unlock()
+	replica := p.member.role != trade.Primary && !p.member.conditions.Careless
+	return sql.NewTransaction(p.member.database, p.own, readOnly || replica)
+}
+
+// work runs a statement on tables while it holds a slot.
+func (p *session) work(ctx context.Context, s sql.Statement, arguments []any) (sql.Result, error) {
+	t := p.open
+	if t == nil {
+		if p.implicit == nil {
+			p.implicit = p.begin(false)
+		}
+		t = p.implicit
+	}
+	if err := p.occupy(ctx, p.member.Conditions().Service); err != nil {
+		return sql.Result{}, err
+	}
+	p.member.mutex.Lock()
+	defer p.member.mutex.Unlock()
+	if err := p.member.superseded(p.term); err != nil {
+		return sql.Result{}, err
+	}
+	return t.Run(s, arguments)
+}
+
+// occupy holds a slot for the time of a statement.
+func (p *session) occupy(ctx context.Context, service time.Duration) error {
+	cancelled := p.cancelledChannel()
+	select {
+	case p.member.slots <- struct{}{}:
+	case <-cancelled:
+		return sql.Fail("57014", "canceling statement due to user request")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-p.member.slots }()
+	p.member.mutex.Lock()
+	p.member.started++
+	p.member.mutex.Unlock()
+	if service == 0 {
+		return nil
+	}
+	alarm := time.NewTimer(service)
+	defer alarm.Stop()
+	select {
+	case <-alarm.C:
+		p.member.waitWhilePaused(ctx)
+		return nil
+	case <-cancelled:
+		return sql.Fail("57014", "canceling statement due to user request")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/lab/platform/server.go
@@ -0,0 +1,48 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	goahttp "goa.design/goa/v3/http"
+
+	"eelgrassladder.example/eelgrassladder/gen/http/platform/server"
+	generated "eelgrassladder.example/eelgrassladder/gen/platform"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+)
+
+// The reasons why the store refuses a call.
+var (
+	errUnavailable = errors.New("the store does not serve")
+	errVersion     = errors.New("the key has another version")
+	errTooLong     = errors.New("the value is too long")
+)
+
+// readTimeout bounds how long a client may take to send its request.
+const readTimeout = 10 * time.Second
+
+// Start serves the store on the address until the task group ends, and
+// returns the address that it got.
+func Start(g *task.Group, s *Store, address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	mux := goahttp.NewMuxer()
+	endpoints := generated.NewEndpoints(s)
+	handler := server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	server.Mount(mux, handler)
+	web := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout}
+	g.Go("platform", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = web.Close() })
+		defer stop()
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.WithStack(err)
+		}
+		return ctx.Err()
+	})
+	return listener.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/lab/sql/token.go
@@ -0,0 +1,138 @@
+// Package sql is the statement engine of the stand-in for a database member:
+// tables in memory, transactions, and the handful of statements that the
+// load and the tests use. It is no database and no part of the product.
+package sql
+
+import (
+	"strings"
+	"unicode"
+
+	"github.com/pkg/errors"
+)
+
+// Error is a failure with the SQLSTATE that a database would answer with.
+type Error struct {
+	// Code is an SQLSTATE of five characters.
+	Code string
+	// Message is one line.
+	Message string
+}
+
+// Error returns the message with its code.
+func (e *Error) Error() string { return e.Message + " (" + e.Code + ")" }
+
+// Fail returns an Error.
+func Fail(code, message string) error { return &Error{Code: code, Message: message} }
+
+// The SQLSTATEs that the engine answers with.
+const (
+	CodeSyntax        = "42601"
+	CodeNoTable       = "42P01"
+	CodeNoColumn      = "42703"
+	CodeNoFunction    = "42883"
+	CodeDuplicate     = "23505"
+	CodeDuplicateName = "42P07"
+	CodeReadOnly      = "25006"
+	CodeSerialization = "40001"
+	CodeAborted       = "25P02"
+	CodeBadText       = "22P02"
+)
+
+// kind is the kind of a token.
+type kind int
+
+const (
+	word kind = iota
+	number
+	text
+	symbol
+	parameter
+	end
+)
+
+// token is one word, number, text, symbol or parameter of a statement.
+type token struct {
+	kind kind
+	// value is in lower case for words that are not quoted.
+	value string
+}
+
+// scan splits a statement into tokens.
+func scan(s string) ([]token, error) {
+	var tokens []token
+	for i := 0; i < len(s); {
+		c := s[i]
+		switch {
+		case unicode.IsSpace(rune(c)):
+			i++
+		case strings.HasPrefix(s[i:], "--"):
+			i = skipLine(s, i)
+		case c == '\'' || c == '"':
+			value, next, err := quoted(s, i)
+			if err != nil {
+				return nil, err
+			}
+			k := text
+			if c == '"' {
+				k = word
+			}
+			tokens = append(tokens, token{k, value})
+			i = next
+		case c == '$':
+			next := run(s, i+1, isDigit)
+			tokens = append(tokens, token{parameter, s[i+1 : next]})
+			i = next
+		case isDigit(c):
+			next := run(s, i, func(b byte) bool { return isDigit(b) || b == '.' })
+			tokens = append(tokens, token{number, s[i:next]})
+			i = next
+		case isWord(c):
+			next := run(s, i, func(b byte) bool { return isWord(b) || isDigit(b) || b == '.' })
+			tokens = append(tokens, token{word, strings.ToLower(s[i:next])})
+			i = next
+		default:
+			tokens = append(tokens, token{symbol, string(c)})
+			i++
+		}
+	}
+	return append(tokens, token{kind: end}), nil
+}
+
+// quoted reads a quoted text that starts at i; a doubled quote stands for one.
+func quoted(s string, i int) (string, int, error) {
+	quote := s[i]
+	var b strings.Builder
+	for j := i + 1; j < len(s); j++ {
+		if s[j] != quote {
+			b.WriteByte(s[j])
+			continue
+		}
+		if j+1 < len(s) && s[j+1] == quote {
+			b.WriteByte(quote)
+			j++
+			continue
+		}
+		return b.String(), j + 1, nil
+	}
+	return "", 0, errors.WithStack(Fail(CodeSyntax, "unterminated quoted text"))
+}
+
+// skipLine returns the index after the end of the line.
+func skipLine(s string, i int) int {
+	if n := strings.IndexByte(s[i:], '\n'); n >= 0 {
+		return i + n + 1
+	}
+	return len(s)
+}
+
+// run returns the index of the first byte from i on that does not satisfy in.
+func run(s string, i int, in func(byte) bool) int {
+	for i < len(s) && in(s[i]) {
+		i++
+	}
+	return i
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+func isWord(c byte) bool { return c == '_' || unicode.IsLetter(rune(c)) }
--- /dev/null
+++ b/internal/lab/sql/transaction.go
@@ -0,0 +1,436 @@
+package sql
+
+import (
+	"slices"
+	"strconv"
+)
+
+// Transaction collects changes over a database until they are committed.
+type Transaction struct {
+	database *Database
+	// own holds the temporary tables of the connection.
+	own *Database
+	// readOnly refuses all writes to replicated tables.
+	readOnly bool
+	// changes are those made so far, in order.
+	changes []Change
+	// rows holds the newest row of each key that the transaction wrote.
+	rows map[place]Row
+	// created holds the tables that the transaction created.
+	created map[string]*table
+	// serials holds the numbers that the transaction assigned.
+	serials map[string]int64
+}
+
+// place is a row's table and key.
+type place struct {
+	table string
+	key   any
+}
+
+// Result is the answer to a statement.
+type Result struct {
+	Columns []Column
+	Rows    []Row
+	Tag     string
+}
+
+// NewTransaction returns a transaction over the database, with the
+// connection's own temporary tables.
+func NewTransaction(d, own *Database, readOnly bool) *Transaction {
+	return &Transaction{
+		database: d, own: own, readOnly: readOnly,
+		rows: map[place]Row{}, created: map[string]*table{}, serials: map[string]int64{},
+	}
+}
+
+// Changes returns the changes to be committed.
+func (t *Transaction) Changes() []Change { return t.changes }
+
+// Conflict returns an error if a row was changed by another transaction
+// since this one saw it.
+func (t *Transaction) Conflict() error {
+	seen := map[place]bool{}
+	for _, c := range t.changes {
+		at := place{c.Table, c.Key}
+		if c.Columns != nil {
+			if _, ok := t.database.tables[c.Table]; ok {
+				return Fail(CodeDuplicateName, "table \""+c.Table+"\" already exists")
+			}
+			continue
+		}
+		if seen[at] {
+			continue
+		}
+		seen[at] = true
+		base, ok := t.database.tables[c.Table]
+		if !ok {
+			continue
+		}
+		if !slices.Equal(base.rows[c.Key], c.Before) {
+			return Fail(CodeSerialization, "could not serialize access due to concurrent update")
+		}
+	}
+	return nil
+}
+
+// Describe returns the columns of a statement's answer without running it.
+func (t *Transaction) Describe(s Statement) ([]Column, error) {
+	names := s.Returning
+	if s.Verb == Select {
+		names = s.Names
+	}
+	if len(names) == 0 {
+		return nil, nil
+	}
+	if names[0] == "count(*)" {
+		return []Column{{Name: "count"}}, nil
+	}
+	target, err := t.table(s.Table)
+	if err != nil {
+		return nil, err
+	}
+	columns, _, err := project(target, names)
+	return columns, err
+}
+
+// ParameterColumns returns, for each parameter of a statement, the column
+// whose type it takes.
+func (t *Transaction) ParameterColumns(s Statement) []Column {
+	columns := make([]Column, s.Parameters)
+	for i := range columns {
+		columns[i] = Column{Text: true}
+	}
+	target, err := t.table(s.Table)
+	if err != nil {
+		return columns
+	}
+	note := func(e expression, name string) {
+		if i, err := target.column(name); err == nil && e.parameter > 0 {
+			columns[e.parameter-1] = target.columns[i]
+		}
+	}
+	for _, values := range s.Values {
+		for i := range min(len(values), len(s.Names)) {
+			note(values[i], s.Names[i])
+		}
+	}
+	for i, c := range s.Changes {
+		note(c.expression, s.Names[i])
+	}
+	for _, c := range s.Where {
+		note(c.value, c.column)
+	}
+	return columns
+}
+
+// Run runs a statement that reads or changes tables.
+func (t *Transaction) Run(s Statement, arguments []any) (Result, error) {
+	if t.readOnly && s.Writes() {
+		return Result{}, Fail(CodeReadOnly, "cannot execute a write in a read-only transaction")
+	}
+	switch s.Verb {
+	case Create:
+		return t.create(s)
+	case Insert:
+		return t.insert(s, arguments)
+	case Select:
+		return t.read(s, arguments)
+	case Update, Delete:
+		return t.modify(s, arguments)
+	default:
+		return Result{}, Fail(CodeSyntax, "statement can't run in a transaction")
+	}
+}
+
+func (t *Transaction) table(name string) (*table, error) {
+	if found, ok := t.own.tables[name]; ok {
+		return found, nil
+	}
+	if found, ok := t.created[name]; ok {
+		return found, nil
+	}
+	if found, ok := t.database.tables[name]; ok {
+		return found, nil
+	}
+	return nil, Fail(CodeNoTable, "relation \""+name+"\" does not exist")
+}
+
+func (t *Transaction) create(s Statement) (Result, error) {
+	done := Result{Tag: "CREATE TABLE"}
+	if _, err := t.table(s.Table); err == nil {
+		if s.IfMissing {
+			return done, nil
+		}
+		return done, Fail(CodeDuplicateName, "relation \""+s.Table+"\" already exists")
+	}
+	if s.Temporary {
+		t.own.tables[s.Table] = newTable(s.Columns)
+		return done, nil
+	}
+	t.created[s.Table] = newTable(s.Columns)
+	t.changes = append(t.changes, Change{Table: s.Table, Columns: s.Columns})
+	return done, nil
+}
+
+// row returns the newest row of a key that the transaction can see.
+func (t *Transaction) row(name string, source *table, key any) Row {
+	if r, ok := t.rows[place{name, key}]; ok {
+		return r
+	}
+	return source.rows[key]
+}
+
+// write records a change, or makes it at once in a temporary table.
+func (t *Transaction) write(name string, source *table, key any, before, after Row) {
+	if _, ok := t.own.tables[name]; ok {
+		source.put(key, after)
+		return
+	}
+	t.rows[place{name, key}] = after
+	t.changes = append(t.changes, Change{Table: name, Key: key, Before: before, After: after})
+}
+
+func (t *Transaction) insert(s Statement, arguments []any) (Result, error) {
+	target, err := t.table(s.Table)
+	if err != nil {
+		return Result{}, err
+	}
+	var inserted []Row
+	for _, values := range s.Values {
+		r, err := t.newRow(s, target, values, arguments)
+		if err != nil {
+			return Result{}, err
+		}
+		if t.row(s.Table, target, r[0]) != nil {
+			return Result{}, Fail(CodeDuplicate, "duplicate key value violates unique constraint \""+s.Table+"_pkey\"")
+		}
+		t.write(s.Table, target, r[0], nil, r)
+		inserted = append(inserted, r)
+	}
+	return returning(target, s.Returning, inserted, "INSERT 0 "+strconv.Itoa(len(inserted)))
+}
+
+func (t *Transaction) newRow(s Statement, target *table, values []expression, arguments []any) (Row, error) {
+	if len(values) != len(s.Names) {
+		return nil, Fail(CodeSyntax, "INSERT has another number of expressions than target columns")
+	}
+	r := make(Row, len(target.columns))
+	for i, name := range s.Names {
+		column, err := target.column(name)
+		if err != nil {
+			return nil, err
+		}
+		if r[column], err = coerce(values[i].value(arguments), target.columns[column]); err != nil {
+			return nil, err
+		}
+	}
+	for i, c := range target.columns {
+		if c.Serial && r[i] == nil {
+			t.serials[s.Table] = max(t.serials[s.Table], target.serial) + 1
+			r[i] = t.serials[s.Table]
+		}
+	}
+	return r, nil
+}
+
+func (t *Transaction) modify(s Statement, arguments []any) (Result, error) {
+	target, err := t.table(s.Table)
+	if err != nil {
+		return Result{}, err
+	}
+	found, err := t.find(s, target, arguments)
+	if err != nil {
+		return Result{}, err
+	}
+	var after []Row
+	for _, r := range found {
+		if s.Verb == Delete {
+			t.write(s.Table, target, r[0], r, nil)
+			continue
+		}
+		changed, err := changeRow(s, target, r, arguments)
+		if err != nil {
+			return Result{}, err
+		}
+		t.write(s.Table, target, r[0], r, changed)
+		after = append(after, changed)
+	}
+	if s.Verb == Delete {
+		return Result{Tag: "DELETE " + strconv.Itoa(len(found))}, nil
+	}
+	return returning(target, s.Returning, after, "UPDATE "+strconv.Itoa(len(found)))
+}
+
+// changeRow returns a copy of the row with an Update's changes.
+func changeRow(s Statement, target *table, r Row, arguments []any) (Row, error) {
+	changed := slices.Clone(r)
+	for i, name := range s.Names {
+		column, err := target.column(name)
+		if err != nil {
+			return nil, err
+		}
+		v, err := coerce(s.Changes[i].value(arguments), target.columns[column])
+		if err != nil {
+			return nil, err
+		}
+		if n, ok := v.(int64); ok && s.Changes[i].add {
+			old, _ := changed[column].(int64)
+			v = old + n
+		}
+		changed[column] = v
+	}
+	return changed, nil
+}
+
+func (t *Transaction) read(s Statement, arguments []any) (Result, error) {
+	target, err := t.table(s.Table)
+	if err != nil {
+		return Result{}, err
+	}
+	found, err := t.find(s, target, arguments)
+	if err != nil {
+		return Result{}, err
+	}
+	if s.Names[0] == "count(*)" {
+		return Result{Columns: []Column{{Name: "count"}}, Rows: []Row{{int64(len(found))}}, Tag: "SELECT 1"}, nil
+	}
+	if s.Order != "" {
+		column, err := target.column(s.Order)
+		if err != nil {
+			return Result{}, err
+		}
+		sortRows(found, column)
+	}
+	if s.Limit >= 0 && len(found) > s.Limit {
+		found = found[:s.Limit]
+	}
+	return returning(target, s.Names, found, "SELECT "+strconv.Itoa(len(found)))
+}
+
+// find returns the rows that satisfy all conditions.
+func (t *Transaction) find(s Statement, target *table, arguments []any) ([]Row, error) {
+	indexes := make([]int, len(s.Where))
+	wanted := make([]any, len(s.Where))
+	for i, c := range s.Where {
+		column, err := target.column(c.column)
+		if err != nil {
+			return nil, err
+		}
+		indexes[i] = column
+		if wanted[i], err = coerce(c.value.value(arguments), target.columns[column]); err != nil {
+			return nil, err
+		}
+	}
+	var found []Row
+	keep := func(key any) {
+		r := t.row(s.Table, target, key)
+		if r == nil {
+			return
+		}
+		for i, column := range indexes {
+			if r[column] != wanted[i] {
+				return
+			}
+		}
+		found = append(found, r)
+	}
+	if at := slices.Index(indexes, 0); at >= 0 {
+		keep(wanted[at])
+		return found, nil
+	}
+	for _, key := range target.keys {
+		keep(key)
+	}
+	for _, c := range t.changes {
+		if c.Table == s.Table && c.Before == nil && c.After != nil && target.rows[c.Key] == nil {
+			keep(c.Key)
+		}
+	}
+	return found, nil
+}
+
+// returning picks columns of rows.
+func returning(source *table, names []string, rows []Row, tag string) (Result, error) {
+	if len(names) == 0 {
+		return Result{Tag: tag}, nil
+	}
+	columns, indexes, err := project(source, names)
+	if err != nil {
+		return Result{}, err
+	}
+	picked := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		one := make(Row, len(indexes))
+		for i, column := range indexes {
+			one[i] = r[column]
+		}
+		picked = append(picked, one)
+	}
+	return Result{Columns: columns, Rows: picked, Tag: tag}, nil
+}
+
+// project returns the named columns and their indexes.
+func project(source *table, names []string) ([]Column, []int, error) {
+	var columns []Column
+	var indexes []int
+	for _, name := range names {
+		if name == "*" {
+			for i, c := range source.columns {
+				columns = append(columns, c)
+				indexes = append(indexes, i)
+			}
+			continue
+		}
+		i, err := source.column(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		columns = append(columns, source.columns[i])
+		indexes = append(indexes, i)
+	}
+	return columns, indexes, nil
+}
+
+// value returns the constant, or the argument of the parameter.
+func (e expression) value(arguments []any) any {
+	if e.parameter == 0 {
+		return e.constant
+	}
+	if e.parameter > len(arguments) {
+		return nil
+	}
+	return arguments[e.parameter-1]
+}
+
+// Value returns the value of one argument of a Call or a Set.
+func (s Statement) Value(i int, arguments []any) any {
+	if i >= len(s.Arguments) {
+		return nil
+	}
+	return s.Arguments[i].value(arguments)
+}
+
+// coerce turns a value into the type of a column.
+func coerce(v any, c Column) (any, error) {
+	switch x := v.(type) {
+	case nil:
+		return nil, nil
+	case string:
+		if c.Text {
+			return x, nil
+		}
+		n, err := strconv.ParseInt(x, 10, 64)
+		if err != nil {
+			return nil, Fail(CodeBadText, "invalid input syntax for type bigint")
+		}
+		return n, nil
+	case int64:
+		if c.Text {
+			return strconv.FormatInt(x, 10), nil
+		}
+		return x, nil
+	default:
+		return nil, Fail(CodeBadText, "value does not fit column \""+c.Name+"\"")
+	}
+}
--- /dev/null
+++ b/internal/peer/endpoint/control.go
@@ -0,0 +1,118 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/group"
+)
+
+// Control is the control connection of one member; it implements the root
+// package's Member. Calls open the connection as needed. One call runs on it
+// at a time; use two controls for calls that must not wait for each other.
+type Control struct {
+	// address is the member's IP number and port.
+	address string
+	// database is the name of the group.
+	database string
+	// credentials are shown to the member.
+	credentials Credentials
+	// opened is nil while there is no connection.
+	opened *pgconn.PgConn
+}
+
+// NewControl returns a control of a member that has no connection yet.
+func NewControl(address, database string, c Credentials) *Control {
+	return &Control{address: address, database: database, credentials: c}
+}
+
+// Progress returns when the member differs from what is known, or when the
+// wait has ended. A member that answers late is an error.
+func (c *Control) Progress(ctx context.Context, known group.Progress, wait time.Duration) (group.Progress, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+probeSlack)
+	defer cancel()
+	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_progress(%d, %s, %d, %d, %d)",
+		known.Term, quote(string(known.Role)), known.Received, known.Applied, wait.Milliseconds()))
+}
+
+// Fence asks the member to refuse work of terms below term.
+func (c *Control) Fence(ctx context.Context, term uint64, proposer string) (group.Progress, error) {
+	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_fence(%d, %s)", term, quote(proposer)))
+}
+
+// Promote makes the member the primary of a term granted to the proposer.
+func (c *Control) Promote(ctx context.Context, term uint64, proposer string) (group.Progress, error) {
+	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_promote(%d, %s)", term, quote(proposer)))
+}
+
+// Follow makes the member a replica of the primary of a term.
+func (c *Control) Follow(ctx context.Context, term uint64, primary string) (group.Progress, error) {
+	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_follow(%d, %s)", term, quote(primary)))
+}
+
+// Close gives the connection up.
+func (c *Control) Close() {
+	if c.opened == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelGrace)
+	defer cancel()
+	_ = c.opened.Close(ctx)
+	c.opened = nil
+}
+
+// ask runs one function and reads the progress that it answers. After an
+// error of the connection, the next call opens a new one.
+func (c *Control) ask(ctx context.Context, query string) (group.Progress, error) {
+	if c.opened == nil || c.opened.IsClosed() {
+		config, err := settings(c.address, c.database, c.credentials)
+		if err != nil {
+			return group.Progress{}, err
+		}
+		opened, err := pgconn.ConnectConfig(ctx, config)
+		if err != nil {
+			return group.Progress{}, errors.WithStack(err)
+		}
+		c.opened = opened
+	}
+	results, err := c.opened.Exec(ctx, query).ReadAll()
+	if err != nil {
+		return group.Progress{}, errors.WithStack(err)
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 6 {
+		return group.Progress{}, errors.New("malformed progress")
+	}
+	return parseProgress(results[0].Rows[0])
+}
+
+// parseProgress reads the columns of a progress.
+func parseProgress(row [][]byte) (group.Progress, error) {
+	var numbers [6]uint64
+	for i, raw := range row {
+		if i == 1 {
+			continue
+		}
+		n, err := strconv.ParseUint(string(raw), 10, 64)
+		if err != nil {
+			return group.Progress{}, errors.WithStack(err)
+		}
+		numbers[i] = n
+	}
+	return group.Progress{
+		Term:     numbers[0],
+		Role:     group.Role(row[1]),
+		LogTerm:  numbers[2],
+		Received: numbers[3],
+		Applied:  numbers[4],
+		Contact:  time.Duration(numbers[5]) * time.Millisecond,
+	}, nil
+}
+
+// quote returns the text as an SQL constant.
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
--- /dev/null
+++ b/router.go
@@ -0,0 +1,43 @@
+package eelgrassladder
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+// Read is what routing sees of a request.
+type Read struct {
+	// May is true when a replica may be tried.
+	May bool
+	// Required is the position that the read must cover.
+	Required position.Position
+	// Staleness is the age that the read may have.
+	Staleness time.Duration
+	// Left is the time left to the target.
+	Left time.Duration
+}
+
+// Place is what routing sees of a member.
+type Place struct {
+	// Primary is true for the primary of the term in force.
+	Primary bool
+	// Usable is false for a member that is unreachable, leaving, or in
+	// another term.
+	Usable bool
+	// Applied is the last log place visible to reads.
+	Applied uint64
+	// Age is how old its newest visible data may be.
+	Age time.Duration
+	// Delay is the forecast time until a request could start there.
+	Delay time.Duration
+	// Lag is the forecast time until it has applied what is written now.
+	Lag time.Duration
+}
+
+// Router decides at which members a request may run. It does no I/O and
+// keeps no state.
+type Router interface {
+	// Eligible reports whether the request may run at places[at] now.
+	Eligible(r Read, places []Place, at int) bool
+}
