--- /dev/null
+++ b/cmd/eelgrasslab/demo.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/experiment"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/load"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+)
+
+// The size of the demonstration.
+const (
+	demoSeconds  = 6
+	demoRate     = 200
+	demoSessions = 60
+	demoFaultAt  = 2 * time.Second
+	demoFaultFor = 2 * time.Second
+)
+
+// demoCommand runs the whole path.
+type demoCommand struct {
+	Verbose bool `long:"verbose" description:"Log to standard error"`
+}
+
+// Execute starts stand-ins and five proxies, offers Magnolia's work, crashes a
+// primary in the middle, and prints what the callers were given.
+func (c *demoCommand) Execute([]string) error {
+	if err := startLog(c.Verbose); err != nil {
+		return err
+	}
+	ctx, cancel := interrupted()
+	defer cancel()
+	w := workload.Magnolia()
+	fmt.Printf("Three database groups, five proxies, %d s of work; the primary of %s crashes after %v.\n",
+		demoSeconds, w.Groups[0], demoFaultAt)
+	report, err := experiment.Run(ctx, experiment.Trial{
+		Plan: load.Plan{
+			Workload: w, Seconds: demoSeconds, Seed: 1, PayingRate: demoRate, FreeRate: demoRate,
+			Sessions: demoSessions, Named: 0.3, Probe: w.Groups[0],
+		},
+		Proxies: 5,
+		Conditions: group.Conditions{
+			Service: 3 * time.Millisecond, Connect: w.Connect, Receive: w.Between, Apply: 50 * time.Millisecond,
+		},
+		Faults: []experiment.Fault{{At: demoFaultAt, For: demoFaultFor, Kind: experiment.Crash}},
+	})
+	if err != nil {
+		return err
+	}
+	if err := printReport(report, false); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(os.Stdout, "Every promise held.")
+	return err
+}
--- /dev/null
+++ b/cmd/eelgrasslab/load.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/journal"
+	"eelgrassladder.example/eelgrassladder/internal/lab/experiment"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/load"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+)
+
+// The bounds of a load.
+const (
+	maxSeconds = 600
+	maxRate    = 20000
+)
+
+// faultFor is how long a fault of the command line lasts.
+const faultFor = 4 * time.Second
+
+// loadCommand offers a workload.
+type loadCommand struct {
+	Workload   string        `long:"workload" choice:"magnolia" choice:"homokforma" default:"magnolia" description:"Whose work to offer"`
+	Seconds    float64       `long:"seconds" default:"20" description:"How long requests start"`
+	Seed       uint64        `long:"seed" default:"1" description:"Seed of arrivals and faults"`
+	PayingRate float64       `long:"paying-rate" default:"300" description:"Paying requests a second over all groups"`
+	FreeRate   float64       `long:"free-rate" default:"300" description:"Free requests a second over all groups"`
+	Sessions   int           `long:"sessions" default:"200" description:"Sessions in each group"`
+	Proxies    int           `long:"proxies" default:"5" description:"Proxies"`
+	Service    time.Duration `long:"service" default:"4ms" description:"Time that a statement holds a slot"`
+	Lag        time.Duration `long:"lag" default:"50ms" description:"Time until a replica shows what it received"`
+	Receive    time.Duration `long:"receive" default:"500us" description:"Time that log entries take between members"`
+	Fault      []string      `long:"fault" description:"A fault in the middle of the load: crash, pause, isolate, lose-answers, lag, far, store-down, store-slow, kill-proxy, kill-owner, roll or leave; repeat for more"`
+	Baseline   bool          `long:"baseline" description:"Serve in order of arrival, and read from primaries only"`
+	JSON       bool          `long:"json" description:"Print JSON"`
+	Verbose    bool          `long:"verbose" description:"Log to standard error"`
+}
+
+// Execute runs the load and fails on any violation.
+func (c *loadCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+	report, err := c.run(ctx)
+	if err != nil {
+		return err
+	}
+	return printReport(report, c.JSON)
+}
+
+// run runs the load.
+func (c *loadCommand) run(ctx context.Context) (load.Report, error) {
+	if err := startLog(c.Verbose); err != nil {
+		return load.Report{}, err
+	}
+	w, ok := workload.Named(c.Workload)
+	if !ok || c.Seconds > maxSeconds || c.PayingRate+c.FreeRate > maxRate {
+		return load.Report{}, errors.Errorf("at most %d seconds and %d requests a second", maxSeconds, maxRate)
+	}
+	t := experiment.Trial{
+		Plan: load.Plan{
+			Workload: w, Seconds: c.Seconds, Seed: c.Seed, PayingRate: c.PayingRate, FreeRate: c.FreeRate,
+			Sessions: c.Sessions, Named: 0.3,
+		},
+		Proxies:    c.Proxies,
+		Conditions: group.Conditions{Service: c.Service, Connect: w.Connect, Receive: c.Receive, Apply: c.Lag},
+		Baseline:   c.Baseline,
+	}
+	for _, kind := range c.Fault {
+		t.Plan.Probe = w.Groups[0]
+		t.Faults = append(t.Faults, experiment.Fault{
+			At: time.Duration(c.Seconds / 3 * float64(time.Second)), For: faultFor, Kind: experiment.Kind(kind), Lag: 10 * c.Lag,
+		})
+	}
+	return experiment.Run(ctx, t)
+}
+
+// startLog logs to standard error, or nowhere.
+func startLog(verbose bool) error {
+	if verbose {
+		return journal.Start(os.Stderr, 1)
+	}
+	return journal.Start(io.Discard, 0)
+}
+
+// printReport prints a report and fails on any violation.
+func printReport(r load.Report, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(r); err != nil {
+			return errors.WithStack(err)
+		}
+	} else if err := r.Write(os.Stdout); err != nil {
+		return err
+	}
+	if n := r.Violations.Total(); n > 0 {
+		return errors.Errorf("%d violations", n)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/eelgrasslab/standin.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	generated "eelgrassladder.example/eelgrassladder/gen/platform"
+	"eelgrassladder.example/eelgrassladder/internal/host/fleet"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/platform"
+)
+
+// platformCommand runs the stand-in of the platform.
+type platformCommand struct {
+	Address       string `long:"address" default:"127.0.0.1:7000" description:"IP number and port to listen on"`
+	Hosts         string `long:"hosts" required:"true" value-name:"FILE" description:"Host list, in JSON with comments"`
+	Configuration string `long:"configuration" value-name:"FILE" description:"Configuration that is in the store at the start"`
+}
+
+// Execute serves until it is told to stop.
+func (c *platformCommand) Execute([]string) error {
+	list, err := readHosts(c.Hosts)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := interrupted()
+	defer cancel()
+	tasks := task.New(ctx)
+	store := platform.NewStore()
+	store.SetHosts(list)
+	if c.Configuration != "" {
+		text, err := os.ReadFile(c.Configuration)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		p := &generated.SwapPayload{Key: fleet.ConfigurationKey, Value: string(text), ChangeID: "start"}
+		if _, err := store.Swap(ctx, p); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	address, err := platform.Start(tasks, store, c.Address)
+	if err != nil {
+		return err
+	}
+	fmt.Println("Platform:", address)
+	return tasks.Wait()
+}
+
+// readHosts reads a host list.
+func readHosts(file string) (*generated.HostList, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	plain, err := hujson.Standardize(text)
+	if err != nil {
+		return nil, errors.WithMessage(err, file)
+	}
+	list := &generated.HostList{}
+	return list, errors.WithMessage(json.Unmarshal(plain, list), file)
+}
+
+// groupCommand runs the stand-in of a database group.
+type groupCommand struct {
+	Name        string        `long:"name" required:"true" description:"Name of the group and of its database"`
+	Addresses   []string      `long:"address" required:"true" description:"IP number and port of a member; repeat for each"`
+	Slots       int           `long:"slots" default:"2" description:"Statements that a member runs at one time"`
+	Connections int           `long:"connections" default:"16" description:"Connections that a member accepts"`
+	Service     time.Duration `long:"service" default:"4ms" description:"Time that a statement holds a slot"`
+	Lag         time.Duration `long:"lag" default:"50ms" description:"Time until a replica shows what it received"`
+}
+
+// Execute serves until it is told to stop.
+func (c *groupCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+	tasks := task.New(ctx)
+	size := group.Size{Slots: c.Slots, Connections: c.Connections, Addresses: c.Addresses, DataCentres: make([]string, len(c.Addresses))}
+	made, err := group.Start(tasks, c.Name, size, group.Conditions{Service: c.Service, Connect: connectTime, Apply: c.Lag})
+	if err != nil {
+		return err
+	}
+	for _, m := range made.Descriptions() {
+		fmt.Printf("%s: %s\n", m.Name, m.Address)
+	}
+	return ended(ctx, tasks.Wait())
+}
+
+// connectTime is how long a new connection to a member takes.
+const connectTime = 12 * time.Millisecond
+
+// ended drops an error that only says that the process was told to stop.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/eelgrassladder/report.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	generated "eelgrassladder.example/eelgrassladder/gen/operator"
+	"eelgrassladder.example/eelgrassladder/internal/host/report"
+)
+
+// reportCommand reports what the system does.
+type reportCommand struct {
+	Burn burnCommand `command:"burn" description:"Report service-level burn per class and window, merged over proxies"`
+}
+
+// burnCommand reports service-level burn.
+type burnCommand struct {
+	Operators []string `long:"operator" required:"true" value-name:"ADDRESS" description:"Operator address of a proxy; repeat for each"`
+	TokenFile string   `long:"token-file" required:"true" value-name:"FILE" description:"File with the operators' token"`
+	JSON      bool     `long:"json" description:"Print JSON"`
+	Plot      string   `long:"plot" value-name:"FILE" description:"Also draw the burn rates into a PNG file"`
+}
+
+// Execute asks the proxies, merges their counts and prints the report.
+func (c *burnCommand) Execute([]string) error {
+	token, err := readToken(c.TokenFile)
+	if err != nil {
+		return err
+	}
+	var counts []*generated.BurnCount
+	silent := 0
+	for _, address := range c.Operators {
+		part, err := operatorClient(address).Burn(context.Background(), &generated.BurnPayload{Token: &token})
+		if err != nil {
+			silent++
+			fmt.Fprintf(os.Stderr, "%s does not answer and is left out: %v\n", address, describe(err))
+			continue
+		}
+		counts = append(counts, part...)
+	}
+	if silent == len(c.Operators) {
+		return errors.New("no proxy answers")
+	}
+	b := report.Merge(counts, len(c.Operators), silent)
+	if c.Plot != "" {
+		if err := b.Draw(c.Plot); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return errors.WithStack(encoder.Encode(b))
+	}
+	return b.Write(os.Stdout)
+}
--- /dev/null
+++ b/internal/host/owner/handover.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder/internal/table/keys"
+	"eelgrassladder.example/eelgrassladder/internal/table/sessions"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+// The times of a handover.
+const (
+	// drainTime bounds the wait for requests in flight before a handover.
+	drainTime = 2 * time.Second
+	// drainPace is how often the wait looks.
+	drainPace = 2 * time.Millisecond
+	// lingerTime bounds how long transactions may go on after a handover.
+	lingerTime = 20 * time.Second
+)
+
+// Handover is what the next owner of a group needs to go on in its term.
+type Handover struct {
+	// Term is the term in force; zero if none serves.
+	Term uint64
+	// Primary is the primary of the term.
+	Primary string
+	// Floor is what sessions that are not known must cover.
+	Floor position.Position
+	// Held is the last position that a majority holds.
+	Held position.Position
+	// Sessions are the named sessions.
+	Sessions []sessions.Session
+	// Keys are the settled request keys.
+	Keys []keys.Outcome
+}
+
+// Drain takes no new requests, waits for those in flight, and returns what
+// the next owner needs. Transactions that are open go on here; call Linger
+// once the next owner has taken over.
+func (o *Owner) Drain(ctx context.Context) Handover {
+	o.draining.Store(true)
+	o.queue.Close(moved())
+	end := o.timer.Now().Add(drainTime)
+	for o.queue.Running()+o.acks.Waiting() > 0 && o.timer.Now().Before(end) && ctx.Err() == nil {
+		o.pause(ctx, drainPace)
+	}
+	h := Handover{
+		Floor:    o.sessions.Floor(),
+		Held:     o.acks.Held(),
+		Sessions: o.sessions.All(),
+		Keys:     o.keys.Settled(),
+	}
+	if g := o.current(); g != nil {
+		h.Term = g.term
+		h.Primary = g.primary
+		for _, p := range g.pools {
+			p.Close()
+		}
+	}
+	return h
+}
+
+// Linger serves the transactions that are still open until they end, or for
+// a bounded time, and then stops the owner.
+func (o *Owner) Linger(ctx context.Context) {
+	end := o.timer.Now().Add(lingerTime)
+	for o.pins.Len() > 0 && o.timer.Now().Before(end) && ctx.Err() == nil {
+		o.pause(ctx, drainPace)
+	}
+	if n := o.pins.Len(); n > 0 {
+		klog.InfoS("Transactions cut off after a handover", "Group", o.Group().Name, "Count", n)
+	}
+	o.Stop()
+}
+
+// adopt goes on in the term of a handover.
+func (o *Owner) adopt(h Handover) {
+	o.sessions.Raise(h.Floor)
+	for i := len(h.Sessions) - 1; i >= 0; i-- {
+		o.sessions.Record(h.Sessions[i].Name, h.Sessions[i].Position)
+	}
+	o.keys.Restore(h.Keys, o.timer.Now())
+	if h.Term == 0 {
+		o.askRaise("Takeover")
+		return
+	}
+	o.acks.Begin(h.Term)
+	o.acks.Advance(h.Term, h.Held.Log)
+	o.install(h.Term, h.Primary)
+}
--- /dev/null
+++ b/internal/host/owner/observe.go
@@ -0,0 +1,128 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/peer/endpoint"
+	"eelgrassladder.example/eelgrassladder/internal/policy/promotion"
+	"eelgrassladder.example/eelgrassladder/internal/table/queue"
+	"eelgrassladder.example/eelgrassladder/internal/trade/group"
+)
+
+// The pace of probes.
+const (
+	// progressWait is how long a member holds a probe when nothing changes.
+	progressWait = 100 * time.Millisecond
+	// awaitedPace is the time between probes while answers wait for them.
+	awaitedPace = time.Millisecond
+	// idlePace is the time between probes otherwise.
+	idlePace = 5 * time.Millisecond
+	// failedPace is the time between probes of a member that does not answer.
+	failedPace = 50 * time.Millisecond
+	// unknownAge is the age of data whose age is not known.
+	unknownAge = time.Duration(1<<62 - 1)
+)
+
+// watch follows the progress of a member until ctx ends.
+func (o *Owner) watch(ctx context.Context, m group.Member) {
+	control := endpoint.NewControl(m.Address, o.Group().Name, o.credentials)
+	defer control.Close()
+	var known group.Progress
+	for ctx.Err() == nil {
+		sent := o.timer.Now()
+		p, err := control.Progress(ctx, known, progressWait)
+		if ctx.Err() != nil {
+			return
+		}
+		pace := failedPace
+		if err != nil {
+			o.members.Failed(m.Name, o.timer.Now())
+		} else {
+			known = p
+			pace = o.answered(m, p, sent)
+		}
+		o.refresh(o.timer.Now())
+		o.pause(ctx, pace)
+	}
+}
+
+// answered records a member's answer and returns the pace of its probes.
+func (o *Owner) answered(m group.Member, p group.Progress, sent time.Time) time.Duration {
+	o.members.Answered(m.Name, p, o.timer.Now())
+	o.noteTerm(p.Term)
+	g := o.current()
+	if g != nil && g.primary == m.Name {
+		if p.Term == g.term && p.Role == group.Primary {
+			o.members.Reached(p.Received, sent)
+		}
+		return idlePace
+	}
+	if o.acks.Waiting() > 0 {
+		return awaitedPace
+	}
+	return idlePace
+}
+
+// noteTerm remembers the highest term seen.
+func (o *Owner) noteTerm(term uint64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.highest = max(o.highest, term)
+}
+
+// pause waits for a time or the end of ctx.
+func (o *Owner) pause(ctx context.Context, d time.Duration) {
+	s := o.timer.Once(d)
+	defer s.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.C():
+	}
+}
+
+// refresh brings what was observed to the queue, to the answers that wait for
+// a majority, and to the decision whether the term stands.
+func (o *Owner) refresh(now time.Time) {
+	g := o.current()
+	if g == nil {
+		return
+	}
+	all := o.members.All()
+	o.acks.Advance(g.term, promotion.Acknowledged(o.Group(), all, g.term, g.primary))
+	places := make([]queue.Place, 0, len(all))
+	for _, m := range all {
+		places = append(places, o.place(m, g, now))
+	}
+	if o.current() == g {
+		o.queue.SetPlaces(places)
+	}
+	if reason := promotion.Judge(now, all, g.term, g.primary); reason != promotion.None {
+		o.askRaise(string(reason))
+	}
+}
+
+// place returns a member as the queue sees it.
+func (o *Owner) place(m group.Observation, g *generation, now time.Time) queue.Place {
+	primary := m.Member.Name == g.primary
+	role := group.Replica
+	if primary {
+		role = group.Primary
+	}
+	usable := m.Reachable && m.Progress.Term == g.term && m.Progress.Role == role && g.pool(m.Member.Name) != nil
+	if !primary {
+		usable = usable && !m.Member.Leaving
+	}
+	age, ok := o.members.Age(m.Progress.Applied, now)
+	if !ok {
+		age = unknownAge
+	}
+	return queue.Place{
+		Name:  m.Member.Name,
+		Slots: m.Member.Slots,
+		Place: eelgrassladder.Place{
+			Primary: primary, Usable: usable, Applied: m.Progress.Applied, Age: age, Lag: age,
+		},
+	}
+}
--- a/internal/host/password/server.go
+++ b/internal/host/password/server.go
@@ -40,7 +40,7 @@
 		return errors.New("password is wrong")
 	}
 	backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
-	return nil
+	return errors.WithStack(backend.Flush())
 }
 
 // receive flushes what was sent and reads the one message that may follow.
--- /dev/null
+++ b/internal/host/report/draw.go
@@ -0,0 +1,55 @@
+package report
+
+import (
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of the picture and its bars.
+const (
+	pictureWidth  = 8 * vg.Inch
+	pictureHeight = 4 * vg.Inch
+	barWidth      = 0.15 * vg.Inch
+)
+
+// Draw draws the burn rates over all data centres, a group of bars for each
+// class with one bar a window, into a PNG file.
+func (b Burn) Draw(file string) error {
+	p := plot.New()
+	p.Title.Text = "Service-level burn"
+	p.Y.Label.Text = "Burn rate (1 uses the budget up just in time)"
+	classes, rates := b.rates()
+	for i, window := range []string{"5m", "1h", "6h", "3d"} {
+		bars, err := plotter.NewBarChart(rates[window], barWidth)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = barWidth * vg.Length(float64(i)-1.5)
+		p.Add(bars)
+		p.Legend.Add(window, bars)
+	}
+	p.Legend.Top = true
+	p.NominalX(classes...)
+	return errors.WithStack(p.Save(pictureWidth, pictureHeight, file))
+}
+
+// rates returns the classes, and the burn rate of each by window.
+func (b Burn) rates() ([]string, map[string]plotter.Values) {
+	var classes []string
+	rates := map[string]plotter.Values{}
+	for _, r := range b.Rows {
+		if r.DataCentre != "" {
+			continue
+		}
+		if len(classes) == 0 || classes[len(classes)-1] != r.Class {
+			classes = append(classes, r.Class)
+		}
+		rates[r.Window] = append(rates[r.Window], r.BurnRate)
+	}
+	return classes, rates
+}
--- a/internal/lab/group/call.go
+++ b/internal/lab/group/call.go
@@ -11,8 +11,12 @@
 
 // progressColumns are the columns of every function that answers a progress.
 var progressColumns = []sql.Column{
-	{Name: "term"}, {Name: "role", Text: true}, {Name: "log_term"},
-	{Name: "received"}, {Name: "applied"}, {Name: "contact_ms"},
+	{Name: "term"},
+	{Name: "role", Text: true},
+	{Name: "log_term"},
+	{Name: "received"},
+	{Name: "applied"},
+	{Name: "contact_ms"},
 }
 
 // call runs the functions that the platform offers on each member.
--- a/internal/lab/group/group.go
+++ b/internal/lab/group/group.go
@@ -29,6 +29,9 @@
 	Connections int
 	// DataCentres has one name for each member.
 	DataCentres []string
+	// Addresses has an IP number and port for each member; nil for any port
+	// on loopback.
+	Addresses []string
 	// Password is what connections must know; empty asks for none.
 	Password string
 }
@@ -39,7 +42,11 @@
 	made := &Group{name: name}
 	for i, centre := range size.DataCentres {
 		m := newMember(name+"-"+string(rune('a'+i)), size.Slots, size.Connections, c)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address := "127.0.0.1:0"
+		if size.Addresses != nil {
+			address = size.Addresses[i]
+		}
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
--- a/internal/lab/group/member.go
+++ b/internal/lab/group/member.go
@@ -62,8 +62,10 @@
 	database *sql.Database
 	// connections counts the open connections.
 	connections int
-	// started counts statements, for the harness.
-	started uint64
+	// primaryReads and replicaReads count the queries that the member ran in
+	// each role.
+	primaryReads uint64
+	replicaReads uint64
 }
 
 // newMember returns a member in term zero.
@@ -114,11 +116,11 @@
 	return all
 }
 
-// Started returns how many statements the member has begun.
-func (m *Member) Started() uint64 {
+// Reads returns how many queries the member ran as a primary and otherwise.
+func (m *Member) Reads() (primary, replica uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.started
+	return m.primaryReads, m.replicaReads
 }
 
 // notify wakes everyone that waits for a change. The caller holds the mutex.
--- a/internal/lab/group/replicate.go
+++ b/internal/lab/group/replicate.go
@@ -87,9 +87,8 @@
 
 // receive takes a message after the time that it travels.
 func (m *Member) receive(ctx context.Context, source *Member, term uint64, sent message) {
-	delay := m.Conditions().Receive
-	if len(sent.entries) > 0 && delay > 0 {
-		wait(ctx, nil, delay)
+	if len(sent.entries) > 0 {
+		m.travel(ctx, source)
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -113,6 +112,24 @@
 	}
 }
 
+// travel waits for the time that entries take to the member. Heartbeats of
+// the primary arrive all the while.
+func (m *Member) travel(ctx context.Context, source *Member) {
+	end := time.Now().Add(m.Conditions().Receive)
+	for ctx.Err() == nil {
+		left := time.Until(end)
+		if left <= 0 {
+			return
+		}
+		wait(ctx, nil, min(left, heartbeatPeriod))
+		if !m.cutOff() && !source.cutOff() {
+			m.mutex.Lock()
+			m.contact = time.Now()
+			m.mutex.Unlock()
+		}
+	}
+}
+
 // apply makes received entries visible after the apply delay.
 func (m *Member) apply(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/lab/group/session.go
+++ b/internal/lab/group/session.go
@@ -322,9 +322,21 @@
 	if err := p.member.superseded(p.term); err != nil {
 		return sql.Result{}, err
 	}
+	if s.Verb == sql.Select {
+		p.member.countRead()
+	}
 	return t.Run(s, arguments)
 }
 
+// countRead counts a query by the member's role. The caller holds the mutex.
+func (m *Member) countRead() {
+	if m.role == trade.Primary {
+		m.primaryReads++
+	} else {
+		m.replicaReads++
+	}
+}
+
 // occupy holds a slot for the time of a statement.
 func (p *session) occupy(ctx context.Context, service time.Duration) error {
 	cancelled := p.cancelledChannel()
@@ -336,9 +348,6 @@
 		return ctx.Err()
 	}
 	defer func() { <-p.member.slots }()
-	p.member.mutex.Lock()
-	p.member.started++
-	p.member.mutex.Unlock()
 	if service == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,422 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/site"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+	"eelgrassladder.example/eelgrassladder/internal/trade/configuration"
+	"eelgrassladder.example/eelgrassladder/internal/trade/request"
+)
+
+// Run is one load on a site.
+type Run struct {
+	plan   Plan
+	site   *site.Site
+	ledger *ledger
+	pools  *pools
+	users  []*user
+	tasks  *task.Group
+	// slots bounds the requests that run.
+	slots chan struct{}
+	// reads are the counts of the members before the load.
+	primaryReads, replicaReads uint64
+
+	// mutex guards the fields below. It is a leaf.
+	mutex   sync.Mutex
+	tallies map[string]*tally
+	order   []string
+	codes   map[string]int
+	unknown int
+	// acknowledged holds, by group, the writes that were acknowledged, for
+	// the failover gap.
+	acknowledged map[string][]acknowledgement
+	faults       []fault
+	terms        int
+}
+
+// acknowledgement is when a write was acknowledged, and in which term.
+type acknowledgement struct {
+	at   time.Time
+	term uint64
+}
+
+// fault is a fault of a primary.
+type fault struct {
+	group string
+	at    time.Time
+	// term is the term of the primary that failed.
+	term uint64
+}
+
+// New prepares a load on a running site: its tables, rows and sessions.
+func New(ctx context.Context, s *site.Site, p Plan) (*Run, error) {
+	r := &Run{
+		plan: p, site: s, ledger: newLedger(), pools: newPools(s.Addresses), slots: make(chan struct{}, maxOutstanding),
+		tallies: map[string]*tally{}, codes: map[string]int{}, acknowledged: map[string][]acknowledgement{},
+	}
+	c, findings := configuration.Parse("configuration", []byte(p.Workload.Configuration))
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	for _, one := range c.Classes() {
+		r.tallies[one.Name] = newTally(one)
+		r.order = append(r.order, one.Name)
+	}
+	random := rand.New(rand.NewPCG(p.Seed, 0))
+	for _, g := range s.Groups {
+		if err := r.prepare(ctx, g.Name()); err != nil {
+			return nil, err
+		}
+		for i := range p.Sessions {
+			u := &user{id: int64(i), group: g.Name()}
+			if random.Float64() < p.Named {
+				u.name = fmt.Sprintf("session-%d", i)
+			}
+			r.users = append(r.users, u)
+		}
+	}
+	if err := r.settleReplicas(ctx); err != nil {
+		return nil, err
+	}
+	r.primaryReads, r.replicaReads = r.countReads()
+	return r, nil
+}
+
+// prepare makes the tables and rows of a group.
+func (r *Run) prepare(ctx context.Context, name string) error {
+	s := r.plan.Workload.Paying[0]
+	c, err := connect(ctx, r.site.Addresses()[0], s, name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	for _, text := range tables {
+		if _, err := c.Exec(ctx, text); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	for first := 0; first < r.plan.Sessions; first += 200 {
+		text := "INSERT INTO sketches (id, version, label) VALUES "
+		for i := first; i < min(first+200, r.plan.Sessions); i++ {
+			if i > first {
+				text += ", "
+			}
+			text += fmt.Sprintf("(%d, 0, '%s')", i, labelOf(int64(i)))
+		}
+		if _, err := c.Exec(ctx, text); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+// settleReplicas waits until every replica has applied what was prepared, so
+// that browsing finds its rows.
+func (r *Run) settleReplicas(ctx context.Context) error {
+	end := time.Now().Add(20 * time.Second)
+	for _, g := range r.site.Groups {
+		for _, m := range g.Members() {
+			for m.Progress().Applied < g.Primary().Progress().Received {
+				if time.Now().After(end) || ctx.Err() != nil {
+					return errors.Errorf("%s has not caught up", m.Name())
+				}
+				pause(ctx, 5*time.Millisecond)
+			}
+		}
+	}
+	return nil
+}
+
+// countReads returns the queries that primaries and replicas ran.
+func (r *Run) countReads() (primary, replica uint64) {
+	for _, g := range r.site.Groups {
+		for _, m := range g.Members() {
+			p, q := m.Reads()
+			primary += p
+			replica += q
+		}
+	}
+	return primary, replica
+}
+
+// Offer offers the load and returns when every request was answered.
+func (r *Run) Offer(ctx context.Context) {
+	r.tasks = task.New(ctx)
+	r.tasks.Go("paying arrivals", func(ctx context.Context) error {
+		r.arrive(ctx, r.plan.Workload.Paying, r.plan.PayingRate, 1)
+		return nil
+	})
+	r.tasks.Go("free arrivals", func(ctx context.Context) error {
+		r.arrive(ctx, r.plan.Workload.Free, r.plan.FreeRate, 2)
+		return nil
+	})
+	if r.plan.Probe != "" {
+		r.tasks.Go("probe", r.probe)
+	}
+	_ = r.tasks.Wait()
+}
+
+// arrive starts requests at random times with the given rate, whatever
+// becomes of the earlier ones.
+func (r *Run) arrive(ctx context.Context, streams []workload.Stream, rate float64, salt uint64) {
+	if rate <= 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(r.plan.Seed, salt))
+	start := time.Now()
+	var at float64
+	for number := 0; ; number++ {
+		at += random.ExpFloat64() / rate
+		if at > r.plan.Seconds {
+			return
+		}
+		intended := start.Add(time.Duration(at * float64(time.Second)))
+		pause(ctx, time.Until(intended))
+		if ctx.Err() != nil {
+			return
+		}
+		s := choose(streams, random)
+		u := r.users[random.IntN(len(r.users))]
+		name := fmt.Sprintf("%d-%d-%d", r.plan.Seed, salt, number)
+		seed := random.Uint64()
+		r.slots <- struct{}{}
+		r.tasks.Detach("request", func(ctx context.Context) {
+			defer func() { <-r.slots }()
+			r.request(ctx, s, u, name, intended, rand.New(rand.NewPCG(seed, 0)))
+		})
+	}
+}
+
+// choose picks a stream by weight.
+func choose(streams []workload.Stream, random *rand.Rand) workload.Stream {
+	at := random.Float64()
+	for _, s := range streams {
+		if at -= s.Weight; at < 0 {
+			return s
+		}
+	}
+	return streams[len(streams)-1]
+}
+
+// request runs one request of a session and counts it.
+func (r *Run) request(ctx context.Context, s workload.Stream, u *user, name string, intended time.Time, random *rand.Rand) {
+	if s.Kind == workload.ReadOwn || s.Kind == workload.Transfer {
+		u.mutex.Lock()
+		defer u.mutex.Unlock()
+		intended = later(intended, time.Now())
+	} else {
+		u = &user{id: u.id, group: u.group}
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	defer cancel()
+	o := r.try(ctx, s, u, name, random)
+	r.count(s, u, o, intended)
+}
+
+// later returns the later time: a session does one thing at a time, and its
+// own earlier request is not the system's delay.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// try runs one request through a proxy chosen at random. Without a connection
+// nothing was sent.
+func (r *Run) try(ctx context.Context, s workload.Stream, u *user, name string, random *rand.Rand) outcome {
+	for range connectTries {
+		c, err := r.pools.take(ctx, random, s, u.group)
+		if err != nil {
+			return outcome{outcome: request.NotRun, code: "connect"}
+		}
+		if err := u.adopt(ctx, c, r.plan.Drop); err != nil {
+			_ = c.Close(ctx)
+			continue
+		}
+		o := u.work(ctx, r.ledger, c, s, name, random, r.plan.Sessions)
+		r.pools.give(c)
+		return o
+	}
+	return outcome{outcome: request.NotRun, code: "connect"}
+}
+
+// count counts a request.
+func (r *Run) count(s workload.Stream, u *user, o outcome, intended time.Time) {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tallies[s.Class].add(o, now.Sub(intended))
+	if o.outcome != request.Done {
+		r.codes[o.code]++
+	}
+	if o.outcome == request.Unknown {
+		r.unknown++
+	}
+	if o.outcome == request.Done && (s.Kind == workload.Insert || s.Kind == workload.Transfer) {
+		r.acknowledged[u.group] = append(r.acknowledged[u.group], acknowledgement{at: now, term: o.position.Term})
+	}
+}
+
+// probe writes to one group every few milliseconds.
+func (r *Run) probe(ctx context.Context) error {
+	s := r.plan.Workload.Paying[0]
+	end := time.Now().Add(time.Duration(r.plan.Seconds * float64(time.Second)))
+	for number := 0; time.Now().Before(end) && ctx.Err() == nil; number++ {
+		name := fmt.Sprintf("%d-probe-%d", r.plan.Seed, number)
+		r.tasks.Detach("probe", func(ctx context.Context) {
+			limited, cancel := context.WithTimeout(ctx, requestTime)
+			defer cancel()
+			u := &user{group: r.plan.Probe}
+			o := r.try(limited, s, u, name, rand.New(rand.NewPCG(r.plan.Seed, uint64(number))))
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			if o.outcome == request.Done {
+				r.acknowledged[u.group] = append(r.acknowledged[u.group], acknowledgement{at: time.Now(), term: o.position.Term})
+			}
+		})
+		pause(ctx, probePeriod)
+	}
+	return nil
+}
+
+// Fault records that the primary of a group fails now, and returns it.
+func (r *Run) Fault(g *group.Group) *group.Member {
+	m := g.Primary()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.faults = append(r.faults, fault{group: g.Name(), at: time.Now(), term: m.Progress().Term})
+	return m
+}
+
+// TermChanged counts a change of term.
+func (r *Run) TermChanged() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.terms++
+}
+
+// gaps returns the milliseconds from each fault to the first write that a
+// later term acknowledged; minus one if there was none.
+func (r *Run) gaps() []float64 {
+	var all []float64
+	for _, f := range r.faults {
+		gap := -1.0
+		for _, a := range r.acknowledged[f.group] {
+			ms := float64(a.at.Sub(f.at).Microseconds()) / 1000
+			if a.term > f.term && ms > 0 && (gap < 0 || ms < gap) {
+				gap = ms
+			}
+		}
+		all = append(all, gap)
+	}
+	return all
+}
+
+// Finish compares what callers were told with what the groups hold, and
+// returns the report. Every fault must have ended.
+func (r *Run) Finish(ctx context.Context) (Report, error) {
+	defer r.pools.close()
+	all := map[string]contents{}
+	for _, g := range r.site.Groups {
+		c, err := r.read(ctx, g)
+		if err != nil {
+			return Report{}, err
+		}
+		all[g.Name()] = c
+	}
+	r.ledger.settle(all)
+	primary, replica := r.countReads()
+	primary -= r.primaryReads
+	replica -= r.replicaReads
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	report := Report{
+		Workload: r.plan.Workload.Name, Seed: r.plan.Seed, Seconds: r.plan.Seconds,
+		PayingRate: r.plan.PayingRate, FreeRate: r.plan.FreeRate,
+		FailoverGapMs: r.gaps(), UnknownOutcomes: r.unknown, TermChanges: r.terms,
+		Violations: r.ledger.violations, Notes: r.ledger.notes, Codes: r.codes,
+	}
+	for _, name := range r.order {
+		report.Classes = append(report.Classes, r.tallies[name].report(r.plan.Seconds))
+	}
+	if primary+replica > 0 {
+		report.ReplicaReadShare = float64(replica) / float64(primary+replica)
+	}
+	return report, nil
+}
+
+// read returns what a group holds, read through a proxy from the primary.
+func (r *Run) read(ctx context.Context, g *group.Group) (contents, error) {
+	c := contents{deposits: map[string]int{}, legs: map[string]map[int64]int{}}
+	s := r.plan.Workload.Paying[0]
+	opened, err := connect(ctx, r.site.Addresses()[0], s, g.Name())
+	if err != nil {
+		return c, err
+	}
+	defer func() { _ = opened.Close(ctx) }()
+	if err := each(ctx, opened, "SELECT request, amount FROM deposits", func(name string, _ int64) { c.deposits[name]++ }); err != nil {
+		return c, err
+	}
+	err = each(ctx, opened, "SELECT request, leg FROM legs", func(name string, leg int64) {
+		if c.legs[name] == nil {
+			c.legs[name] = map[int64]int{}
+		}
+		c.legs[name][leg]++
+	})
+	c.lineages = g.Primary().Lineages()
+	return c, err
+}
+
+// each calls f for each row of a query; it tries for a while, because a
+// change of primary may still be under way.
+func each(ctx context.Context, c *pgx.Conn, text string, f func(string, int64)) error {
+	var last error
+	for range 20 {
+		rows, err := c.Query(ctx, text)
+		if err == nil {
+			type pair struct {
+				name   string
+				number int64
+			}
+			var all []pair
+			all, err = pgx.CollectRows(rows, func(row pgx.CollectableRow) (pair, error) {
+				var p pair
+				err := row.Scan(&p.name, &p.number)
+				return p, err
+			})
+			if err == nil {
+				for _, p := range all {
+					f(p.name, p.number)
+				}
+				return nil
+			}
+		}
+		last = err
+		pause(ctx, 200*time.Millisecond)
+	}
+	return errors.WithStack(last)
+}
+
+// pause waits for a time or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	alarm := time.NewTimer(d)
+	defer alarm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-alarm.C:
+	}
+}
--- /dev/null
+++ b/internal/lab/load/pool.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+)
+
+// connectTries is how many proxies are tried for a connection, as the
+// platform's balancer would.
+const connectTries = 4
+
+// pools holds idle connections by proxy, caller, class and group.
+type pools struct {
+	// addresses returns the PostgreSQL addresses of the running proxies.
+	addresses func() []string
+	// mutex guards idle. It is a leaf.
+	mutex sync.Mutex
+	idle  map[string][]*pgx.Conn
+}
+
+// lent is a connection in use.
+type lent struct {
+	*pgx.Conn
+	key string
+}
+
+func newPools(addresses func() []string) *pools {
+	return &pools{addresses: addresses, idle: map[string][]*pgx.Conn{}}
+}
+
+// take returns a connection through a proxy chosen at random.
+func (p *pools) take(ctx context.Context, r *rand.Rand, s workload.Stream, group string) (*lent, error) {
+	var last error
+	for range connectTries {
+		addresses := p.addresses()
+		if len(addresses) == 0 {
+			return nil, errors.New("no proxy runs")
+		}
+		address := addresses[r.IntN(len(addresses))]
+		key := address + "/" + s.Caller + "/" + s.Class + "/" + group
+		if c := p.pop(key); c != nil {
+			return &lent{Conn: c, key: key}, nil
+		}
+		c, err := connect(ctx, address, s, group)
+		if err == nil {
+			return &lent{Conn: c, key: key}, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// connect opens a connection.
+func connect(ctx context.Context, address string, s workload.Stream, group string) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable&eelgrassladder.class=%s",
+		s.Caller, s.Password, address, group, s.Class))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	config.ConnectTimeout = 5 * time.Second
+	c, err := pgx.ConnectConfig(ctx, config)
+	return c, errors.WithStack(err)
+}
+
+// pop returns an idle connection that still works, or nil.
+func (p *pools) pop(key string) *pgx.Conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for n := len(p.idle[key]); n > 0; n = len(p.idle[key]) {
+		c := p.idle[key][n-1]
+		p.idle[key] = p.idle[key][:n-1]
+		if !c.IsClosed() {
+			return c
+		}
+	}
+	return nil
+}
+
+// give takes a connection back.
+func (p *pools) give(c *lent) {
+	if c.IsClosed() {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle[c.key] = append(p.idle[c.key], c.Conn)
+}
+
+// close closes all idle connections.
+func (p *pools) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, all := range p.idle {
+		for _, c := range all {
+			_ = c.Close(ctx)
+		}
+	}
+	p.idle = map[string][]*pgx.Conn{}
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/class"
+	"eelgrassladder.example/eelgrassladder/internal/trade/request"
+)
+
+// Report is what the callers were given. Its names are those of its JSON.
+type Report struct {
+	Workload string
+	Seed     uint64
+	Seconds  float64
+	Baseline bool
+	// PayingRate and FreeRate are the offered requests a second.
+	PayingRate float64
+	FreeRate   float64
+	Classes    []Class
+	// ReplicaReadShare is the share of queries that replicas ran.
+	ReplicaReadShare float64
+	// FailoverGapMs holds, for each fault of a primary, the milliseconds
+	// until the first write that the next term acknowledged.
+	FailoverGapMs []float64
+	// UnknownOutcomes counts requests whose outcome their callers don't know.
+	UnknownOutcomes int
+	// TermChanges counts new terms during the load.
+	TermChanges int
+	Violations  Violations
+	// Notes describe the first violations.
+	Notes []string `json:",omitempty"`
+	// Codes counts the SQLSTATEs of what was not done.
+	Codes map[string]int
+}
+
+// Class is what the callers of one class were given.
+type Class struct {
+	Name    string
+	Offered int
+	Done    int
+	// InTime counts requests that were done within the target's time.
+	InTime  int
+	NotRun  int
+	Unknown int
+	// Attainment is InTime over Offered; Target is the share asked for.
+	Attainment float64
+	Target     float64
+	WithinMs   float64
+	P50Ms      float64
+	P99Ms      float64
+	P999Ms     float64
+	// RefusalP50Ms is the median time to a refusal.
+	RefusalP50Ms float64
+	// DonePerSecond is the rate of requests done.
+	DonePerSecond float64
+}
+
+// tally collects the requests of one class.
+type tally struct {
+	class    class.Class
+	offered  int
+	inTime   int
+	outcomes map[request.Outcome]int
+	times    *hdrhistogram.Histogram
+	refusals *hdrhistogram.Histogram
+}
+
+// The range of the histograms, in microseconds, and their precision.
+const (
+	lowestTime  = 1
+	highestTime = 60_000_000
+	digits      = 3
+)
+
+func newTally(c class.Class) *tally {
+	return &tally{
+		class: c, outcomes: map[request.Outcome]int{},
+		times:    hdrhistogram.New(lowestTime, highestTime, digits),
+		refusals: hdrhistogram.New(lowestTime, highestTime, digits),
+	}
+}
+
+// add counts a request that took some time from its intended start.
+func (t *tally) add(o outcome, took time.Duration) {
+	t.offered++
+	t.outcomes[o.outcome]++
+	switch o.outcome {
+	case request.Done:
+		_ = t.times.RecordValue(max(took.Microseconds(), lowestTime))
+		if took <= t.class.Within() {
+			t.inTime++
+		}
+	case request.NotRun:
+		_ = t.refusals.RecordValue(max(took.Microseconds(), lowestTime))
+	}
+}
+
+// report returns the class's part of the report.
+func (t *tally) report(seconds float64) Class {
+	c := Class{
+		Name: t.class.Name, Offered: t.offered, Done: t.outcomes[request.Done], InTime: t.inTime,
+		NotRun: t.outcomes[request.NotRun], Unknown: t.outcomes[request.Unknown],
+		Target: t.class.Target.Share, WithinMs: float64(t.class.Within().Milliseconds()),
+		P50Ms: milliseconds(t.times, 50), P99Ms: milliseconds(t.times, 99), P999Ms: milliseconds(t.times, 99.9),
+		RefusalP50Ms: milliseconds(t.refusals, 50), DonePerSecond: float64(t.outcomes[request.Done]) / seconds,
+	}
+	if t.offered > 0 {
+		c.Attainment = float64(t.inTime) / float64(t.offered)
+	}
+	return c
+}
+
+// milliseconds returns a quantile.
+func milliseconds(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
+
+// Class returns the part of the report for a class.
+func (r Report) Class(name string) Class {
+	i := slices.IndexFunc(r.Classes, func(c Class) bool { return c.Name == name })
+	if i < 0 {
+		return Class{}
+	}
+	return r.Classes[i]
+}
+
+// Write prints the report as text.
+func (r Report) Write(w io.Writer) error {
+	fmt.Fprintf(w, "Workload %s, seed %d, %.0f s, baseline %t, paying %.0f/s, free %.0f/s\n",
+		r.Workload, r.Seed, r.Seconds, r.Baseline, r.PayingRate, r.FreeRate)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "Class\tOffered\tDone\tNotRun\tUnknown\tAttainment\tTarget\tWithinMs\tP50Ms\tP99Ms\tP999Ms\tRefusalP50Ms\tDone/s")
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.4f\t%.2f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\n", c.Name, c.Offered, c.Done,
+			c.NotRun, c.Unknown, c.Attainment, c.Target, c.WithinMs, c.P50Ms, c.P99Ms, c.P999Ms, c.RefusalP50Ms, c.DonePerSecond)
+	}
+	if err := t.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	fmt.Fprintf(w, "ReplicaReadShare %.3f  FailoverGapMs %.0f  UnknownOutcomes %d  TermChanges %d\n",
+		r.ReplicaReadShare, r.FailoverGapMs, r.UnknownOutcomes, r.TermChanges)
+	v := r.Violations
+	fmt.Fprintf(w, "StaleReads %d  LostWrites %d  DoubledWrites %d  MixedTransactions %d  WrongAnswers %d  FalseNotRun %d  SupersededAcks %d\n",
+		v.StaleReads, v.LostWrites, v.DoubledWrites, v.MixedTransactions, v.WrongAnswers, v.FalseNotRun, v.SupersededAcks)
+	if len(r.Notes) > 0 {
+		fmt.Fprintln(w, strings.Join(r.Notes, "\n"))
+	}
+	_, err := fmt.Fprintf(w, "Codes %v\n", r.Codes)
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/lab/site/site.go
@@ -0,0 +1,295 @@
+// Package site runs a whole system on loopback in one process: the stand-ins
+// of the platform and the database groups, and the proxies before them.
+package site
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	generated "eelgrassladder.example/eelgrassladder/gen/platform"
+	"eelgrassladder.example/eelgrassladder/internal/host/fleet"
+	"eelgrassladder.example/eelgrassladder/internal/host/keyring"
+	"eelgrassladder.example/eelgrassladder/internal/host/service"
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/platform"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+)
+
+// Token is the operators' token of a site.
+const Token = "operators-of-the-lab"
+
+// readyTime bounds the start of a site.
+const readyTime = 15 * time.Second
+
+// anyPort asks for a free port on loopback.
+const anyPort = "127.0.0.1:0"
+
+// Plan describes a site.
+type Plan struct {
+	// Workload gives groups, data centres and configuration.
+	Workload workload.Workload
+	// Proxies is how many proxies run.
+	Proxies int
+	// Conditions hold at every member at the start.
+	Conditions group.Conditions
+	// Options are given to every proxy.
+	Options []service.Option
+}
+
+// Site is a running system.
+type Site struct {
+	plan  Plan
+	tasks *task.Group
+	// Store is the stand-in for the platform.
+	Store *platform.Store
+	// Groups are the stand-ins for the database groups, in the plan's order.
+	Groups []*group.Group
+	// Proxies are the running proxies; nil for one that was stopped.
+	Proxies  []*Proxy
+	platform string
+	// mutex guards Proxies.
+	mutex sync.Mutex
+}
+
+// Proxy is one proxy of a site.
+type Proxy struct {
+	// Name is the proxy's name.
+	Name string
+	// Service is the proxy itself.
+	Service *service.Service
+	// stop ends the proxy at once.
+	stop context.CancelFunc
+	// ended is closed when the proxy has ended.
+	ended chan struct{}
+}
+
+// Start starts a site and waits until every group is served.
+func Start(ctx context.Context, p Plan) (*Site, error) {
+	s := &Site{plan: p, tasks: task.New(ctx), Store: platform.NewStore()}
+	address, err := platform.Start(s.tasks, s.Store, anyPort)
+	if err != nil {
+		return nil, err
+	}
+	s.platform = address
+	size := group.Size{Slots: p.Workload.Slots, Connections: p.Workload.Connections}
+	for i, name := range p.Workload.Groups {
+		size.DataCentres = nil
+		for k := range membersPerGroup {
+			size.DataCentres = append(size.DataCentres, p.Workload.DataCentres[(i+k)%len(p.Workload.DataCentres)])
+		}
+		g, err := group.Start(s.tasks, name, size, p.Conditions)
+		if err != nil {
+			return nil, err
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	if _, err := s.Store.Swap(ctx, &generated.SwapPayload{
+		Key: fleet.ConfigurationKey, Value: p.Workload.Configuration, ChangeID: "lab",
+	}); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	for i := range p.Proxies {
+		s.Proxies = append(s.Proxies, nil)
+		if err := s.StartProxy(i); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.awaitReady(ctx)
+}
+
+// membersPerGroup is the size of every group.
+const membersPerGroup = 3
+
+// StartProxy starts the proxy at an index, as at first or after a stop.
+func (s *Site) StartProxy(i int) error {
+	name := fmt.Sprintf("proxy-%d", i+1)
+	ctx, stop := context.WithCancel(s.tasks.Context())
+	made, err := service.New(ctx, settings.Settings{
+		Name:       name,
+		DataCentre: s.plan.Workload.DataCentres[i%len(s.plan.Workload.DataCentres)],
+		Listen:     settings.Listen{Postgres: anyPort, HTTP: anyPort, Operator: anyPort, Sibling: anyPort},
+		Platform:   settings.Platform{Address: s.platform},
+		Siblings:   s.siblings(),
+		Endpoints:  settings.Endpoints{User: "eelgrassladder"},
+	}, keyring.Keyring{OperatorToken: Token}, s.plan.Options...)
+	if err != nil {
+		stop()
+		return err
+	}
+	p := &Proxy{Name: name, Service: made, stop: stop, ended: make(chan struct{})}
+	s.mutex.Lock()
+	s.Proxies[i] = p
+	s.mutex.Unlock()
+	s.tasks.Detach(name, func(context.Context) {
+		defer close(p.ended)
+		_ = made.Run(ctx)
+	})
+	s.Publish()
+	return nil
+}
+
+// siblings returns the addresses of the running proxies.
+func (s *Site) siblings() []string {
+	var all []string
+	for _, p := range s.running() {
+		if p != nil {
+			all = append(all, p.Service.Addresses().Sibling)
+		}
+	}
+	return all
+}
+
+// Kill ends a proxy at once, as a crash of its process would. It reports
+// false if the proxy does not run.
+func (s *Site) Kill(i int) bool {
+	p := s.take(i)
+	if p == nil {
+		return false
+	}
+	p.stop()
+	<-p.ended
+	return true
+}
+
+// take removes a proxy from those that run.
+func (s *Site) take(i int) *Proxy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p := s.Proxies[i]
+	s.Proxies[i] = nil
+	return p
+}
+
+// running returns the proxies by index, nil for one that does not run.
+func (s *Site) running() []*Proxy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.Proxies)
+}
+
+// Drain shuts a proxy down gracefully and returns when it has ended.
+func (s *Site) Drain(ctx context.Context, i int) {
+	p := s.running()[i]
+	if p == nil {
+		return
+	}
+	p.Service.Shutdown(ctx)
+	<-p.ended
+	s.take(i)
+}
+
+// Publish brings the platform's host list up to date.
+func (s *Site) Publish() { s.PublishLeaving(nil) }
+
+// PublishLeaving publishes the host list with some endpoints leaving.
+func (s *Site) PublishLeaving(leaving map[string]bool) {
+	list := &generated.HostList{Proxies: []*generated.ListedProxy{}, Endpoints: []*generated.ListedEndpoint{}}
+	for i, p := range s.running() {
+		if p == nil {
+			continue
+		}
+		list.Proxies = append(list.Proxies, &generated.ListedProxy{
+			Name: p.Name, DataCentre: s.plan.Workload.DataCentres[i%len(s.plan.Workload.DataCentres)],
+			Address: p.Service.Addresses().Sibling,
+		})
+	}
+	for _, g := range s.Groups {
+		for _, m := range g.Descriptions() {
+			list.Endpoints = append(list.Endpoints, &generated.ListedEndpoint{
+				Name: m.Name, Group: g.Name(), DataCentre: m.DataCentre, Address: m.Address,
+				Leaving: leaving[m.Name], Slots: m.Slots, Connections: m.Connections,
+			})
+		}
+	}
+	s.Store.SetHosts(list)
+}
+
+// awaitReady waits until every proxy is ready and every group is served.
+func (s *Site) awaitReady(ctx context.Context) error {
+	end := time.Now().Add(readyTime)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if s.served() {
+			return nil
+		}
+		pause(ctx, 5*time.Millisecond)
+	}
+	return errors.New("the site was not served in time")
+}
+
+// served reports whether every group has an owner with a primary in force.
+func (s *Site) served() bool {
+	groups := 0
+	running := 0
+	for _, p := range s.running() {
+		if p == nil {
+			continue
+		}
+		running++
+		if !p.Service.Ready() {
+			return false
+		}
+		for _, o := range p.Service.Owned() {
+			if _, term, _ := o.Observed(); term != 0 {
+				groups++
+			}
+		}
+	}
+	for _, p := range s.running() {
+		if p != nil && p.Service.Live() != running {
+			return false
+		}
+	}
+	return groups == len(s.Groups)
+}
+
+// AwaitServed waits until every group is served again.
+func (s *Site) AwaitServed(ctx context.Context) error { return s.awaitReady(ctx) }
+
+// Owner returns the index of the proxy that owns a group, or -1.
+func (s *Site) Owner(name string) int {
+	for i, p := range s.running() {
+		if p == nil {
+			continue
+		}
+		for _, o := range p.Service.Owned() {
+			if o.Group().Name == name {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// Addresses returns the PostgreSQL addresses of the running proxies.
+func (s *Site) Addresses() []string {
+	var all []string
+	for _, p := range s.running() {
+		if p != nil {
+			all = append(all, p.Service.Addresses().Postgres)
+		}
+	}
+	return all
+}
+
+// Stop ends the site and waits for it.
+func (s *Site) Stop() {
+	s.tasks.Stop()
+	_ = s.tasks.Wait()
+}
+
+// pause waits for a time or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	alarm := time.NewTimer(d)
+	defer alarm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-alarm.C:
+	}
+}
--- /dev/null
+++ b/internal/lab/site/site_test.go
@@ -0,0 +1,72 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgxpool"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/site"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+	"eelgrassladder.example/eelgrassladder/internal/table/rank"
+)
+
+func TestMain(m *testing.M) {
+	rank.Check(true)
+	m.Run()
+}
+
+// start starts a site of five proxies for a test.
+func start(t *testing.T, c group.Conditions) *site.Site {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	s, err := site.Start(ctx, site.Plan{Workload: workload.Magnolia(), Proxies: 5, Conditions: c})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		s.Stop()
+		cancel()
+	})
+	return s
+}
+
+func url(address, class string) string {
+	return fmt.Sprintf("postgres://commissions:brushwork@%s/commission-orders-1?sslmode=disable&eelgrassladder.class=%s", address, class)
+}
+
+func TestPoolWorksThroughEveryProxyInBothModes(t *testing.T) {
+	s := start(t, group.Conditions{})
+	ctx := context.Background()
+	direct, err := pgx.Connect(ctx, url(s.Addresses()[0], "deposits"))
+	assert.NilError(t, err)
+	_, err = direct.Exec(ctx, "CREATE TABLE orders (id bigserial, pet text, price bigint)")
+	assert.NilError(t, err)
+	for i, address := range s.Addresses() {
+		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeCacheStatement, pgx.QueryExecModeSimpleProtocol} {
+			config, err := pgxpool.ParseConfig(url(address, "deposits"))
+			assert.NilError(t, err)
+			config.ConnConfig.DefaultQueryExecMode = mode
+			pool, err := pgxpool.NewWithConfig(ctx, config)
+			assert.NilError(t, err)
+			var id int64
+			name := fmt.Sprintf("horse %d %v", i, mode)
+			err = pool.QueryRow(ctx, "INSERT INTO orders (pet, price) VALUES ($1, $2) RETURNING id", name, int64(40+i)).Scan(&id)
+			assert.NilError(t, err)
+			tx, err := pool.Begin(ctx)
+			assert.NilError(t, err)
+			_, err = tx.Exec(ctx, "UPDATE orders SET price = price + $1 WHERE id = $2", int64(5), id)
+			assert.NilError(t, err)
+			assert.NilError(t, tx.Commit(ctx))
+			var price int64
+			var pet string
+			assert.NilError(t, pool.QueryRow(ctx, "SELECT pet, price FROM orders WHERE id = $1", id).Scan(&pet, &price))
+			assert.Equal(t, price, int64(45+i))
+			assert.Equal(t, pet, name)
+			pool.Close()
+		}
+	}
+}
--- a/internal/lab/sql/transaction.go
+++ b/internal/lab/sql/transaction.go
@@ -18,8 +18,6 @@
 	rows map[place]Row
 	// created holds the tables that the transaction created.
 	created map[string]*table
-	// serials holds the numbers that the transaction assigned.
-	serials map[string]int64
 }
 
 // place is a row's table and key.
@@ -40,7 +38,7 @@
 func NewTransaction(d, own *Database, readOnly bool) *Transaction {
 	return &Transaction{
 		database: d, own: own, readOnly: readOnly,
-		rows: map[place]Row{}, created: map[string]*table{}, serials: map[string]int64{},
+		rows: map[place]Row{}, created: map[string]*table{},
 	}
 }
 
@@ -227,8 +225,8 @@
 	}
 	for i, c := range target.columns {
 		if c.Serial && r[i] == nil {
-			t.serials[s.Table] = max(t.serials[s.Table], target.serial) + 1
-			r[i] = t.serials[s.Table]
+			target.serial++
+			r[i] = target.serial
 		}
 	}
 	return r, nil
--- a/internal/peer/endpoint/control.go
+++ b/internal/peer/endpoint/control.go
@@ -56,6 +56,9 @@
 	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_follow(%d, %s)", term, quote(primary)))
 }
 
+// Lost reports whether the connection was lost during the last call.
+func (c *Control) Lost() bool { return c.opened == nil || c.opened.IsClosed() }
+
 // Close gives the connection up.
 func (c *Control) Close() {
 	if c.opened == nil {
--- /dev/null
+++ b/internal/peer/proxy/codec.go
@@ -0,0 +1,146 @@
+// Package proxy is the system's side of the other proxies: requests that are
+// forwarded to the owner of a group, heartbeats that carry membership and
+// configuration, and the handover of groups.
+package proxy
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/gen/sibling"
+	"eelgrassladder.example/eelgrassladder/internal/host/owner"
+	"eelgrassladder.example/eelgrassladder/internal/table/keys"
+	"eelgrassladder.example/eelgrassladder/internal/table/sessions"
+	"eelgrassladder.example/eelgrassladder/internal/trade/membership"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/request"
+)
+
+// encodeRequest turns a request into its message. The time since it arrived
+// travels in place of the arrival, because clocks differ.
+func encodeRequest(r request.Request, now time.Time) *sibling.Request {
+	m := &sibling.Request{
+		Group: r.Group, Database: r.Database, Caller: r.Caller, Class: r.Class, Key: r.Key,
+		SessionName: r.SessionName, Required: encodePosition(r.Required), ReadOnly: r.ReadOnly,
+		Opens: r.Opens, Pin: r.Pin, Payload: r.Payload, Fingerprint: r.Fingerprint,
+		BudgetMicros: now.Sub(r.Arrived).Microseconds(),
+	}
+	for _, p := range r.Prepared {
+		m.Prepared = append(m.Prepared, &sibling.Prepared{Name: p.Name, Parse: p.Parse})
+	}
+	return m
+}
+
+// decodeRequest turns a message into a request that arrived before now.
+func decodeRequest(m *sibling.Request, now time.Time) request.Request {
+	r := request.Request{
+		Group: m.GetGroup(), Database: m.GetDatabase(), Caller: m.GetCaller(), Class: m.GetClass(),
+		Key: m.GetKey(), SessionName: m.GetSessionName(), Required: decodePosition(m.GetRequired()),
+		ReadOnly: m.GetReadOnly(), Opens: m.GetOpens(), Pin: m.GetPin(), Payload: m.GetPayload(),
+		Fingerprint: m.GetFingerprint(),
+		Arrived:     now.Add(-time.Duration(m.GetBudgetMicros()) * time.Microsecond),
+	}
+	for _, p := range m.GetPrepared() {
+		r.Prepared = append(r.Prepared, request.Prepared{Name: p.GetName(), Parse: p.GetParse()})
+	}
+	return r
+}
+
+// encodeAnswer turns an answer into its message.
+func encodeAnswer(a request.Answer) *sibling.Answer {
+	return &sibling.Answer{
+		Outcome: int32(a.Outcome), Payload: a.Payload, Position: encodePosition(a.Position),
+		Pin: a.Pin, Status: uint32(a.Status), Moved: a.Moved, Replica: a.Replica,
+		Code: a.Refusal.Code, Message: a.Refusal.Message, Hint: a.Refusal.Hint,
+		RetryAfterMicros: a.Refusal.RetryAfter.Microseconds(),
+	}
+}
+
+// decodeAnswer turns a message into an answer of the named owner.
+func decodeAnswer(m *sibling.Answer, from string) request.Answer {
+	a := request.Answer{
+		Outcome: request.Outcome(m.GetOutcome()), Payload: m.GetPayload(),
+		Position: decodePosition(m.GetPosition()), Status: request.Status(m.GetStatus()),
+		Moved: m.GetMoved(), Replica: m.GetReplica(),
+		Refusal: request.Refusal{
+			Code: m.GetCode(), Message: m.GetMessage(), Hint: m.GetHint(),
+			RetryAfter: time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
+		},
+	}
+	if m.GetPin() != 0 {
+		a = a.WithPin(from, m.GetPin())
+	}
+	return a
+}
+
+func encodePosition(p position.Position) *sibling.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &sibling.Position{Term: p.Term, Log: p.Log}
+}
+
+func decodePosition(m *sibling.Position) position.Position {
+	return position.Position{Term: m.GetTerm(), Log: m.GetLog()}
+}
+
+func encodeProxy(p membership.Proxy) *sibling.Proxy {
+	return &sibling.Proxy{
+		Name: p.Name, DataCentre: p.DataCentre, Address: p.Address,
+		Incarnation: p.Incarnation, State: int32(p.State),
+	}
+}
+
+func decodeProxy(m *sibling.Proxy) membership.Proxy {
+	return membership.Proxy{
+		Name: m.GetName(), DataCentre: m.GetDataCentre(), Address: m.GetAddress(),
+		Incarnation: m.GetIncarnation(), State: membership.State(m.GetState()),
+	}
+}
+
+func encodeProxies(all []membership.Proxy) []*sibling.Proxy {
+	messages := make([]*sibling.Proxy, 0, len(all))
+	for _, p := range all {
+		messages = append(messages, encodeProxy(p))
+	}
+	return messages
+}
+
+func decodeProxies(messages []*sibling.Proxy) []membership.Proxy {
+	all := make([]membership.Proxy, 0, len(messages))
+	for _, m := range messages {
+		if m.GetName() != "" && m.GetState() >= int32(membership.Live) && m.GetState() <= int32(membership.Dead) {
+			all = append(all, decodeProxy(m))
+		}
+	}
+	return all
+}
+
+// encodeHandover turns a handover into its message.
+func encodeHandover(from, group string, h owner.Handover) *sibling.Handover {
+	m := &sibling.Handover{
+		From: from, Group: group, Term: h.Term, Primary: h.Primary,
+		Floor: encodePosition(h.Floor), Held: encodePosition(h.Held),
+	}
+	for _, s := range h.Sessions {
+		m.Sessions = append(m.Sessions, &sibling.NamedSession{Name: s.Name, Position: encodePosition(s.Position)})
+	}
+	for _, k := range h.Keys {
+		m.Keys = append(m.Keys, &sibling.KeyOutcome{Key: k.Key, Answer: encodeAnswer(k.Answer)})
+	}
+	return m
+}
+
+// decodeHandover turns a message into a handover.
+func decodeHandover(m *sibling.Handover) owner.Handover {
+	h := owner.Handover{
+		Term: m.GetTerm(), Primary: m.GetPrimary(),
+		Floor: decodePosition(m.GetFloor()), Held: decodePosition(m.GetHeld()),
+	}
+	for _, s := range m.GetSessions() {
+		h.Sessions = append(h.Sessions, sessions.Session{Name: s.GetName(), Position: decodePosition(s.GetPosition())})
+	}
+	for _, k := range m.GetKeys() {
+		h.Keys = append(h.Keys, keys.Outcome{Key: k.GetKey(), Answer: decodeAnswer(k.GetAnswer(), m.GetFrom())})
+	}
+	return h
+}
--- /dev/null
+++ b/internal/policy/admission/arrival.go
@@ -0,0 +1,34 @@
+package admission
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder"
+)
+
+// arrivalPatience is how long work waits in order of arrival.
+const arrivalPatience = 10 * time.Second
+
+// ArrivalOrder serves work in the order in which it came, whoever sent it.
+// Use it as the baseline that Targets is compared with.
+type ArrivalOrder struct{}
+
+// Before puts the earlier arrival first.
+func (ArrivalOrder) Before(_ time.Time, a, b eelgrassladder.Waiting) bool {
+	return a.Arrived.Before(b.Arrived)
+}
+
+// Admits lets any work take any free slot.
+func (ArrivalOrder) Admits(_ eelgrassladder.Waiting, l eelgrassladder.Load) bool {
+	return l.Paying+l.Free < l.Slots
+}
+
+// Arriving refuses nothing.
+func (ArrivalOrder) Arriving(time.Time, eelgrassladder.Waiting, eelgrassladder.Load) eelgrassladder.Verdict {
+	return eelgrassladder.Verdict{}
+}
+
+// Overdue refuses work that has waited very long.
+func (ArrivalOrder) Overdue(now time.Time, w eelgrassladder.Waiting, _ eelgrassladder.Load) eelgrassladder.Verdict {
+	return eelgrassladder.Verdict{Refuse: now.Sub(w.Arrived) > arrivalPatience, RetryAfter: minRetryAfter}
+}
--- /dev/null
+++ b/internal/policy/gossip/gossip.go
@@ -0,0 +1,102 @@
+// Package gossip decides which proxies hear from this one, and how often: all
+// of them while there are few, and a bounded number when there are many.
+package gossip
+
+import (
+	"slices"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/membership"
+)
+
+// The pace and the breadth of heartbeats.
+const (
+	// meshSize is the most proxies that all hear from each other.
+	meshSize = 8
+	// successors is how many proxies that follow in order of name are watched
+	// when there are more.
+	successors = 2
+	// meshPeriod is the time between heartbeats in a mesh.
+	meshPeriod = 200 * time.Millisecond
+	// ringPeriod is the time between heartbeats among many.
+	ringPeriod = time.Second
+	// firstTries is how many listed proxies that were never heard of are tried
+	// in each round.
+	firstTries = 3
+	// revivalRounds is how many rounds pass between tries of a dead proxy.
+	revivalRounds = 5
+	// DeathMisses is how many heartbeats in a row a dead proxy has missed.
+	DeathMisses = 3
+)
+
+// Plan is what one round of heartbeats does.
+type Plan struct {
+	// Targets are the proxies that hear from this one.
+	Targets []membership.Proxy
+	// Period is the time until the next round.
+	Period time.Duration
+}
+
+// NewPlan returns the plan of a round. The function random returns a number
+// below its argument.
+func NewPlan(v membership.View, self string, round int, random func(int) int) Plan {
+	others, dead := split(v, self)
+	unheard := slices.DeleteFunc(slices.Clone(dead), func(p membership.Proxy) bool { return p.Incarnation != 0 })
+	plan := Plan{Targets: others, Period: meshPeriod}
+	if len(others)+1 > meshSize {
+		plan.Period = ringPeriod
+		plan.Targets = following(others, self, successors)
+		plan.Targets = append(plan.Targets, others[random(len(others))])
+	}
+	plan.Targets = append(plan.Targets, pick(unheard, firstTries, random)...)
+	if len(dead) > 0 && round%revivalRounds == 0 {
+		plan.Targets = append(plan.Targets, dead[random(len(dead))])
+	}
+	return plan
+}
+
+// Pick returns up to n different proxies that are not dead, at random.
+func Pick(v membership.View, self string, n int, random func(int) int) []membership.Proxy {
+	others, _ := split(v, self)
+	return pick(others, n, random)
+}
+
+// pick returns up to n different proxies at random. It changes the order of
+// all.
+func pick(all []membership.Proxy, n int, random func(int) int) []membership.Proxy {
+	n = min(n, len(all))
+	for i := range n {
+		k := i + random(len(all)-i)
+		all[i], all[k] = all[k], all[i]
+	}
+	return all[:n]
+}
+
+// split returns the proxies other than self, those not dead and the dead, in
+// order of name.
+func split(v membership.View, self string) (others, dead []membership.Proxy) {
+	for _, p := range v.All() {
+		switch {
+		case p.Name == self:
+		case p.State == membership.Dead:
+			dead = append(dead, p)
+		default:
+			others = append(others, p)
+		}
+	}
+	return others, dead
+}
+
+// following returns the n proxies that come after self in order of name, as
+// on a ring.
+func following(others []membership.Proxy, self string, n int) []membership.Proxy {
+	first := 0
+	for first < len(others) && others[first].Name < self {
+		first++
+	}
+	var found []membership.Proxy
+	for i := range min(n, len(others)) {
+		found = append(found, others[(first+i)%len(others)])
+	}
+	return found
+}
--- a/internal/trade/group/group.go
+++ b/internal/trade/group/group.go
@@ -117,6 +117,8 @@
 	Since time.Time
 	// Seen is when the last answer came; zero if none has.
 	Seen time.Time
+	// Failures counts the probes that failed since the last answer.
+	Failures int
 }
 
 // WithProgress returns an observation of an answer that came at a time.
@@ -125,6 +127,7 @@
 		o.Since = at
 	}
 	o.Reachable = true
+	o.Failures = 0
 	o.Progress = p
 	o.Seen = at
 	return o
@@ -136,6 +139,7 @@
 		o.Since = at
 	}
 	o.Reachable = false
+	o.Failures++
 	return o
 }
 
--- a/internal/trade/membership/membership.go
+++ b/internal/trade/membership/membership.go
@@ -61,8 +61,12 @@
 	return p
 }
 
-// hash returns a digest of all that other proxies compare.
+// hash returns a digest of all that other proxies compare; zero for the
+// dead, which each proxy forgets in its own time.
 func (p Proxy) hash() uint64 {
+	if p.State == Dead {
+		return 0
+	}
 	d := xxhash.New()
 	_, _ = d.WriteString(p.Name)
 	_, _ = d.WriteString("\x00" + p.Address)
@@ -79,8 +83,8 @@
 type View struct {
 	// proxies is keyed by name and never written after the view was made.
 	proxies map[string]Proxy
-	// digest is the exclusive or of the hashes of all proxies, so that two
-	// views with the same content have the same digest.
+	// digest is the exclusive or of the hashes of all proxies that are not
+	// dead, so that two views that agree on these have the same digest.
 	digest uint64
 }
 
@@ -118,7 +122,7 @@
 	return p, ok
 }
 
-// Digest is equal for two views that hold the same.
+// Digest is equal for two views that agree on the proxies that are not dead.
 func (v View) Digest() uint64 { return v.digest }
 
 // Len returns how many proxies the view knows, dead ones too.
--- a/internal/trade/session/session.go
+++ b/internal/trade/session/session.go
@@ -55,14 +55,6 @@
 	return Token{marks: marks}
 }
 
-// WithToken returns a token that covers what t and o cover.
-func (t Token) WithToken(o Token) Token {
-	for _, m := range o.marks {
-		t = t.WithPosition(m.group, m.position)
-	}
-	return t
-}
-
 // String returns the token as text that a caller carries, such as
 // "orders-1:2.418,orders-2:1.77".
 func (t Token) String() string {
