Promote past a cut-off primary, and compare logs only after they match

Cause: a primary cut off from its peers still answers fences, holds the longest log, and was promoted again and again (gap 4,050 ms, seven terms). An owner whose process ended left its waiting callers without an answer (kill-owner hung). Change: a cut-off or leaving primary is passed over when the others are a majority; the role Joining until the logs match; waiting callers hear an unknown outcome when their owner ends; a new proxy listens for two rounds before it owns anything; callers closed by a leaving proxy connect again.

--- a/internal/host/fleet/fleet.go
+++ b/internal/host/fleet/fleet.go
@@ -30,6 +30,9 @@
 	beatTime = 300 * time.Millisecond
 	// listPeriod is how often the host list is read.
 	listPeriod = 2 * time.Second
+	// introductionRounds is how many rounds a new proxy listens before it owns
+	// anything.
+	introductionRounds = 2
 	// urgentPushes is how many proxies are told of a change at once.
 	urgentPushes = 3
 )
@@ -116,6 +119,14 @@
 	return f.list, f.read, f.listChanged
 }
 
+// Introduced reports whether this proxy has tried to reach the others once, so
+// that it may judge what it owns.
+func (f *Fleet) Introduced() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.rounds > introductionRounds
+}
+
 // Messages returns how many heartbeats were sent and answered.
 func (f *Fleet) Messages() uint64 { return f.messages.Load() }
 
@@ -136,6 +147,7 @@
 // beat sends heartbeats at the pace that the number of proxies asks for.
 func (f *Fleet) beat(ctx context.Context) error {
 	f.askSeeds(ctx)
+	f.awaitHosts(ctx)
 	for ctx.Err() == nil {
 		view, _ := f.members.View()
 		plan := gossip.NewPlan(view, f.members.Self().Name, f.nextRound(), rand.IntN)
@@ -149,6 +161,26 @@
 	return ctx.Err()
 }
 
+// awaitHosts waits a bounded time for the host list, so that a proxy that is
+// known to others can take groups over.
+func (f *Fleet) awaitHosts(ctx context.Context) {
+	limit := f.timer.Once(listPeriod)
+	defer limit.Stop()
+	for {
+		_, ok, changed := f.Hosts()
+		if ok || f.directory == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // nextRound counts rounds.
 func (f *Fleet) nextRound() int {
 	f.mutex.Lock()
--- a/internal/host/owner/owner.go
+++ b/internal/host/owner/owner.go
@@ -253,13 +253,29 @@
 	}
 	answers := make(chan request.Answer, 1)
 	o.queue.Offer(item, func(a request.Answer) { answers <- a })
-	answer := <-answers
+	answer := o.await(answers)
 	if r.SessionName != "" && !answer.Position.IsZero() {
 		o.sessions.Record(r.SessionName, answer.Position)
 	}
 	return answer
 }
 
+// await returns the answer of a queued request. When the owner ends without
+// one, the request may have run.
+func (o *Owner) await(answers <-chan request.Answer) request.Answer {
+	select {
+	case a := <-answers:
+		return a
+	case <-o.tasks.Context().Done():
+	}
+	select {
+	case a := <-answers:
+		return a
+	default:
+		return request.Lost("the owner of the database stopped while the request ran")
+	}
+}
+
 // mayReplica reports whether a replica may be tried: the class allows reads
 // of some age, the request does not open a transaction that may write, and no
 // replica is known to refuse its text.
--- a/internal/host/owner/registry.go
+++ b/internal/host/owner/registry.go
@@ -131,6 +131,13 @@
 	return true
 }
 
+// Learn takes the groups of the host list, so that they can be taken over.
+func (r *Registry) Learn(list hostlist.HostList) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.groups = list.Groups
+}
+
 // Reconcile starts, describes and hands over groups so that this proxy holds
 // those that it owns in the view.
 func (r *Registry) Reconcile(v membership.View, list hostlist.HostList) {
--- a/internal/host/owner/term.go
+++ b/internal/host/owner/term.go
@@ -123,7 +123,7 @@
 		primary = before.primary
 	}
 	grants := o.fence(ctx, commands, g, term, proposer)
-	chosen, ok := promotion.Choose(g, grants, primary)
+	chosen, ok := promotion.Choose(g, grants, primary, reason == string(promotion.Silent))
 	if !ok {
 		klog.V(1).InfoS("Term not granted by a majority", "Group", g.Name, "Term", term, "Grants", len(grants))
 		return false
--- a/internal/host/service/service.go
+++ b/internal/host/service/service.go
@@ -221,6 +221,9 @@
 		view, viewChanged := s.members.View()
 		list, ok, listChanged := s.fleet.Hosts()
 		if ok {
+			s.registry.Learn(list)
+		}
+		if ok && s.fleet.Introduced() {
 			s.registry.Reconcile(view, list)
 			s.ready.Store(s.versions.Current().Version > 0)
 		}
--- a/internal/lab/group/member.go
+++ b/internal/lab/group/member.go
@@ -241,7 +241,7 @@
 		m.proposer = ""
 	}
 	m.term = term
-	m.role = trade.Replica
+	m.role = trade.Joining
 	m.upstream = primary
 	m.contact = time.Now()
 	m.notify()
--- a/internal/lab/group/replicate.go
+++ b/internal/lab/group/replicate.go
@@ -57,7 +57,7 @@
 func (m *Member) following() (source *Member, term, have, lastTerm uint64, changed chan struct{}) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.role != trade.Replica || m.conditions.Crashed || m.conditions.Paused || m.conditions.Isolated {
+	if m.upstream == nil || m.conditions.Crashed || m.conditions.Paused || m.conditions.Isolated {
 		return nil, 0, 0, 0, m.changed
 	}
 	have = uint64(len(m.log))
@@ -103,6 +103,10 @@
 		m.notify()
 		return
 	}
+	if m.role == trade.Joining {
+		m.role = trade.Replica
+		m.notify()
+	}
 	for _, e := range sent.entries {
 		e.arrived = now
 		m.append(e)
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -42,6 +42,7 @@
 	acknowledged map[string][]acknowledgement
 	faults       []fault
 	terms        int
+	reconnects   int
 }
 
 // acknowledgement is when a write was acknowledged, and in which term.
@@ -246,11 +247,26 @@
 		}
 		o := u.work(ctx, r.ledger, c, s, name, random, r.plan.Sessions)
 		r.pools.give(c)
+		if o.code == closedCode && o.outcome == request.NotRun {
+			r.reconnected()
+			continue
+		}
 		return o
 	}
 	return outcome{outcome: request.NotRun, code: "connect"}
 }
 
+// closedCode is how a proxy that leaves closes a connection that is idle to
+// it. A caller whose request was on its way connects again.
+const closedCode = "57P01"
+
+// reconnected counts a caller that connected again.
+func (r *Run) reconnected() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.reconnects++
+}
+
 // count counts a request.
 func (r *Run) count(s workload.Stream, u *user, o outcome, intended time.Time) {
 	now := time.Now()
@@ -344,7 +360,7 @@
 	report := Report{
 		Workload: r.plan.Workload.Name, Seed: r.plan.Seed, Seconds: r.plan.Seconds,
 		PayingRate: r.plan.PayingRate, FreeRate: r.plan.FreeRate,
-		FailoverGapMs: r.gaps(), UnknownOutcomes: r.unknown, TermChanges: r.terms,
+		FailoverGapMs: r.gaps(), UnknownOutcomes: r.unknown, TermChanges: r.terms, Reconnects: r.reconnects,
 		Violations: r.ledger.violations, Notes: r.ledger.notes, Codes: r.codes,
 	}
 	for _, name := range r.order {
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -34,6 +34,9 @@
 	UnknownOutcomes int
 	// TermChanges counts new terms during the load.
 	TermChanges int
+	// Reconnects counts callers whose connection a leaving proxy closed before
+	// it read their request, and who connected again.
+	Reconnects int
 	Violations  Violations
 	// Notes describe the first violations.
 	Notes []string `json:",omitempty"`
@@ -145,8 +148,8 @@
 	if err := t.Flush(); err != nil {
 		return errors.WithStack(err)
 	}
-	fmt.Fprintf(w, "ReplicaReadShare %.3f  FailoverGapMs %.0f  UnknownOutcomes %d  TermChanges %d\n",
-		r.ReplicaReadShare, r.FailoverGapMs, r.UnknownOutcomes, r.TermChanges)
+	fmt.Fprintf(w, "ReplicaReadShare %.3f  FailoverGapMs %.0f  UnknownOutcomes %d  TermChanges %d  Reconnects %d\n",
+		r.ReplicaReadShare, r.FailoverGapMs, r.UnknownOutcomes, r.TermChanges, r.Reconnects)
 	v := r.Violations
 	fmt.Fprintf(w, "StaleReads %d  LostWrites %d  DoubledWrites %d  MixedTransactions %d  WrongAnswers %d  FalseNotRun %d  SupersededAcks %d\n",
 		v.StaleReads, v.LostWrites, v.DoubledWrites, v.MixedTransactions, v.WrongAnswers, v.FalseNotRun, v.SupersededAcks)
--- a/internal/policy/promotion/promotion.go
+++ b/internal/policy/promotion/promotion.go
@@ -56,7 +56,7 @@
 			silent++
 		}
 	}
-	if silent >= len(all)/2+1 || (len(all) > 1 && silent == len(all)-1) {
+	if silent >= len(all)/2+1 {
 		return Silent
 	}
 	if leaving(all, primary) {
@@ -73,8 +73,9 @@
 // cutOff reports whether a replica that answers says that it has lost its
 // primary.
 func cutOff(now time.Time, o group.Observation, term uint64) bool {
+	follows := o.Progress.Role == group.Replica || o.Progress.Role == group.Joining
 	return o.Reachable && now.Sub(o.Seen) < freshFor && o.Progress.Term == term &&
-		o.Progress.Role == group.Replica && o.Progress.Contact >= silentFor
+		follows && o.Progress.Contact >= silentFor
 }
 
 // leaving reports whether the primary is leaving while all members answer and
@@ -105,18 +106,16 @@
 // Choose returns the member to promote among those that granted the term. It
 // reports false without a majority. Every acknowledged write is held by a
 // majority, so the most advanced grant of any majority holds it. Among equals
-// the primary of before stays. A leaving member is passed over only when all
-// members granted: then the most advanced of the others still holds every
-// acknowledged write.
-func Choose(g group.Group, grants []Grant, before string) (Grant, bool) {
+// the primary of before stays. Members that are leaving, and the primary of
+// before when its peers have lost it, are passed over if the others are a
+// majority without them.
+func Choose(g group.Group, grants []Grant, before string, cutOff bool) (Grant, bool) {
 	if len(grants) < g.Majority() {
 		return Grant{}, false
 	}
-	candidates := grants
-	if len(grants) == len(g.Members) {
-		if staying := without(grants); len(staying) >= g.Majority() {
-			candidates = staying
-		}
+	candidates := preferred(grants, before, cutOff)
+	if len(candidates) < g.Majority() {
+		candidates = grants
 	}
 	best := candidates[0]
 	for _, c := range candidates[1:] {
@@ -131,15 +130,16 @@
 	return best, true
 }
 
-// without returns the grants of members that are not leaving.
-func without(grants []Grant) []Grant {
-	var staying []Grant
+// preferred returns the grants of members that are fit to be the primary.
+func preferred(grants []Grant, before string, cutOff bool) []Grant {
+	var fit []Grant
 	for _, c := range grants {
-		if !c.Member.Leaving {
-			staying = append(staying, c)
+		if c.Member.Leaving || (cutOff && c.Member.Name == before) {
+			continue
 		}
+		fit = append(fit, c)
 	}
-	return staying
+	return fit
 }
 
 // Acknowledged returns the last log place that a majority holds in the term.
--- a/internal/trade/group/group.go
+++ b/internal/trade/group/group.go
@@ -68,8 +68,11 @@
 const (
 	// Primary accepts writes in its term.
 	Primary Role = "Primary"
-	// Replica follows a primary.
+	// Replica follows a primary, and its log is a part of the primary's.
 	Replica Role = "Replica"
+	// Joining was told to follow a primary, and its log may still hold what
+	// the primary's does not. Its places can't be compared with others.
+	Joining Role = "Joining"
 	// Fenced has granted a higher term and waits for its primary.
 	Fenced Role = "Fenced"
 )
--- a/member.go
+++ b/member.go
@@ -23,7 +23,8 @@
 	// Promote makes the member the primary of a term that it has granted to
 	// the proposer.
 	Promote(ctx context.Context, term uint64, proposer string) (group.Progress, error)
-	// Follow makes the member a replica of the primary of a term.
+	// Follow makes the member a replica of the primary of a term. It reports
+	// the role Joining until its log is a part of the primary's.
 	Follow(ctx context.Context, term uint64, primary string) (group.Progress, error)
 	// Close gives up the control connection.
 	Close()
