--- a/cmd/eelgrasslab/main.go
+++ b/cmd/eelgrasslab/main.go
@@ -21,10 +21,11 @@
 
 // command is the command line.
 type command struct {
-	Demo     demoCommand     `command:"demo" description:"Run the whole path on loopback, with a failover"`
-	Load     loadCommand     `command:"load" description:"Offer a workload to five proxies and check every answer"`
-	Platform platformCommand `command:"platform" description:"Run the stand-in of the platform"`
-	Group    groupCommand    `command:"group" description:"Run the stand-in of a database group"`
+	Demo     demoCommand       `command:"demo" description:"Run the whole path on loopback, with a failover"`
+	Load     loadCommand       `command:"load" description:"Offer a workload to five proxies and check every answer"`
+	Trials   experimentCommand `command:"experiment" description:"Run an experiment"`
+	Platform platformCommand   `command:"platform" description:"Run the stand-in of the platform"`
+	Group    groupCommand      `command:"group" description:"Run the stand-in of a database group"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/internal/lab/experiment/trial.go
+++ b/internal/lab/experiment/trial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/owner"
 	"eelgrassladder.example/eelgrassladder/internal/host/service"
@@ -77,15 +78,14 @@
 	KillOwner Kind = "kill-owner"
 	// Roll drains and restarts every proxy, one after another.
 	Roll Kind = "roll"
+	// PauseReplica stops a replica of a group without closing connections.
+	PauseReplica Kind = "pause-replica"
+	// CrashReplica ends a replica of a group; its log survives.
+	CrashReplica Kind = "crash-replica"
 	// Leave marks the primary of a group as leaving.
 	Leave Kind = "leave"
 )
 
-// Kinds lists all kinds of faults.
-var Kinds = []Kind{
-	Crash, Pause, Isolate, LoseAnswers, Lag, Far, StoreDown, StoreSlow, KillProxy, KillOwner, Roll, Leave,
-}
-
 // Run runs a trial from the start of its site to its report.
 func Run(ctx context.Context, t Trial) (load.Report, error) {
 	var run *load.Run
@@ -148,6 +148,7 @@
 // happen makes a fault begin and end.
 func happen(ctx context.Context, s *site.Site, run *load.Run, f Fault) error {
 	pause(ctx, f.At)
+	klog.InfoS("Fault begins", "Fault", f.String())
 	g := s.Groups[f.Group%len(s.Groups)]
 	switch f.Kind {
 	case Crash, Pause, Isolate, LoseAnswers:
@@ -158,6 +159,12 @@
 		m.Set(failing(m.Conditions(), f.Kind, true))
 		pause(ctx, f.For)
 		m.Set(failing(m.Conditions(), f.Kind, false))
+	case PauseReplica, CrashReplica:
+		if m := replica(g); m != nil {
+			m.Set(failing(m.Conditions(), f.Kind, true))
+			pause(ctx, f.For)
+			m.Set(failing(m.Conditions(), f.Kind, false))
+		}
 	case Lag, Far:
 		lagging(ctx, g, f)
 	case StoreDown:
@@ -178,6 +185,9 @@
 		return roll(ctx, s)
 	case Leave:
 		m := run.Fault(g)
+		if m == nil {
+			return nil
+		}
 		s.PublishLeaving(map[string]bool{m.Name(): true})
 		pause(ctx, f.For)
 		s.Publish()
@@ -185,12 +195,23 @@
 	return nil
 }
 
+// replica returns a member that is not the primary.
+func replica(g *group.Group) *group.Member {
+	primary := g.Primary()
+	for _, m := range g.Members() {
+		if m != primary {
+			return m
+		}
+	}
+	return nil
+}
+
 // failing returns the conditions with a fault of a primary on or off.
 func failing(c group.Conditions, k Kind, on bool) group.Conditions {
 	switch k {
-	case Crash:
+	case Crash, CrashReplica:
 		return c.WithCrashed(on)
-	case Pause:
+	case Pause, PauseReplica:
 		return c.WithPaused(on)
 	case Isolate:
 		return c.WithIsolated(on)
--- a/internal/lab/group/fault.go
+++ b/internal/lab/group/fault.go
@@ -21,9 +21,9 @@
 	Isolated bool
 	// LoseAnswers cuts the connection after a commit has taken effect.
 	LoseAnswers bool
-	// Careless lets a fenced or superseded primary go on committing. It
-	// exists to show that the checkers see it.
-	Careless bool
+	// Broken makes the member break a promise, to show that the checkers of
+	// the load see it.
+	Broken Broken
 }
 
 // WithCrashed returns the conditions with a crash or its end.
@@ -38,8 +38,8 @@
 // WithLoseAnswers returns the conditions with answers lost after the effect.
 func (c Conditions) WithLoseAnswers(on bool) Conditions { c.LoseAnswers = on; return c }
 
-// WithCareless returns the conditions with a primary that ignores fences.
-func (c Conditions) WithCareless(on bool) Conditions { c.Careless = on; return c }
+// WithBroken returns the conditions with a promise that is broken.
+func (c Conditions) WithBroken(b Broken) Conditions { c.Broken = b; return c }
 
 // WithApply returns the conditions with another apply delay.
 func (c Conditions) WithApply(d time.Duration) Conditions { c.Apply = d; return c }
@@ -49,3 +49,26 @@
 
 // WithService returns the conditions with another service time.
 func (c Conditions) WithService(d time.Duration) Conditions { c.Service = d; return c }
+
+// Broken is a promise that a member breaks.
+type Broken int
+
+// The promises that a member can break.
+const (
+	// Sound breaks none.
+	Sound Broken = iota
+	// DropCommits confirms commits and forgets their changes.
+	DropCommits
+	// DenyCommits makes commits take effect and says that they were rolled
+	// back.
+	DenyCommits
+	// KeepSettings leaves a caller's settings for the next one.
+	KeepSettings
+	// SwapAnswers answers a query with the rows of the one before.
+	SwapAnswers
+	// OverstateReceived makes a replica claim log places that it lacks.
+	OverstateReceived
+)
+
+// overstatement is by how much OverstateReceived exceeds the truth.
+const overstatement = 1 << 20
--- a/internal/lab/group/member.go
+++ b/internal/lab/group/member.go
@@ -137,6 +137,9 @@
 	}
 	if m.role != trade.Primary {
 		p.Contact = now.Sub(m.contact)
+		if m.conditions.Broken == OverstateReceived {
+			p.Received += overstatement
+		}
 	}
 	return p
 }
@@ -144,7 +147,7 @@
 // superseded refuses work of a connection that belongs to another term. The
 // caller holds the mutex.
 func (m *Member) superseded(term uint64) error {
-	if term == 0 || m.conditions.Careless {
+	if term == 0 {
 		return nil
 	}
 	if term != m.term || m.role == trade.Fenced {
@@ -164,15 +167,21 @@
 	if len(t.Changes()) == 0 {
 		return m.applied, nil
 	}
-	if m.role != trade.Primary && !m.conditions.Careless {
+	if m.role != trade.Primary {
 		return 0, sql.Fail(sql.CodeReadOnly, "the member is a replica")
 	}
 	if err := t.Conflict(); err != nil {
 		return 0, err
 	}
+	if m.conditions.Broken == DropCommits {
+		return m.applied, nil
+	}
 	m.append(entry{term: m.term, changes: t.Changes(), arrived: time.Now()})
 	m.applyAll()
 	m.notify()
+	if m.conditions.Broken == DenyCommits {
+		return 0, sql.Fail(sql.CodeSerialization, "could not serialize access")
+	}
 	return uint64(len(m.log)), nil
 }
 
--- a/internal/lab/group/session.go
+++ b/internal/lab/group/session.go
@@ -37,6 +37,8 @@
 	skipping bool
 	prepared map[string]preparedStatement
 	portals  map[string]portal
+	// last is the result before, for a member that swaps answers.
+	last sql.Result
 }
 
 // preparedStatement is a statement that Parse has named.
@@ -269,7 +271,9 @@
 
 // reset clears everything that a caller may have left behind.
 func (p *session) reset() {
-	p.settings = map[string]string{}
+	if p.member.Conditions().Broken != KeepSettings {
+		p.settings = map[string]string{}
+	}
 	p.own = sql.NewDatabase()
 	p.prepared = map[string]preparedStatement{}
 	p.portals = map[string]portal{}
@@ -301,7 +305,7 @@
 func (p *session) begin(readOnly bool) *sql.Transaction {
 	p.member.mutex.Lock()
 	defer p.member.mutex.Unlock()
-	replica := p.member.role != trade.Primary && !p.member.conditions.Careless
+	replica := p.member.role != trade.Primary
 	return sql.NewTransaction(p.member.database, p.own, readOnly || replica)
 }
 
@@ -325,7 +329,11 @@
 	if s.Verb == sql.Select {
 		p.member.countRead()
 	}
-	return t.Run(s, arguments)
+	result, err := t.Run(s, arguments)
+	if s.Verb == sql.Select && err == nil && p.member.conditions.Broken == SwapAnswers {
+		result, p.last = p.last, result
+	}
+	return result, err
 }
 
 // countRead counts a query by the member's role. The caller holds the mutex.
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -37,7 +37,7 @@
 	// Reconnects counts callers whose connection a leaving proxy closed before
 	// it read their request, and who connected again.
 	Reconnects int
-	Violations  Violations
+	Violations Violations
 	// Notes describe the first violations.
 	Notes []string `json:",omitempty"`
 	// Codes counts the SQLSTATEs of what was not done.
