Test the promises under faults, and the checkers themselves

A connection that ends is half closed first: with unread bytes from the caller, closing it took the FATAL 57P01 away.

--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,137 @@
+package experiment_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/journal"
+	"eelgrassladder.example/eelgrassladder/internal/lab/experiment"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/load"
+	"eelgrassladder.example/eelgrassladder/internal/lab/site"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+)
+
+// worstGap is the stated target for any change of primary.
+const worstGap = 3000.0
+
+func TestMain(m *testing.M) {
+	if err := journal.Start(io.Discard, 0); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+// trial returns a short load with faults in its middle.
+func trial(seed uint64, w workload.Workload, kinds ...experiment.Kind) experiment.Trial {
+	t := experiment.Trial{
+		Plan: load.Plan{
+			Workload: w, Seconds: 4, Seed: seed, PayingRate: 120, FreeRate: 80, Sessions: 40, Named: 0.4, Probe: w.Groups[0],
+		},
+		Proxies:    5,
+		Conditions: group.Conditions{Service: 2 * time.Millisecond, Connect: w.Connect, Receive: w.Between, Apply: 50 * time.Millisecond},
+	}
+	for _, k := range kinds {
+		t.Faults = append(t.Faults, experiment.Fault{At: time.Second, For: 1500 * time.Millisecond, Kind: k, Lag: 800 * time.Millisecond})
+	}
+	return t
+}
+
+func run(t *testing.T, one experiment.Trial) load.Report {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	report, err := experiment.Run(ctx, one)
+	assert.NilError(t, err)
+	return report
+}
+
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	cases := map[string][]experiment.Kind{
+		"primary crashes":                         {experiment.Crash},
+		"primary pauses":                          {experiment.Pause},
+		"primary is cut off from its peers":       {experiment.Isolate},
+		"primary crashes while the store is down": {experiment.StoreDown, experiment.Crash},
+		"primary and its owner go at once":        {experiment.KillOwner, experiment.Crash},
+		"answers of the primary are lost":         {experiment.LoseAnswers},
+		"replicas lag":                            {experiment.Lag, experiment.Far},
+		"a replica crashes and the owner is lost": {experiment.CrashReplica, experiment.KillOwner},
+		"the primary leaves":                      {experiment.Leave},
+	}
+	seed := uint64(100)
+	for name, kinds := range cases {
+		seed++
+		one := trial(seed, workload.Magnolia(), kinds...)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			report := run(t, one)
+			assert.Equal(t, report.Violations, load.Violations{}, strings.Join(report.Notes, "\n"))
+			for _, gap := range report.FailoverGapMs {
+				assert.Assert(t, gap >= 0 && gap < worstGap, "gap %v", gap)
+			}
+		})
+	}
+}
+
+func TestNoPromotionForALaggingReplica(t *testing.T) {
+	report := run(t, trial(7, workload.Homokforma(), experiment.Lag, experiment.Far))
+	assert.Equal(t, report.TermChanges, 0)
+}
+
+func TestRollingRestartCutsOffNothing(t *testing.T) {
+	one := trial(8, workload.Homokforma(), experiment.Roll)
+	one.Plan.Seconds = 8
+	report := run(t, one)
+	assert.Equal(t, report.Violations, load.Violations{})
+	assert.Equal(t, report.UnknownOutcomes, 0, "requests were cut off: %v", report.Codes)
+	assert.Equal(t, report.TermChanges, 0, "a handover raised a term")
+}
+
+// TestCheckersSeeWhatTheyAreFor breaks one promise at a time, in the stand-in
+// or in how the proxies are told to work, and asks that the load sees it.
+func TestCheckersSeeWhatTheyAreFor(t *testing.T) {
+	breaking := func(b group.Broken) func(*site.Site) {
+		return func(s *site.Site) {
+			for _, g := range s.Groups {
+				for _, m := range g.Members() {
+					m.Set(m.Conditions().WithBroken(b))
+				}
+			}
+		}
+	}
+	careless := workload.Magnolia()
+	careless.Configuration = strings.ReplaceAll(careless.Configuration, `"Idempotent": false`, `"Idempotent": true`)
+	cases := []struct {
+		name   string
+		trial  experiment.Trial
+		broken func(*site.Site)
+		seen   func(load.Violations) int
+	}{
+		{"lost writes", trial(1, workload.Magnolia()), breaking(group.DropCommits), func(v load.Violations) int { return v.LostWrites }},
+		{"false not run", trial(2, workload.Magnolia()), breaking(group.DenyCommits), func(v load.Violations) int { return v.FalseNotRun }},
+		{"mixed transactions", trial(3, workload.Magnolia()), breaking(group.KeepSettings), func(v load.Violations) int { return v.MixedTransactions }},
+		{"wrong answers", trial(4, workload.Magnolia()), breaking(group.SwapAnswers), func(v load.Violations) int { return v.WrongAnswers }},
+		{"superseded acks", trial(5, workload.Magnolia(), experiment.Isolate), breaking(group.OverstateReceived), func(v load.Violations) int { return v.SupersededAcks }},
+		{"doubled writes", trial(6, careless, experiment.LoseAnswers), nil, func(v load.Violations) int { return v.DoubledWrites }},
+		{"stale reads", trial(7, workload.Magnolia()), nil, func(v load.Violations) int { return v.StaleReads }},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			one.trial.Sabotage = one.broken
+			if one.name == "stale reads" {
+				one.trial.Plan.Drop = true
+				one.trial.Plan.Named = 0
+				one.trial.Plan.Sessions = 6
+				one.trial.Conditions.Apply = 800 * time.Millisecond
+			}
+			report := run(t, one.trial)
+			assert.Assert(t, one.seen(report.Violations) > 0, "%+v", report.Violations)
+		})
+	}
+}
--- a/internal/lab/experiment/trial.go
+++ b/internal/lab/experiment/trial.go
@@ -152,10 +152,13 @@
 	g := s.Groups[f.Group%len(s.Groups)]
 	switch f.Kind {
 	case Crash, Pause, Isolate, LoseAnswers:
-		m := run.Fault(g)
+		m := g.Primary()
 		if m == nil {
 			return nil
 		}
+		if f.Kind != LoseAnswers {
+			run.Fault(g, m)
+		}
 		m.Set(failing(m.Conditions(), f.Kind, true))
 		pause(ctx, f.For)
 		m.Set(failing(m.Conditions(), f.Kind, false))
@@ -184,7 +187,7 @@
 	case Roll:
 		return roll(ctx, s)
 	case Leave:
-		m := run.Fault(g)
+		m := g.Primary()
 		if m == nil {
 			return nil
 		}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -306,16 +306,11 @@
 	return nil
 }
 
-// Fault records that the primary of a group fails now, and returns it.
-func (r *Run) Fault(g *group.Group) *group.Member {
-	m := g.Primary()
-	if m == nil {
-		return nil
-	}
+// Fault records that the primary of a group fails now.
+func (r *Run) Fault(g *group.Group, m *group.Member) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.faults = append(r.faults, fault{group: g.Name(), at: time.Now(), term: m.Progress().Term})
-	return m
 }
 
 // TermChanged counts a change of term.
--- /dev/null
+++ b/internal/peer/caller/caller_test.go
@@ -0,0 +1,219 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/password"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/peer/caller"
+	"eelgrassladder.example/eelgrassladder/internal/table/burn"
+	"eelgrassladder.example/eelgrassladder/internal/table/configurations"
+	"eelgrassladder.example/eelgrassladder/internal/trade/configuration"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/request"
+)
+
+// fakeDispatcher answers every request with one row, and keeps the requests.
+type fakeDispatcher struct {
+	mutex    sync.Mutex
+	requests []request.Request
+	// answer replaces the row if it is set.
+	answer *request.Answer
+}
+
+func (d *fakeDispatcher) Dispatch(_ context.Context, r request.Request) request.Answer {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.requests = append(d.requests, r)
+	if d.answer != nil {
+		return *d.answer
+	}
+	var payload []byte
+	for _, m := range []pgproto3.BackendMessage{
+		&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
+	} {
+		payload, _ = m.Encode(payload)
+	}
+	return request.Answer{Outcome: request.Done, Payload: payload, Status: request.Idle}.
+		WithPosition(position.Position{Term: 3, Log: uint64(40 + len(d.requests))})
+}
+
+func (d *fakeDispatcher) Release(string, string, uint64) {}
+
+func (d *fakeDispatcher) last() request.Request {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.requests[len(d.requests)-1]
+}
+
+// text is a configuration with one caller, whose verifier is filled in.
+const text = `{
+  "Classes": [
+    {"Name": "deposits", "Paying": true, "Target": {"Share": 0.99, "Within": "1s"}},
+    {"Name": "gallery", "Target": {"Share": 0.9, "Within": "1s"}},
+    {"Name": "paid-orders", "Target": {"Share": 0.9, "Within": "1s"}},
+  ],
+  "Callers": [{"Name": "owners", "Verifier": "VERIFIER", "Databases": ["orders"], "Classes": ["deposits", "gallery"]}],
+}`
+
+// serve runs a front on loopback and returns its address.
+func serve(t testing.TB, d *fakeDispatcher) (string, *caller.Front) {
+	t.Helper()
+	v, err := password.NewVerifier("word")
+	assert.NilError(t, err)
+	c, findings := configuration.Parse("test", []byte(strings.Replace(text, "VERIFIER", v, 1)))
+	assert.NilError(t, findings.Err())
+	versions := configurations.New()
+	versions.Adopt(c.WithVersion(1, "test"))
+	ctx, cancel := context.WithCancel(context.Background())
+	tasks := task.New(ctx)
+	clock := timer.New()
+	front := caller.New(d, clock, versions, burn.New(time.Now()), tasks, caller.WithConnections(8))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tasks.Go("front", func(ctx context.Context) error { return front.Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		_ = tasks.Wait()
+	})
+	return listener.Addr().String(), front
+}
+
+func url(address, rest string) string {
+	return "postgres://owners:word@" + address + "/orders?sslmode=disable" + rest
+}
+
+// codeOf returns the SQLSTATE of an error.
+func codeOf(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func TestStartUpIsRefusedWithTheRightCode(t *testing.T) {
+	address, _ := serve(t, &fakeDispatcher{})
+	for target, code := range map[string]string{
+		"postgres://owners:wrong@" + address + "/orders?sslmode=disable": request.CodePassword,
+		"postgres://nobody:word@" + address + "/orders?sslmode=disable":  request.CodePassword,
+		"postgres://owners:word@" + address + "/records?sslmode=disable": request.CodeNotAllowed,
+		url(address, "&eelgrassladder.class=unknown"):                    request.CodeBadValue,
+		url(address, "&eelgrassladder.class=paid-orders"):                request.CodeNotAllowed,
+		url(address, "&eelgrassladder.session=torn"):                     request.CodeBadValue,
+		url(address, "&search_path=private"):                             request.CodeNotSupported,
+	} {
+		_, err := pgx.Connect(context.Background(), target)
+		assert.Equal(t, codeOf(err), code, target)
+	}
+}
+
+func TestARequestCarriesItsSessionClassAndKey(t *testing.T) {
+	d := &fakeDispatcher{}
+	address, _ := serve(t, d)
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, url(address, "&eelgrassladder.class=gallery&eelgrassladder.session_name=phone-1"))
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "SET eelgrassladder.session = 'orders:2.7,records:1.5'")
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "SET eelgrassladder.request_key TO 'k1'")
+	assert.NilError(t, err)
+	for range 2 {
+		_, err = c.Exec(ctx, "INSERT INTO orders (pet) VALUES ('cat')")
+		assert.NilError(t, err)
+	}
+	first, second := d.requests[0], d.last()
+	assert.Equal(t, first.Class, "gallery")
+	assert.Equal(t, first.SessionName, "phone-1")
+	assert.Equal(t, first.Required.String(), "2.7")
+	assert.Equal(t, first.Key, "k1")
+	assert.Equal(t, second.Required.String(), "3.41", "the first answer has raised the session")
+	assert.Equal(t, second.Key, "", "a key holds for one request")
+	var token string
+	assert.NilError(t, c.QueryRow(ctx, "SHOW eelgrassladder.session").Scan(&token))
+	assert.Equal(t, token, "orders:3.42,records:1.5")
+	assert.Equal(t, c.PgConn().ParameterStatus("eelgrassladder.session"), token)
+}
+
+func TestRefusalsKeepTheirCodeAndTheConnection(t *testing.T) {
+	refused := request.Refused(request.CodeTooManyConnections, "can't meet its target", "Try again.", 70*time.Millisecond)
+	d := &fakeDispatcher{answer: &refused}
+	address, _ := serve(t, d)
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, url(address, ""))
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "INSERT INTO orders (pet) VALUES ('cat')")
+	var e *pgconn.PgError
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Code, "53300")
+	assert.Equal(t, e.Detail, "RetryAfterMs: 70")
+	_, err = c.Exec(ctx, "COPY orders FROM STDIN")
+	assert.Equal(t, codeOf(err), request.CodeNotSupported)
+	assert.Assert(t, !c.IsClosed())
+}
+
+func TestADrainingProxyClosesIdleCallers(t *testing.T) {
+	address, front := serve(t, &fakeDispatcher{})
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, url(address, ""))
+	assert.NilError(t, err)
+	front.Drain()
+	_, err = c.Exec(ctx, "INSERT INTO orders (pet) VALUES ('cat')")
+	assert.Equal(t, codeOf(err), request.CodeShutdown)
+}
+
+// frames returns messages as they are sent after the start-up.
+func frames(all ...pgproto3.FrontendMessage) []byte {
+	var b []byte
+	for _, m := range all {
+		b, _ = m.Encode(b)
+	}
+	return b
+}
+
+// FuzzCallerInput sends any bytes after a correct start-up, and then asks that
+// another caller is still served.
+func FuzzCallerInput(f *testing.F) {
+	f.Add(frames(&pgproto3.Query{String: "SELECT 1"}))
+	f.Add(frames(&pgproto3.Parse{Name: "s", Query: "SELECT $1"}, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{}))
+	f.Add(frames(&pgproto3.Bind{PreparedStatement: "unknown"}, &pgproto3.Sync{}))
+	f.Add(frames(&pgproto3.Parse{Query: "SHOW eelgrassladder.session"}, &pgproto3.Describe{ObjectType: 'S'}, &pgproto3.Flush{}, &pgproto3.Sync{}))
+	f.Add(frames(&pgproto3.Execute{}, &pgproto3.Query{String: "SELECT 1"}))
+	f.Add([]byte{'Q', 0, 0, 0, 1})
+	f.Add([]byte{'Q', 0x7f, 0xff, 0xff, 0xff})
+	f.Add([]byte{'B', 0, 0, 0, 5, 'x'})
+	f.Add([]byte{'D', 0, 0, 0, 4, 'C', 0, 0, 0, 4, 'S', 0, 0, 0, 4})
+	d := &fakeDispatcher{}
+	address, _ := serve(f, d)
+	f.Fuzz(func(t *testing.T, input []byte) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		opened, err := pgconn.Connect(ctx, url(address, ""))
+		assert.NilError(t, err)
+		taken, err := opened.Hijack()
+		assert.NilError(t, err)
+		_, _ = taken.Conn.Write(input)
+		_, _ = taken.Conn.Write(frames(&pgproto3.Terminate{}))
+		_ = taken.Conn.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.Copy(io.Discard, taken.Conn)
+		_ = taken.Conn.Close()
+		other, err := pgx.Connect(ctx, url(address, ""))
+		assert.NilError(t, err)
+		_, err = other.Exec(ctx, "INSERT INTO orders (pet) VALUES ('cat')")
+		assert.NilError(t, err)
+		assert.NilError(t, other.Close(ctx))
+	})
+}
--- a/internal/peer/caller/connection.go
+++ b/internal/peer/caller/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -371,9 +372,23 @@
 	return errors.WithStack(err)
 }
 
-// fatal tells the caller why its connection ends.
+// closingTime is how long a connection that ends waits for its caller to have
+// read why.
+const closingTime = time.Second
+
+// fatal tells the caller why its connection ends. What the caller has sent
+// meanwhile is read and dropped, because closing a connection with unread
+// bytes would take the message from the caller.
 func (c *connection) fatal(r request.Refusal) {
 	var out encoder
 	out.add(errorMessage("FATAL", r))
-	_ = c.send(out.bytes)
+	if c.send(out.bytes) != nil {
+		return
+	}
+	half, ok := c.stream.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.stream.SetReadDeadline(time.Now().Add(closingTime))
+	_, _ = io.Copy(io.Discard, c.stream)
 }
--- /dev/null
+++ b/internal/policy/admission/admission_test.go
@@ -0,0 +1,102 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/admission"
+	"eelgrassladder.example/eelgrassladder/internal/trade/class"
+)
+
+var start = time.Unix(1000, 0)
+
+func waiting(t *rapid.T, name string) eelgrassladder.Waiting {
+	return eelgrassladder.Waiting{
+		Caller: rapid.SampledFrom([]string{"kennel-club", "owners"}).Draw(t, name+" caller"),
+		Class: class.Class{
+			Paying: rapid.Bool().Draw(t, name+" paying"),
+			Target: class.Target{Share: 0.99, Within: class.Duration(rapid.IntRange(1, 2000).Draw(t, name+" within")) * class.Duration(time.Millisecond)},
+		},
+		Arrived: start.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, name+" arrived")) * time.Millisecond),
+		Pinned:  rapid.Bool().Draw(t, name+" pinned"),
+	}
+}
+
+func load(t *rapid.T) eelgrassladder.Load {
+	slots := rapid.IntRange(1, 4).Draw(t, "slots")
+	paying := rapid.IntRange(0, slots).Draw(t, "paying")
+	return eelgrassladder.Load{
+		Slots: slots, Paying: paying, Free: rapid.IntRange(0, slots-paying).Draw(t, "free"),
+		PayingRate:   float64(rapid.IntRange(0, 2000).Draw(t, "rate")),
+		Service:      time.Duration(rapid.IntRange(1, 50).Draw(t, "service")) * time.Millisecond,
+		PayingQueued: rapid.IntRange(0, 3).Draw(t, "queued"),
+		Ahead:        rapid.IntRange(0, 500).Draw(t, "ahead"),
+	}
+}
+
+func TestFreeWorkNeverTakesWhatPayingWorkNeeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, l := waiting(t, "w"), load(t)
+		admits := admission.Targets{}.Admits(w, l)
+		if l.Paying+l.Free >= l.Slots {
+			assert.Assert(t, !admits, "a full member took work")
+			return
+		}
+		if w.Class.Paying || w.Pinned {
+			assert.Assert(t, admits, "paying work was kept from a free slot")
+			return
+		}
+		if l.PayingQueued > 0 {
+			assert.Assert(t, !admits, "free work went before paying work that waits")
+		}
+		arriving := l.PayingRate*l.Service.Seconds() >= 0.1
+		if arriving && l.Slots >= 2 && l.Free >= l.Slots-1 {
+			assert.Assert(t, !admits, "free work took the last slot while paying work arrives")
+		}
+		if l.PayingRate == 0 && l.PayingQueued == 0 {
+			assert.Assert(t, admits, "free work was kept from a slot that nobody needs")
+		}
+	})
+}
+
+func TestOrderIsStrictAndPutsPayingWorkFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := waiting(t, "a"), waiting(t, "b"), waiting(t, "c")
+		before := func(x, y eelgrassladder.Waiting) bool { return admission.Targets{}.Before(start, x, y) }
+		assert.Assert(t, !before(a, a))
+		assert.Assert(t, !before(a, b) || !before(b, a))
+		if before(a, b) && before(b, c) {
+			assert.Assert(t, before(a, c))
+		}
+		if a.Class.Paying && !b.Class.Paying && !b.Pinned {
+			assert.Assert(t, before(a, b))
+		}
+	})
+}
+
+func TestFreeWorkIsRefusedBeforePayingWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, l := waiting(t, "w"), load(t)
+		w.Pinned = false
+		now := start.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "now")) * time.Millisecond)
+		free, paying := w, w
+		free.Class.Paying = false
+		paying.Class.Paying = true
+		policy := admission.Targets{}
+		for _, judge := range []func(eelgrassladder.Waiting) eelgrassladder.Verdict{
+			func(x eelgrassladder.Waiting) eelgrassladder.Verdict { return policy.Arriving(now, x, l) },
+			func(x eelgrassladder.Waiting) eelgrassladder.Verdict { return policy.Overdue(now, x, l) },
+		} {
+			if judge(paying).Refuse {
+				assert.Assert(t, judge(free).Refuse, "paying work was refused where free work waits")
+			}
+			if v := judge(free); v.Refuse {
+				assert.Assert(t, v.RetryAfter > 0, "a refusal without a hint when to try again")
+			}
+		}
+	})
+}
