Keep the primary's slots for paying writes; describe without a slot

Change: work that is not paying goes to the primary only when replicas lag; requests that run nothing take no slot and are not refused. A bound on concurrent password checks was tried and taken back: the server's part of SCRAM is cheap, and a slow caller would have held the others up.

--- a/internal/peer/caller/connection.go
+++ b/internal/peer/caller/connection.go
@@ -261,7 +261,8 @@
 	r := c.request(append(b.payload, message...))
 	r.Prepared = b.prepared
 	r.Fingerprint = b.fingerprint()
-	r.ReadOnly = c.readOnly || !b.executes
+	r.Describes = !b.executes
+	r.ReadOnly = c.readOnly || r.Describes
 	if len(b.texts) > 0 {
 		r.Opens = opens(b.texts[0])
 		r.ReadOnly = r.ReadOnly || declaresReadOnly(b.texts[0])
--- a/internal/peer/proxy/codec.go
+++ b/internal/peer/proxy/codec.go
@@ -21,7 +21,7 @@
 	m := &sibling.Request{
 		Group: r.Group, Database: r.Database, Caller: r.Caller, Class: r.Class, Key: r.Key,
 		SessionName: r.SessionName, Required: encodePosition(r.Required), ReadOnly: r.ReadOnly,
-		Opens: r.Opens, Pin: r.Pin, Payload: r.Payload, Fingerprint: r.Fingerprint,
+		Opens: r.Opens, Describes: r.Describes, Pin: r.Pin, Payload: r.Payload, Fingerprint: r.Fingerprint,
 		BudgetMicros: now.Sub(r.Arrived).Microseconds(),
 	}
 	for _, p := range r.Prepared {
@@ -35,7 +35,7 @@
 	r := request.Request{
 		Group: m.GetGroup(), Database: m.GetDatabase(), Caller: m.GetCaller(), Class: m.GetClass(),
 		Key: m.GetKey(), SessionName: m.GetSessionName(), Required: decodePosition(m.GetRequired()),
-		ReadOnly: m.GetReadOnly(), Opens: m.GetOpens(), Pin: m.GetPin(), Payload: m.GetPayload(),
+		ReadOnly: m.GetReadOnly(), Opens: m.GetOpens(), Describes: m.GetDescribes(), Pin: m.GetPin(), Payload: m.GetPayload(),
 		Fingerprint: m.GetFingerprint(),
 		Arrived:     now.Add(-time.Duration(m.GetBudgetMicros()) * time.Microsecond),
 	}
--- a/internal/policy/routing/routing.go
+++ b/internal/policy/routing/routing.go
@@ -16,7 +16,9 @@
 
 // Replicas sends reads to replicas that cover them and are fresh enough, lets
 // them wait for one while the target's time allows, and sends them to the
-// primary otherwise. Use it in production.
+// primary otherwise. Work that is not paying goes to the primary only when
+// replicas lag, not when they are busy: the primary's slots are what paying
+// writes need. Use it in production.
 type Replicas struct{}
 
 // Eligible reports whether the request may run at places[at] now.
@@ -55,7 +57,10 @@
 		if p.Primary || !p.Usable || p.Age > r.Staleness {
 			continue
 		}
-		wait := p.Delay
+		wait := time.Duration(0)
+		if r.Paying {
+			wait = p.Delay
+		}
 		if p.Applied < r.Required.Log {
 			wait += p.Lag
 		}
--- a/internal/table/queue/pick.go
+++ b/internal/table/queue/pick.go
@@ -43,17 +43,18 @@
 	best, bestPlace := -1, -1
 	for at := range places {
 		load := q.loadOf(q.places[at], now)
-		if load.Paying+load.Free >= load.Slots {
-			continue
-		}
+		full := load.Paying+load.Free >= load.Slots
 		for i, item := range q.items {
-			if best >= 0 && !q.admission.Before(now, item.waiting(), q.items[best].waiting()) {
+			if full && !item.Request.Describes {
 				continue
 			}
-			if !q.mayRun(item, places, at, now) || !q.admission.Admits(item.waiting(), load) {
+			if best >= 0 && !q.admission.Before(now, item.waiting(), q.items[best].waiting()) {
 				continue
 			}
-			best, bestPlace = i, at
+			admitted := item.Request.Describes || q.admission.Admits(item.waiting(), load)
+			if admitted && q.mayRun(item, places, at, now) {
+				best, bestPlace = i, at
+			}
 		}
 	}
 	if best < 0 {
@@ -67,10 +68,13 @@
 // start takes a slot. The caller holds the mutex.
 func (q *Table) start(i *Item, member string, now time.Time) Job {
 	s := q.slotsOf(member)
-	if i.Class.Paying {
+	switch {
+	case i.Request.Describes:
+		s.describing++
+	case i.Class.Paying:
 		s.paying++
 		s.rate.add(now)
-	} else {
+	default:
 		s.free++
 	}
 	return Job{Item: i, Member: member, Started: now}
@@ -83,6 +87,7 @@
 	}
 	return q.router.Eligible(eelgrassladder.Read{
 		May:       i.Replica,
+		Paying:    i.Class.Paying,
 		Required:  i.Request.Required,
 		Staleness: i.Class.Fresh(),
 		Left:      i.Request.Arrived.Add(i.Class.Within()).Sub(now),
@@ -121,7 +126,7 @@
 		PayingRate: s.rate.value(now), Service: q.service,
 	}
 	for _, i := range q.items {
-		if i.Class.Paying && (p.Place.Primary || i.Replica) && (i.Member == "" || i.Member == p.Name) {
+		if i.Class.Paying && !i.Request.Describes && (p.Place.Primary || i.Replica) && (i.Member == "" || i.Member == p.Name) {
 			l.PayingQueued++
 		}
 	}
--- a/internal/table/queue/queue.go
+++ b/internal/table/queue/queue.go
@@ -64,6 +64,8 @@
 type slots struct {
 	paying int
 	free   int
+	// describing counts requests that run nothing; they need no slot.
+	describing int
 	// rate is the recent rate of paying requests that started there.
 	rate rate
 }
@@ -131,6 +133,11 @@
 		return request.Refused(request.CodeTooManyConnections, "too many requests wait for this database",
 			"Try again later.", q.service), true
 	}
+	if i.Request.Describes {
+		q.items = append(q.items, i)
+		q.wake.Signal()
+		return request.Answer{}, false
+	}
 	if verdict := q.admission.Arriving(q.timer.Now(), i.waiting(), q.load(i)); verdict.Refuse {
 		i.settled = true
 		return overTarget(verdict), true
@@ -195,12 +202,15 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	s := q.slotsOf(j.Member)
-	if j.Item.Class.Paying {
+	switch {
+	case j.Item.Request.Describes:
+		s.describing--
+	case j.Item.Class.Paying:
 		s.paying--
-	} else {
+	default:
 		s.free--
 	}
-	if measured {
+	if measured && !j.Item.Request.Describes {
 		q.learn(j.Item.Class.Name, q.timer.Now().Sub(j.Started))
 	}
 	q.wake.Signal()
@@ -292,7 +302,7 @@
 	defer q.mutex.Unlock()
 	running := 0
 	for _, s := range q.taken {
-		running += s.paying + s.free
+		running += s.paying + s.free + s.describing
 	}
 	return running
 }
--- a/internal/trade/request/request.go
+++ b/internal/trade/request/request.go
@@ -35,6 +35,9 @@
 	Required position.Position
 	// ReadOnly is true when the caller declared that it only reads.
 	ReadOnly bool
+	// Describes is true when the request runs nothing and only asks what a
+	// statement would answer.
+	Describes bool
 	// Opens is true when the request opens a transaction.
 	Opens bool
 	// Pin is the transaction that the request belongs to, or zero.
--- a/router.go
+++ b/router.go
@@ -10,6 +10,8 @@
 type Read struct {
 	// May is true when a replica may be tried.
 	May bool
+	// Paying is true for paying work.
+	Paying bool
 	// Required is the position that the read must cover.
 	Required position.Position
 	// Staleness is the age that the read may have.
