--- a/cmd/eelgrassladder/configure.go
+++ b/cmd/eelgrassladder/configure.go
@@ -148,6 +148,10 @@
 		return describe(err)
 	}
 	for _, g := range all {
+		if len(g.Members) == 0 {
+			fmt.Printf("%s\tOwner=%s\t(its owner observes its members)\n", g.Name, g.Owner)
+			continue
+		}
 		fmt.Printf("%s\tOwner=%s\tTerm=%d\tPrimary=%s\tServing=%t\n", g.Name, g.Owner, g.Term, g.Primary, g.Serving)
 		for _, m := range g.Members {
 			fmt.Printf("  %s\t%s\t%s\tTerm=%d\tReceived=%d\tApplied=%d\tReachable=%t\tLeaving=%t\n",
--- /dev/null
+++ b/cmd/eelgrassladder/main_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+)
+
+// start runs a built command and ends it with the test.
+func start(t *testing.T, log string, program string, arguments ...string) *exec.Cmd {
+	t.Helper()
+	out, err := os.Create(log)
+	assert.NilError(t, err)
+	c := exec.Command(program, arguments...)
+	c.Stdout, c.Stderr = out, out
+	assert.NilError(t, c.Start())
+	t.Cleanup(func() {
+		if c.ProcessState == nil {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+		_ = out.Close()
+	})
+	return c
+}
+
+// ports returns free ports on loopback.
+func ports(t *testing.T, n int) []string {
+	t.Helper()
+	var all []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		all = append(all, l.Addr().String())
+	}
+	return all
+}
+
+func write(t *testing.T, file, text string) string {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// eventually asks until the condition holds.
+func eventually(t *testing.T, what string, f func() error) {
+	t.Helper()
+	var last error
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if last = f(); last == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: %v", what, last)
+}
+
+// TestProcessesServeARequestFromEndToEnd runs the platform, a group and two
+// proxies as processes, and drives them with the command line.
+func TestProcessesServeARequestFromEndToEnd(t *testing.T) {
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "../...")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, string(out))
+	product, lab := filepath.Join(dir, "eelgrassladder"), filepath.Join(dir, "eelgrasslab")
+	p := ports(t, 12)
+	token := write(t, filepath.Join(dir, "token"), "lab-token\n")
+	hosts := `{"Proxies": [], "Endpoints": [`
+	for i := range 3 {
+		hosts += fmt.Sprintf(`{"Name": "commission-orders-1-%c", "Group": "commission-orders-1", "DataCentre": "a", "Address": %q, "Leaving": false, "Slots": 2, "Connections": 16},`, 'a'+i, p[i])
+	}
+	start(t, filepath.Join(dir, "platform.log"), lab, "platform", "--address", p[3], "--hosts", write(t, filepath.Join(dir, "hosts"), hosts+"]}"))
+	start(t, filepath.Join(dir, "group.log"), lab, "group", "--name", "commission-orders-1", "--address", p[0], "--address", p[1], "--address", p[2])
+	var proxies []*exec.Cmd
+	for i := range 2 {
+		at := p[4+4*i:]
+		settings := fmt.Sprintf(`{"Name": "proxy-%d", "DataCentre": "a", "Platform": {"Address": %q}, "Siblings": [%q],
+			"Listen": {"Postgres": %q, "HTTP": %q, "Operator": %q, "Sibling": %q},
+			"Endpoints": {"User": "eelgrassladder"}, "Operators": {"TokenFile": %q}}`, i, p[3], p[7], at[0], at[1], at[2], at[3], token)
+		file := write(t, filepath.Join(dir, fmt.Sprintf("proxy-%d", i)), settings)
+		proxies = append(proxies, start(t, filepath.Join(dir, fmt.Sprintf("proxy-%d.log", i)), product, "serve", "--settings", file))
+	}
+	eventually(t, "the operators' port answers", func() error {
+		_, err := http.Get("http://" + p[6] + "/livez")
+		return err
+	})
+	put, err := exec.Command(product, "configure", "put", "--operator", p[6], "--token-file", token, "--based", "0",
+		"../../examples/magnolia/configuration.hujson").CombinedOutput()
+	assert.NilError(t, err, string(put))
+	assert.Equal(t, string(put), "Version: 1\n")
+	late, err := exec.Command(product, "configure", "put", "--operator", p[10], "--token-file", token, "--based", "0",
+		"../../examples/magnolia/configuration.hujson").CombinedOutput()
+	assert.Assert(t, err != nil)
+	assert.Assert(t, strings.Contains(string(late), "based on version 0 and version 1 is in force"), string(late))
+
+	ctx := context.Background()
+	url := "postgres://commissions:brushwork@%s/commission-orders-1?sslmode=disable"
+	var c *pgx.Conn
+	eventually(t, "a caller is served", func() error {
+		if c, err = pgx.Connect(ctx, fmt.Sprintf(url, p[8])); err != nil {
+			return err
+		}
+		_, err = c.Exec(ctx, "CREATE TABLE IF NOT EXISTS proofs (id bigserial, pet text)")
+		return err
+	})
+	body := `{"Database": "commission-orders-1", "Class": "deposits", "Key": "k-1", "Statements": [
+		{"SQL": "INSERT INTO proofs (pet) VALUES ($1) RETURNING id", "Arguments": ["Biscuit"]}]}`
+	first, again := post(t, p[5], body), post(t, p[5], body)
+	assert.Equal(t, first["Outcome"], "Done")
+	assert.DeepEqual(t, again, first)
+	var rows int64
+	assert.NilError(t, c.QueryRow(ctx, "SELECT count(*) FROM proofs").Scan(&rows))
+	assert.Equal(t, rows, int64(1), "a request key ran twice")
+
+	groups, err := exec.Command(product, "groups", "--operator", p[6], "--token-file", token).CombinedOutput()
+	assert.NilError(t, err, string(groups))
+	assert.Assert(t, strings.Contains(string(groups), "commission-orders-1"), string(groups))
+	report, err := exec.Command(product, "report", "burn", "--operator", p[6], "--operator", p[10], "--token-file", token).CombinedOutput()
+	assert.NilError(t, err, string(report))
+	assert.Assert(t, strings.Contains(string(report), "deposits"), string(report))
+
+	for i, one := range proxies {
+		assert.NilError(t, one.Process.Signal(syscall.SIGTERM))
+		assert.NilError(t, one.Wait(), "proxy %d did not leave cleanly", i)
+		logIsJSON(t, filepath.Join(dir, fmt.Sprintf("proxy-%d.log", i)))
+	}
+}
+
+// post runs a request over HTTP.
+func post(t *testing.T, address, body string) map[string]any {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/run", bytes.NewBufferString(body))
+	assert.NilError(t, err)
+	r.SetBasicAuth("commissions", "brushwork")
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	var result map[string]any
+	assert.NilError(t, json.NewDecoder(answer.Body).Decode(&result))
+	return result
+}
+
+// logIsJSON asks that each line of a log is an object and tells no secret.
+func logIsJSON(t *testing.T, file string) {
+	t.Helper()
+	f, err := os.Open(file)
+	assert.NilError(t, err)
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var one map[string]any
+		assert.NilError(t, json.Unmarshal(lines.Bytes(), &one), lines.Text())
+		for _, secret := range []string{"brushwork", "lab-token", "SCRAM", "Biscuit"} {
+			assert.Assert(t, !strings.Contains(lines.Text(), secret), lines.Text())
+		}
+	}
+}
+
+func TestExitCodesTellUsageFromFailure(t *testing.T) {
+	dir := t.TempDir()
+	bad := write(t, filepath.Join(dir, "bad.hujson"), `{"Classes": [], "Wrong": 1}`)
+	assert.Equal(t, run([]string{"check", "../../examples/magnolia/configuration.hujson", "../../examples/processes/proxy-1.hujson"}), 0)
+	assert.Equal(t, run([]string{"check", bad}), exitUsage)
+	assert.Equal(t, run([]string{"serve", "--settings", filepath.Join(dir, "none")}), exitUsage)
+	assert.Equal(t, run([]string{"serve", "--unknown"}), exitUsage)
+	assert.Equal(t, run([]string{"configure", "get", "--operator", "127.0.0.1:1", "--token-file", bad}), exitFailure)
+}
