Measure control and overhead; serve the callers of a class fairly

Cause: the cost of control was unknown; finding the owners of 610 groups sorted the view of 430 proxies for each group, and for each request; a caller's flood delayed the others of its class.

--- a/admission.go
+++ b/admission.go
@@ -16,6 +16,8 @@
 	Arrived time.Time
 	// Pinned is true inside a transaction that has begun.
 	Pinned bool
+	// Used is how many slots the caller has lately held on average.
+	Used float64
 }
 
 // Load is what admission sees of a member.
--- a/internal/host/dispatch/dispatch.go
+++ b/internal/host/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	siblings eelgrassladder.Siblings
 	classOf  func(string) (class.Class, bool)
 	budget   *retry.Budget
+	owners   ownership.Finder
 }
 
 // New returns a dispatcher for a proxy; local is the proxy itself.
@@ -112,7 +113,7 @@
 // way returns the way to the owner of a group.
 func (d *Dispatcher) way(group string) (eelgrassladder.Sibling, bool) {
 	view, _ := d.members.View()
-	p, ok := ownership.Owner(view, group)
+	p, ok := d.owners.Owner(view, group)
 	if !ok {
 		return nil, false
 	}
--- a/internal/host/fleet/platform.go
+++ b/internal/host/fleet/platform.go
@@ -87,12 +87,12 @@
 func (f *Fleet) watches() bool {
 	view, _ := f.members.View()
 	self := f.members.Self()
-	var local membership.View
+	var local []membership.Proxy
 	for _, p := range view.Live() {
 		if p.DataCentre == self.DataCentre {
-			local, _ = local.WithProxy(p)
+			local = append(local, p)
 		}
 	}
-	watcher, ok := ownership.Owner(local, ConfigurationKey)
+	watcher, ok := ownership.Among(local, ConfigurationKey)
 	return ok && watcher.Name == self.Name
 }
--- a/internal/host/owner/observe.go
+++ b/internal/host/owner/observe.go
@@ -13,8 +13,12 @@
 
 // The pace of probes.
 const (
-	// progressWait is how long a member holds a probe when nothing changes.
-	progressWait = 100 * time.Millisecond
+	// primaryWait is how long a primary holds a probe when nothing changes.
+	primaryWait = 250 * time.Millisecond
+	// replicaWait is how long a replica does.
+	replicaWait = time.Second
+	// awaitedWait is how long any member does while answers wait for probes.
+	awaitedWait = 100 * time.Millisecond
 	// awaitedPace is the time between probes while answers wait for them.
 	awaitedPace = time.Millisecond
 	// idlePace is the time between probes otherwise.
@@ -32,7 +36,7 @@
 	var known group.Progress
 	for ctx.Err() == nil {
 		sent := o.timer.Now()
-		p, err := control.Progress(ctx, known, progressWait)
+		p, err := control.Progress(ctx, known, o.probeWait(m.Name))
 		if ctx.Err() != nil {
 			return
 		}
@@ -48,6 +52,19 @@
 	}
 }
 
+// probeWait returns how long a member may hold a probe.
+func (o *Owner) probeWait(member string) time.Duration {
+	g := o.current()
+	switch {
+	case g == nil || o.acks.Waiting() > 0:
+		return awaitedWait
+	case g.primary == member:
+		return primaryWait
+	default:
+		return replicaWait
+	}
+}
+
 // answered records a member's answer and returns the pace of its probes.
 func (o *Owner) answered(m group.Member, p group.Progress, sent time.Time) time.Duration {
 	o.members.Answered(m.Name, p, o.timer.Now())
--- a/internal/host/owner/registry.go
+++ b/internal/host/owner/registry.go
@@ -48,6 +48,8 @@
 	waiting map[string]time.Time
 	// groups is the host list's groups as last reconciled.
 	groups map[string]group.Group
+	// finder remembers owners while the view stays the same.
+	finder ownership.Finder
 	// leaving is true once this proxy takes no more groups.
 	leaving bool
 }
@@ -147,7 +149,7 @@
 	r.leaving = self.State != membership.Live
 	r.groups = list.Groups
 	for name, g := range list.Groups {
-		next, ok := ownership.Owner(v, name)
+		next, ok := r.finder.Owner(v, name)
 		held := r.owners[name]
 		switch {
 		case !ok && held == nil:
--- /dev/null
+++ b/internal/lab/experiment/control.go
@@ -0,0 +1,348 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/gen/sibling"
+	"eelgrassladder.example/eelgrassladder/internal/host/fleet"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/peer/proxy"
+	"eelgrassladder.example/eelgrassladder/internal/policy/ownership"
+	"eelgrassladder.example/eelgrassladder/internal/table/configurations"
+	"eelgrassladder.example/eelgrassladder/internal/table/members"
+	"eelgrassladder.example/eelgrassladder/internal/trade/group"
+	"eelgrassladder.example/eelgrassladder/internal/trade/hostlist"
+	"eelgrassladder.example/eelgrassladder/internal/trade/membership"
+)
+
+// exchangeOverhead is what one exchange costs on a network beside its two
+// messages, in bytes: the headers of TCP and IP on two packets and their
+// acknowledgements, and the library's frames.
+const exchangeOverhead = 300
+
+// dataCentres is how many data centres the proxies of a trial stand in.
+const dataCentres = 6
+
+// settleTime is how long a control trial may take to reach all proxies.
+const settleTime = 30 * time.Second
+
+// Control is what the proxies spend on each other, per proxy.
+type Control struct {
+	Nodes  int
+	Groups int
+	// BytesPerSecond and MessagesPerSecond count what a proxy sends and
+	// receives, headers included.
+	BytesPerSecond    float64
+	MessagesPerSecond float64
+	// CorePercent is the share of one core.
+	CorePercent float64
+	// StateBytes is the memory that stays in use.
+	StateBytes float64
+	// ConfigurationMs and LossMs are the times until a configuration, and the
+	// loss of a proxy, were known everywhere.
+	ConfigurationMs float64
+	LossMs          float64
+	// OwnersMs is the time to find the owners of all groups after a change.
+	OwnersMs float64
+	// StoreCallsPerSecond counts the calls of all proxies to the platform.
+	StoreCallsPerSecond float64
+}
+
+// network carries heartbeats in memory: they are encoded and decoded as on a
+// connection, and counted.
+type network struct {
+	bytes    atomic.Uint64
+	messages atomic.Uint64
+	calls    atomic.Uint64
+	list     hostlist.HostList
+
+	// mutex guards the fields below. It is a leaf.
+	mutex  sync.Mutex
+	fleets map[string]*fleet.Fleet
+	lost   map[string]bool
+}
+
+// Exchange carries a heartbeat and its answer.
+func (n *network) Exchange(_ context.Context, address string, b proxy.Beat, _ time.Duration) (proxy.Beat, error) {
+	n.mutex.Lock()
+	target := n.fleets[address]
+	lost := n.lost[address] || n.lost[b.Sender.Address]
+	n.mutex.Unlock()
+	if target == nil || lost {
+		return proxy.Beat{}, errors.New("no answer")
+	}
+	received, err := n.carry(b)
+	if err != nil {
+		return proxy.Beat{}, err
+	}
+	answer, err := n.carry(target.Heard(received))
+	n.bytes.Add(exchangeOverhead)
+	return answer, err
+}
+
+// carry encodes and decodes a heartbeat.
+func (n *network) carry(b proxy.Beat) (proxy.Beat, error) {
+	raw, err := proto.Marshal(proxy.EncodeBeat(b))
+	if err != nil {
+		return proxy.Beat{}, errors.WithStack(err)
+	}
+	n.bytes.Add(uint64(len(raw)))
+	n.messages.Add(1)
+	var m sibling.Beat
+	if err := proto.Unmarshal(raw, &m); err != nil {
+		return proxy.Beat{}, errors.WithStack(err)
+	}
+	return proxy.DecodeBeat(&m), nil
+}
+
+// Forget does nothing: there are no connections.
+func (n *network) Forget(string) {}
+
+// Hosts returns the host list.
+func (n *network) Hosts(context.Context) (hostlist.HostList, error) {
+	n.calls.Add(1)
+	return n.list, nil
+}
+
+// Read finds nothing: configurations come from the trial.
+func (n *network) Read(context.Context, string) (eelgrassladder.Entry, error) {
+	n.calls.Add(1)
+	return eelgrassladder.Entry{}, nil
+}
+
+// Watch waits and finds nothing new.
+func (n *network) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (eelgrassladder.Entry, error) {
+	n.calls.Add(1)
+	pause(ctx, wait)
+	return eelgrassladder.Entry{}, ctx.Err()
+}
+
+// Swap is never called.
+func (n *network) Swap(context.Context, eelgrassladder.Entry, uint64) (eelgrassladder.Entry, error) {
+	return eelgrassladder.Entry{}, eelgrassladder.ErrConflict
+}
+
+// node is one proxy's control parts.
+type node struct {
+	members  *members.Table
+	versions *configurations.Table
+	fleet    *fleet.Fleet
+}
+
+// RunControl runs the membership, gossip, configuration and ownership of many
+// proxies in one process, without callers, for a bounded time.
+func RunControl(ctx context.Context, nodes, groups int, length time.Duration, configuration string) (Control, error) {
+	before := heap()
+	g := task.New(ctx)
+	defer func() {
+		g.Stop()
+		_ = g.Wait()
+	}()
+	clock := timer.New()
+	g.Go("timer", clock.Run)
+	n, all := startNodes(g, clock, nodes, groups)
+	if !await(ctx, func() bool { return agree(all, nodes) }) {
+		return Control{}, errors.New("the proxies did not find each other")
+	}
+	all[0].fleet.Adopt(configuration, 1, "trial")
+	all[0].fleet.Spread()
+	if !await(ctx, func() bool { return version(all, 1) }) {
+		return Control{}, errors.New("the configuration did not reach all")
+	}
+	pause(ctx, 6*time.Second)
+	c := Control{Nodes: nodes, Groups: groups}
+	c.StateBytes = (heap() - before) / float64(nodes)
+	c.measure(ctx, n, length)
+	began := time.Now()
+	all[0].fleet.Adopt(configuration, 2, "change")
+	all[0].fleet.Spread()
+	if !await(ctx, func() bool { return version(all, 2) }) {
+		return c, errors.New("the configuration did not reach all")
+	}
+	c.ConfigurationMs = milliseconds(time.Since(began))
+	began = time.Now()
+	n.mutex.Lock()
+	n.lost[all[nodes-1].members.Self().Address] = true
+	n.mutex.Unlock()
+	if !await(ctx, func() bool { return agree(all[:nodes-1], nodes-1) }) {
+		return c, errors.New("the loss did not reach all")
+	}
+	c.LossMs = milliseconds(time.Since(began))
+	c.OwnersMs = findOwners(all[0], groups)
+	return c, nil
+}
+
+// startNodes starts the control parts of many proxies.
+func startNodes(g *task.Group, clock *timer.Service, nodes, groups int) (*network, []node) {
+	n := &network{fleets: map[string]*fleet.Fleet{}, lost: map[string]bool{}}
+	n.list.Groups = map[string]group.Group{}
+	for i := range groups {
+		name := fmt.Sprintf("group-%03d", i)
+		for k := range 3 {
+			n.list = n.list.WithEndpoint(name, group.Member{
+				Name: fmt.Sprintf("%s-%c", name, 'a'+k), Address: "10.0.0.1:5432", Slots: 2, Connections: 16,
+			})
+		}
+	}
+	var all []node
+	for i := range nodes {
+		self := membership.Proxy{
+			Name: fmt.Sprintf("proxy-%03d", i), DataCentre: fmt.Sprintf("centre-%d", i%dataCentres),
+			Address: fmt.Sprintf("10.0.%d.%d:7500", i/250, i%250), Incarnation: uint64(time.Now().UnixMicro()),
+		}
+		n.list = n.list.WithProxy(self)
+		one := node{members: members.New(self), versions: configurations.New()}
+		one.fleet = fleet.New(clock, n, one.members, one.versions, fleet.WithPlatform(n, n))
+		n.fleets[self.Address] = one.fleet
+		all = append(all, one)
+	}
+	for _, one := range all {
+		one.fleet.Start(g)
+	}
+	return n, all
+}
+
+// measure takes the steady cost over a time.
+func (c *Control) measure(ctx context.Context, n *network, length time.Duration) {
+	bytes, messages, calls, used := n.bytes.Load(), n.messages.Load(), n.calls.Load(), processorTime()
+	began := time.Now()
+	pause(ctx, length)
+	seconds := time.Since(began).Seconds()
+	perNode := seconds * float64(c.Nodes)
+	// Each byte and message is sent by one proxy and received by another.
+	c.BytesPerSecond = 2 * float64(n.bytes.Load()-bytes) / perNode
+	c.MessagesPerSecond = 2 * float64(n.messages.Load()-messages) / perNode
+	c.CorePercent = 100 * (processorTime() - used).Seconds() / perNode
+	c.StoreCallsPerSecond = float64(n.calls.Load()-calls) / seconds
+}
+
+// agree reports whether every proxy believes that so many are live.
+func agree(all []node, live int) bool {
+	for _, one := range all {
+		view, _ := one.members.View()
+		if len(view.Live()) != live {
+			return false
+		}
+	}
+	return true
+}
+
+// version reports whether every proxy has a version in force.
+func version(all []node, v uint64) bool {
+	for _, one := range all {
+		if one.versions.Current().Version < v {
+			return false
+		}
+	}
+	return true
+}
+
+// findOwners returns the time to find the owners of all groups.
+func findOwners(one node, groups int) float64 {
+	view, _ := one.members.View()
+	var f ownership.Finder
+	began := time.Now()
+	for i := range groups {
+		f.Owner(view, fmt.Sprintf("group-%03d", i))
+	}
+	return milliseconds(time.Since(began))
+}
+
+// await looks until the condition holds, for a bounded time.
+func await(ctx context.Context, condition func() bool) bool {
+	for end := time.Now().Add(settleTime); time.Now().Before(end) && ctx.Err() == nil; {
+		if condition() {
+			return true
+		}
+		pause(ctx, 10*time.Millisecond)
+	}
+	return false
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Line is a straight line fitted to measurements.
+type Line struct {
+	At    float64
+	Slope float64
+	// Residual is the largest distance of a measurement from the line.
+	Residual float64
+}
+
+// fit fits a line by least squares.
+func fit(x, y []float64) Line {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	var l Line
+	if d := n*sxx - sx*sx; d != 0 {
+		l.Slope = (n*sxy - sx*sy) / d
+	}
+	l.At = (sy - l.Slope*sx) / n
+	for i := range x {
+		l.Residual = max(l.Residual, max(y[i]-l.At-l.Slope*x[i], l.At+l.Slope*x[i]-y[i]))
+	}
+	return l
+}
+
+// WriteControl prints trials, and the lines fitted to them.
+func WriteControl(w io.Writer, all []Control) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "Nodes\tGroups\tBytes/s\tMessages/s\tCore%\tStateKB\tConfigurationMs\tLossMs\tOwnersMs\tStoreCalls/s")
+	var x []float64
+	columns := map[string][]float64{}
+	for _, c := range all {
+		fmt.Fprintf(t, "%d\t%d\t%.0f\t%.1f\t%.3f\t%.0f\t%.0f\t%.0f\t%.2f\t%.1f\n", c.Nodes, c.Groups, c.BytesPerSecond,
+			c.MessagesPerSecond, c.CorePercent, c.StateBytes/1024, c.ConfigurationMs, c.LossMs, c.OwnersMs, c.StoreCallsPerSecond)
+		x = append(x, float64(c.Nodes))
+		columns["Bytes/s"] = append(columns["Bytes/s"], c.BytesPerSecond)
+		columns["Core%"] = append(columns["Core%"], c.CorePercent)
+		columns["StateKB"] = append(columns["StateKB"], c.StateBytes/1024)
+		columns["StoreCalls/s"] = append(columns["StoreCalls/s"], c.StoreCallsPerSecond)
+	}
+	if err := t.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, name := range []string{"Bytes/s", "Core%", "StateKB", "StoreCalls/s"} {
+		l := fit(x, columns[name])
+		if _, err := fmt.Fprintf(w, "%s = %.4g + %.4g x Nodes, largest residual %.3g\n", name, l.At, l.Slope, l.Residual); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
--- a/internal/peer/endpoint/control.go
+++ b/internal/peer/endpoint/control.go
@@ -37,10 +37,28 @@
 func (c *Control) Progress(ctx context.Context, known group.Progress, wait time.Duration) (group.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+probeSlack)
 	defer cancel()
-	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_progress(%d, %s, %d, %d, %d)",
-		known.Term, quote(string(known.Role)), known.Received, known.Applied, wait.Milliseconds()))
+	if err := c.open(ctx); err != nil {
+		return group.Progress{}, err
+	}
+	result := c.opened.ExecPrepared(ctx, progressName, [][]byte{
+		number(known.Term), []byte(known.Role), number(known.Received), number(known.Applied), number(uint64(wait.Milliseconds())),
+	}, nil, nil).Read()
+	if result.Err != nil {
+		return group.Progress{}, errors.WithStack(result.Err)
+	}
+	return onlyRow(result)
 }
 
+// number writes a parameter.
+func number(n uint64) []byte { return strconv.AppendUint(nil, n, 10) }
+
+// The statement that asks for progress. It is prepared once a connection,
+// because it is asked for all the time.
+const (
+	progressName  = "progress"
+	progressQuery = "SELECT * FROM group_progress($1, $2, $3, $4, $5)"
+)
+
 // Fence asks the member to refuse work of terms below term.
 func (c *Control) Fence(ctx context.Context, term uint64, proposer string) (group.Progress, error) {
 	return c.ask(ctx, fmt.Sprintf("SELECT * FROM group_fence(%d, %s)", term, quote(proposer)))
@@ -73,25 +91,43 @@
 // ask runs one function and reads the progress that it answers. After an
 // error of the connection, the next call opens a new one.
 func (c *Control) ask(ctx context.Context, query string) (group.Progress, error) {
-	if c.opened == nil || c.opened.IsClosed() {
-		config, err := settings(c.address, c.database, c.credentials)
-		if err != nil {
-			return group.Progress{}, err
-		}
-		opened, err := pgconn.ConnectConfig(ctx, config)
-		if err != nil {
-			return group.Progress{}, errors.WithStack(err)
-		}
-		c.opened = opened
+	if err := c.open(ctx); err != nil {
+		return group.Progress{}, err
 	}
 	results, err := c.opened.Exec(ctx, query).ReadAll()
 	if err != nil {
 		return group.Progress{}, errors.WithStack(err)
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 6 {
+	if len(results) != 1 {
+		return group.Progress{}, errors.New("malformed progress")
+	}
+	return onlyRow(results[0])
+}
+
+// open opens the connection if there is none that works.
+func (c *Control) open(ctx context.Context) error {
+	if c.opened != nil && !c.opened.IsClosed() {
+		return nil
+	}
+	config, err := settings(c.address, c.database, c.credentials)
+	if err != nil {
+		return err
+	}
+	opened, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	c.opened = opened
+	_, err = opened.Prepare(ctx, progressName, progressQuery, nil)
+	return errors.WithStack(err)
+}
+
+// onlyRow reads the single row of a progress.
+func onlyRow(r *pgconn.Result) (group.Progress, error) {
+	if len(r.Rows) != 1 || len(r.Rows[0]) != 6 {
 		return group.Progress{}, errors.New("malformed progress")
 	}
-	return parseProgress(results[0].Rows[0])
+	return parseProgress(r.Rows[0])
 }
 
 // parseProgress reads the columns of a progress.
--- a/internal/peer/proxy/beat.go
+++ b/internal/peer/proxy/beat.go
@@ -29,8 +29,8 @@
 	Hosts string
 }
 
-// encodeBeat turns a heartbeat into its message.
-func encodeBeat(b Beat) *sibling.Beat {
+// EncodeBeat turns a heartbeat into its message.
+func EncodeBeat(b Beat) *sibling.Beat {
 	return &sibling.Beat{
 		From: b.Sender.Name, Sender: encodeProxy(b.Sender), Changes: encodeProxies(b.Changes),
 		Digest: b.Digest, ConfigurationVersion: b.Version, Configuration: b.Configuration,
@@ -38,8 +38,8 @@
 	}
 }
 
-// decodeBeat turns a message into a heartbeat.
-func decodeBeat(m *sibling.Beat) Beat {
+// DecodeBeat turns a message into a heartbeat.
+func DecodeBeat(m *sibling.Beat) Beat {
 	return Beat{
 		Sender: decodeProxy(m.GetSender()), Changes: decodeProxies(m.GetChanges()),
 		Digest: m.GetDigest(), Version: m.GetConfigurationVersion(), Configuration: m.GetConfiguration(),
--- a/internal/peer/proxy/links.go
+++ b/internal/peer/proxy/links.go
@@ -74,9 +74,9 @@
 func (l *Links) Exchange(ctx context.Context, address string, b Beat, limit time.Duration) (Beat, error) {
 	var answer Beat
 	err := l.call(ctx, address, limit, func(ctx context.Context, c sibling.DRPCSiblingClient) error {
-		m, err := c.Exchange(ctx, encodeBeat(b))
+		m, err := c.Exchange(ctx, EncodeBeat(b))
 		if err == nil {
-			answer = decodeBeat(m)
+			answer = DecodeBeat(m)
 		}
 		return err
 	})
--- a/internal/peer/proxy/server.go
+++ b/internal/peer/proxy/server.go
@@ -55,7 +55,7 @@
 
 // Exchange answers a heartbeat.
 func (s *Server) Exchange(_ context.Context, m *sibling.Beat) (*sibling.Beat, error) {
-	return encodeBeat(s.local.Heard(decodeBeat(m))), nil
+	return EncodeBeat(s.local.Heard(DecodeBeat(m))), nil
 }
 
 // Hand takes a group over.
--- a/internal/policy/admission/targets.go
+++ b/internal/policy/admission/targets.go
@@ -21,6 +21,14 @@
 // that is not paying.
 const minLeftover = 0.05
 
+// useShare is the part of a slot for which a caller's work is put off by its
+// target's time, and maxShares is how often at most, so that no caller waits
+// without end.
+const (
+	useShare  = 0.125
+	maxShares = 2
+)
+
 // minRetryAfter is the shortest hint when to try again.
 const minRetryAfter = 50 * time.Millisecond
 
@@ -30,7 +38,8 @@
 type Targets struct{}
 
 // Before puts transactions that have begun first, then paying work, then the
-// earlier end of the target's time.
+// earlier end of the target's time, put off for callers that have lately held
+// many slots. So one caller's flood does not delay the others of its class.
 func (Targets) Before(_ time.Time, a, b eelgrassladder.Waiting) bool {
 	if a.Pinned != b.Pinned {
 		return a.Pinned
@@ -38,7 +47,7 @@
 	if a.Class.Paying != b.Class.Paying {
 		return a.Class.Paying
 	}
-	return deadline(a).Before(deadline(b))
+	return fair(a).Before(fair(b))
 }
 
 // Admits lets paying work take any free slot, and other work only slots that
@@ -73,6 +82,13 @@
 	return eelgrassladder.Verdict{Refuse: true, RetryAfter: max(forecast(w, l), minRetryAfter)}
 }
 
+// fair is the end of the target's time, later by that time for each share of
+// a slot that the caller has lately held, up to a limit.
+func fair(w eelgrassladder.Waiting) time.Time {
+	shares := min(w.Used/useShare, maxShares)
+	return deadline(w).Add(time.Duration(shares * float64(w.Class.Within())))
+}
+
 // deadline is the end of the target's time.
 func deadline(w eelgrassladder.Waiting) time.Time { return w.Arrived.Add(w.Class.Within()) }
 
--- a/internal/policy/gossip/gossip.go
+++ b/internal/policy/gossip/gossip.go
@@ -11,13 +11,13 @@
 
 // The pace and the breadth of heartbeats.
 const (
-	// meshSize is the most proxies that all hear from each other.
+	// meshSize is the most proxies that all exchange heartbeats.
 	meshSize = 8
 	// successors is how many proxies that follow in order of name are watched
 	// when there are more.
 	successors = 2
 	// meshPeriod is the time between heartbeats in a mesh.
-	meshPeriod = 200 * time.Millisecond
+	meshPeriod = 250 * time.Millisecond
 	// ringPeriod is the time between heartbeats among many.
 	ringPeriod = time.Second
 	// firstTries is how many listed proxies that were never heard of are tried
@@ -42,7 +42,8 @@
 func NewPlan(v membership.View, self string, round int, random func(int) int) Plan {
 	others, dead := split(v, self)
 	unheard := slices.DeleteFunc(slices.Clone(dead), func(p membership.Proxy) bool { return p.Incarnation != 0 })
-	plan := Plan{Targets: others, Period: meshPeriod}
+	// One heartbeat is heard on both sides, so half of the others are enough.
+	plan := Plan{Targets: following(others, self, (len(others)+1)/2), Period: meshPeriod}
 	if len(others)+1 > meshSize {
 		plan.Period = ringPeriod
 		plan.Targets = following(others, self, successors)
--- a/internal/policy/ownership/ownership.go
+++ b/internal/policy/ownership/ownership.go
@@ -26,6 +26,10 @@
 	return best(others, group)
 }
 
+// Among returns the one of the proxies that a key falls to, and false if
+// there are none.
+func Among(all []membership.Proxy, key string) (membership.Proxy, bool) { return best(all, key) }
+
 // best returns the proxy with the highest score for the group.
 func best(all []membership.Proxy, group string) (membership.Proxy, bool) {
 	var found membership.Proxy
--- a/internal/policy/promotion/promotion.go
+++ b/internal/policy/promotion/promotion.go
@@ -18,7 +18,7 @@
 	// silentFor is how long replicas must have heard nothing of the primary.
 	silentFor = 500 * time.Millisecond
 	// freshFor is how old an observation may be to count as a sign.
-	freshFor = time.Second
+	freshFor = 1500 * time.Millisecond
 )
 
 // Reason says why a group needs a new term.
--- a/internal/table/queue/pick.go
+++ b/internal/table/queue/pick.go
@@ -39,6 +39,7 @@
 		return Job{}, false
 	}
 	now := q.timer.Now()
+	q.noteUse(now)
 	places := q.routed()
 	best, bestPlace := -1, -1
 	for at := range places {
@@ -65,8 +66,24 @@
 	return q.start(item, q.places[bestPlace].Name, now), true
 }
 
+// noteUse brings up to date how many slots each waiting item's caller has
+// lately held.
+func (q *Table) noteUse(now time.Time) {
+	for _, i := range q.items {
+		if r, ok := q.callers[i.Request.Caller]; ok {
+			i.used = r.value(now) * q.service.Seconds()
+		}
+	}
+}
+
 // start takes a slot. The caller holds the mutex.
 func (q *Table) start(i *Item, member string, now time.Time) Job {
+	r, ok := q.callers[i.Request.Caller]
+	if !ok {
+		r = &rate{}
+		q.callers[i.Request.Caller] = r
+	}
+	r.add(now)
 	s := q.slotsOf(member)
 	switch {
 	case i.Request.Describes:
--- a/internal/table/queue/queue.go
+++ b/internal/table/queue/queue.go
@@ -29,6 +29,9 @@
 	Context context.Context
 	// deliver is called once with the answer.
 	deliver func(request.Answer)
+	// used is how many slots the caller has lately held. The queue's mutex
+	// guards it.
+	used float64
 	// settled is true once deliver was called. The queue's mutex guards it.
 	settled bool
 }
@@ -37,6 +40,7 @@
 func (i *Item) waiting() eelgrassladder.Waiting {
 	return eelgrassladder.Waiting{
 		Caller: i.Request.Caller, Class: i.Class, Arrived: i.Request.Arrived, Pinned: i.Request.Pin != 0,
+		Used: i.used,
 	}
 }
 
@@ -87,6 +91,9 @@
 	places []Place
 	// taken is keyed by the name of the member.
 	taken map[string]*slots
+	// callers holds the recent rate of requests of each caller; it has no more
+	// entries than the configuration has callers.
+	callers map[string]*rate
 	// forecasts is the forecast service time of each class.
 	forecasts map[string]time.Duration
 	// service is the forecast service time over all classes.
@@ -105,7 +112,7 @@
 func New(a eelgrassladder.Admission, r eelgrassladder.Router, t eelgrassladder.Timer, limit int) *Table {
 	q := &Table{
 		admission: a, router: r, timer: t, limit: limit,
-		mutex: rank.New(rank.Queue), taken: map[string]*slots{},
+		mutex: rank.New(rank.Queue), taken: map[string]*slots{}, callers: map[string]*rate{},
 		forecasts: map[string]time.Duration{}, service: initialService,
 	}
 	q.wake = sync.NewCond(q.mutex)
