--- /dev/null
+++ b/internal/lab/site/promise_test.go
@@ -0,0 +1,183 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+	goahttp "goa.design/goa/v3/http"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/gen/http/operator/client"
+	generated "eelgrassladder.example/eelgrassladder/gen/operator"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+	"eelgrassladder.example/eelgrassladder/internal/lab/site"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+)
+
+// inForce is the stated target for an accepted configuration at five proxies.
+const inForce = 2 * time.Second
+
+// leavingTarget is the stated target for an endpoint that leaves.
+const leavingTarget = 3 * time.Second
+
+// operatorOf returns a client of a proxy's operators' interface.
+func operatorOf(p *site.Proxy) *generated.Client {
+	h := client.NewClient("http", p.Service.Addresses().Operator, http.DefaultClient,
+		goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return generated.NewClient(h.Configuration(), h.History(), h.Configure(), h.Groups(), h.Burn())
+}
+
+// configure proposes the same configuration under another change.
+func configure(p *site.Proxy, based uint64, change string) (*generated.ConfigurationVersion, error) {
+	token := site.Token
+	return operatorOf(p).Configure(context.Background(), &generated.ConfigurePayload{
+		Token: &token, Based: based, Text: workload.Magnolia().Configuration, ChangeID: change,
+	})
+}
+
+// everywhere waits until all proxies have a version in force.
+func everywhere(t *testing.T, s *site.Site, version uint64) {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < inForce {
+		missing := 0
+		for _, p := range s.Proxies {
+			if p != nil && p.Service.Version() < version {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("version %d is not in force everywhere after %v", version, inForce)
+}
+
+func TestRacingOperatorsAndAStoreThatLosesAnswers(t *testing.T) {
+	s := start(t, group.Conditions{})
+	accepted := make([]*generated.ConfigurationVersion, 5)
+	race := task.New(context.Background())
+	for i, p := range s.Proxies {
+		race.Go("operator", func(context.Context) error {
+			v, err := configure(p, 1, fmt.Sprintf("racer-%d", i))
+			var conflict generated.Conflict
+			if err != nil && !errors.As(err, &conflict) {
+				return err
+			}
+			accepted[i] = v
+			return nil
+		})
+	}
+	assert.NilError(t, race.Wait())
+	winners := 0
+	for _, v := range accepted {
+		if v != nil {
+			winners++
+			assert.Equal(t, v.Version, uint64(2))
+		}
+	}
+	assert.Equal(t, winners, 1)
+	everywhere(t, s, 2)
+
+	s.Store.Set(s.Store.Conditions().WithLoseAnswers(true))
+	v, err := configure(s.Proxies[0], 2, "answer lost")
+	assert.NilError(t, err)
+	assert.Equal(t, v.Version, uint64(3))
+	// The store goes down right after: the accepted version still spreads.
+	s.Store.Set(s.Store.Conditions().WithLoseAnswers(false).WithDown(true))
+	everywhere(t, s, 3)
+	_, err = configure(s.Proxies[1], 3, "store down")
+	assert.Assert(t, err != nil)
+
+	// A proxy that starts while the store is down asks the others.
+	assert.Assert(t, s.Kill(4))
+	assert.NilError(t, s.StartProxy(4))
+	everywhere(t, s, 3)
+	assert.NilError(t, s.AwaitServed(context.Background()))
+	c, err := pgx.Connect(context.Background(), url(s.Proxies[4].Service.Addresses().Postgres, "deposits"))
+	assert.NilError(t, err)
+	_, err = c.Exec(context.Background(), "CREATE TABLE orders (id bigserial, pet text)")
+	assert.NilError(t, err)
+}
+
+func TestACallerCancelsItsRequest(t *testing.T) {
+	s := start(t, group.Conditions{Service: time.Second})
+	for _, address := range s.Addresses() {
+		c, err := pgx.Connect(context.Background(), url(address, "deposits"))
+		assert.NilError(t, err)
+		done := make(chan error, 1)
+		g := task.New(context.Background())
+		g.Detach("query", func(ctx context.Context) {
+			_, err := c.Exec(ctx, "SELECT pg_sleep(20)")
+			done <- err
+		})
+		time.Sleep(100 * time.Millisecond)
+		assert.NilError(t, c.PgConn().CancelRequest(context.Background()))
+		select {
+		case err := <-done:
+			var e *pgconn.PgError
+			assert.Assert(t, errors.As(err, &e), "%v", err)
+			assert.Assert(t, e.Code == "57014" || e.Code == "08007", e.Code)
+		case <-time.After(5 * time.Second):
+			t.Fatal("a cancelled request ran on")
+		}
+	}
+}
+
+func TestALeavingEndpointGetsNoNewWork(t *testing.T) {
+	s := start(t, group.Conditions{})
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, url(s.Addresses()[0], "paid-orders"))
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "CREATE TABLE orders (id bigint, pet text)")
+	assert.NilError(t, err)
+	g := s.Groups[0]
+	primary := g.Primary()
+	s.PublishLeaving(map[string]bool{primary.Name(): true})
+	time.Sleep(leavingTarget)
+	before, beforeReplica := primary.Reads()
+	for i := range 40 {
+		_, err := c.Exec(ctx, fmt.Sprintf("INSERT INTO orders (id, pet) VALUES (%d, 'cat')", i))
+		assert.NilError(t, err)
+		_, err = c.Exec(ctx, "SELECT id FROM orders")
+		assert.NilError(t, err)
+	}
+	after, afterReplica := primary.Reads()
+	assert.Equal(t, after+afterReplica, before+beforeReplica, "a leaving endpoint got work")
+	assert.Assert(t, g.Primary() != primary)
+}
+
+func TestANamedSessionReadsItsWritesThroughEveryProxyAndOwner(t *testing.T) {
+	s := start(t, group.Conditions{Apply: 150 * time.Millisecond})
+	ctx := context.Background()
+	connect := func(i int) *pgx.Conn {
+		c, err := pgx.Connect(ctx, url(s.Proxies[i].Service.Addresses().Postgres, "paid-orders")+"&eelgrassladder.session_name=phone-7")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close(ctx) })
+		return c
+	}
+	_, err := connect(0).Exec(ctx, "CREATE TABLE orders (id bigint, pet text)")
+	assert.NilError(t, err)
+	for i := range 10 {
+		_, err := connect(i%5).Exec(ctx, fmt.Sprintf("INSERT INTO orders (id, pet) VALUES (%d, 'dog')", i))
+		assert.NilError(t, err)
+		if i == 5 {
+			// The owner dies: the next one knows no sessions, only the floor.
+			owner := s.Owner("commission-orders-1")
+			assert.Assert(t, s.Kill(owner))
+			assert.NilError(t, s.StartProxy(owner))
+			assert.NilError(t, s.AwaitServed(ctx))
+		}
+		var rows int64
+		assert.NilError(t, connect((i+1)%5).QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&rows))
+		assert.Equal(t, rows, int64(i+1), "the session does not read its own write")
+	}
+}
