Tell drivers the session that SET has put into force

SET eelgrassladder.session was not reported as a parameter status; a pooled connection's driver kept the token of the session before, and when the next answer did not raise the token the caller carried that lower one on. Excluded: routing (the replica covered the token it was given). Change: SET of the session is reported like a session that has grown.

--- a/internal/peer/caller/caller_test.go
+++ b/internal/peer/caller/caller_test.go
@@ -129,6 +129,8 @@
 	assert.NilError(t, err)
 	_, err = c.Exec(ctx, "SET eelgrassladder.session = 'orders:2.7,records:1.5'")
 	assert.NilError(t, err)
+	assert.Equal(t, c.PgConn().ParameterStatus("eelgrassladder.session"), "orders:2.7,records:1.5",
+		"the driver still believes in the session before")
 	_, err = c.Exec(ctx, "SET eelgrassladder.request_key TO 'k1'")
 	assert.NilError(t, err)
 	for range 2 {
--- a/internal/peer/caller/encoder.go
+++ b/internal/peer/caller/encoder.go
@@ -33,6 +33,11 @@
 // result appends the answer to a statement about an own setting.
 func (e *encoder) result(r ownResult, described bool) {
 	if r.column == "" {
+		// Drivers keep the value they were last told, so a session that was
+		// set must be told like one that has grown.
+		if r.session {
+			e.add(&pgproto3.ParameterStatus{Name: settingSession, Value: r.value})
+		}
 		e.add(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
 		return
 	}
--- a/internal/peer/caller/own.go
+++ b/internal/peer/caller/own.go
@@ -42,7 +42,10 @@
 type ownResult struct {
 	// column is empty for SET.
 	column string
-	value  string
+	// value is what SHOW answers, or the session that SET has put into force.
+	value string
+	// session is true when SET has changed the session.
+	session bool
 }
 
 // runOwn carries out a SET or SHOW.
@@ -57,7 +60,8 @@
 	if value == "" && !strings.EqualFold(parts[4], "default") {
 		value = parts[4]
 	}
-	return ownResult{}, c.setOwn(name, value)
+	refusal := c.setOwn(name, value)
+	return ownResult{session: name == settingSession, value: c.token.String()}, refusal
 }
 
 // ownValue returns the value of an own setting.
