Test TLS for callers and mutual TLS between proxies

Cause: keys were read and used without a test. Change: two proxies with certificates of one authority serve callers over TLS and each other over mutual TLS; a stranger's heartbeat is not answered.

--- /dev/null
+++ b/internal/lab/site/keys_test.go
@@ -0,0 +1,109 @@
+package site_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/keyring"
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/lab/site"
+	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+	"eelgrassladder.example/eelgrassladder/internal/peer/proxy"
+)
+
+// certificate writes a certificate for the proxies' name and its key, signed
+// by the parent or by itself.
+func certificate(t *testing.T, dir, name string, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, DNSNames: []string{"eelgrassladder-proxy"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IsCA: parent == nil,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	if parent == nil {
+		parent, signer = template, key
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	assert.NilError(t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	for file, block := range map[string]*pem.Block{
+		name + ".pem": {Type: "CERTIFICATE", Bytes: raw}, name + ".key": {Type: "EC PRIVATE KEY", Bytes: private},
+	} {
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, file), pem.EncodeToMemory(block), 0o600))
+	}
+	made, err := x509.ParseCertificate(raw)
+	assert.NilError(t, err)
+	return made, key
+}
+
+// keysOf reads a keyring with the certificates of a directory.
+func keysOf(t *testing.T, dir, proxyName, authority string) keyring.Keyring {
+	t.Helper()
+	at := func(file string) string { return filepath.Join(dir, file) }
+	assert.NilError(t, os.WriteFile(at("token"), []byte("word\n"), 0o600))
+	k, err := keyring.Read(settings.Settings{
+		Operators: settings.Operators{TokenFile: at("token")},
+		Keys: settings.Keys{
+			CallerCertificateFile: at(proxyName + ".pem"), CallerKeyFile: at(proxyName + ".key"),
+			SiblingCertificateFile: at(proxyName + ".pem"), SiblingKeyFile: at(proxyName + ".key"),
+			SiblingAuthorityFile: at(authority + ".pem"),
+		},
+	})
+	assert.NilError(t, err)
+	return k
+}
+
+func TestCallersAndSiblingsAreServedOverTLS(t *testing.T) {
+	dir := t.TempDir()
+	authority, signer := certificate(t, dir, "authority", nil, nil)
+	certificate(t, dir, "proxy", authority, signer)
+	stranger, strangerKey := certificate(t, dir, "stranger-authority", nil, nil)
+	certificate(t, dir, "stranger", stranger, strangerKey)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s, err := site.Start(ctx, site.Plan{Workload: workload.Magnolia(), Proxies: 2, Keys: keysOf(t, dir, "proxy", "authority")})
+	assert.NilError(t, err)
+	defer s.Stop()
+	for i, address := range s.Addresses() {
+		secure := strings.Replace(url(address, "deposits"), "sslmode=disable", "sslmode=require", 1)
+		c, err := pgx.Connect(ctx, secure)
+		assert.NilError(t, err)
+		_, err = c.Exec(ctx, "CREATE TABLE IF NOT EXISTS orders (id bigserial, pet text)")
+		assert.NilError(t, err, "proxy %d", i)
+		assert.NilError(t, c.Close(ctx))
+	}
+	tasks := task.New(ctx)
+	defer tasks.Stop()
+	target := s.Proxies[0].Service.Addresses().Sibling
+	for name, options := range map[string][]proxy.Option{
+		"without keys":                   nil,
+		"with keys of another authority": {proxy.WithKeys(keysOf(t, dir, "stranger", "authority").Siblings)},
+	} {
+		links := proxy.NewLinks("stranger", timer.New(), tasks, options...)
+		_, err := links.Exchange(ctx, target, proxy.Beat{}, time.Second)
+		assert.Assert(t, err != nil, "a heartbeat %s was answered", name)
+	}
+	links := proxy.NewLinks("friend", timer.New(), tasks, proxy.WithKeys(keysOf(t, dir, "proxy", "authority").Siblings))
+	_, err = links.Exchange(ctx, target, proxy.Beat{}, time.Second)
+	assert.NilError(t, err)
+}
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -41,6 +41,8 @@
 	Conditions group.Conditions
 	// Options are given to every proxy.
 	Options []service.Option
+	// Keys are the TLS configurations of every proxy; their token is not used.
+	Keys keyring.Keyring
 }
 
 // Site is a running system.
@@ -111,6 +113,8 @@
 func (s *Site) StartProxy(i int) error {
 	name := fmt.Sprintf("proxy-%d", i+1)
 	ctx, stop := context.WithCancel(s.tasks.Context())
+	keys := s.plan.Keys
+	keys.OperatorToken = Token
 	made, err := service.New(ctx, settings.Settings{
 		Name:       name,
 		DataCentre: s.plan.Workload.DataCentres[i%len(s.plan.Workload.DataCentres)],
@@ -118,7 +122,7 @@
 		Platform:   settings.Platform{Address: s.platform},
 		Siblings:   s.siblings(),
 		Endpoints:  settings.Endpoints{User: "eelgrassladder"},
-	}, keyring.Keyring{OperatorToken: Token}, s.plan.Options...)
+	}, keys, s.plan.Options...)
 	if err != nil {
 		stop()
 		return err
