Share pauses and command-line handling in place of copies

Change: host/timer.Pause and Sleep, host/command; the sequence of a lookup in the stand-in's engine stands once.

--- a/cmd/eelgrasslab/demo.go
+++ b/cmd/eelgrasslab/demo.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/lab/experiment"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
 	"eelgrassladder.example/eelgrassladder/internal/lab/load"
@@ -31,7 +32,7 @@
 	if err := startLog(c.Verbose); err != nil {
 		return err
 	}
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	w := workload.Magnolia()
 	fmt.Printf("Three database groups, five proxies, %d s of work; the primary of %s crashes after %v.\n",
--- a/cmd/eelgrasslab/experiment.go
+++ b/cmd/eelgrasslab/experiment.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/lab/experiment"
 	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
 )
@@ -36,7 +37,7 @@
 	if err := startLog(c.Verbose); err != nil {
 		return err
 	}
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	t := experiment.Chaos(c.Seed, time.Duration(c.Minutes*float64(time.Minute)))
 	if !c.JSON {
@@ -66,7 +67,7 @@
 	if err := startLog(false); err != nil {
 		return err
 	}
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	fmt.Println("In one process; heartbeats travel in memory, encoded and counted, with the headers of a network added.")
 	var all []experiment.Control
@@ -92,7 +93,7 @@
 	if err := startLog(false); err != nil {
 		return err
 	}
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	all, err := experiment.RunOverhead(ctx, c.Callers, time.Duration(c.Seconds)*time.Second)
 	if err != nil {
@@ -111,7 +112,7 @@
 	if err := startLog(false); err != nil {
 		return err
 	}
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	idle, err := experiment.RunIdle(ctx, c.Connections)
 	if err != nil {
--- a/cmd/eelgrasslab/load.go
+++ b/cmd/eelgrasslab/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 	"eelgrassladder.example/eelgrassladder/internal/lab/experiment"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
@@ -45,7 +46,7 @@
 
 // Execute runs the load and fails on any violation.
 func (c *loadCommand) Execute([]string) error {
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	report, err := c.run(ctx)
 	if err != nil {
--- a/cmd/eelgrasslab/standin.go
+++ b/cmd/eelgrasslab/standin.go
@@ -11,6 +11,7 @@
 	"github.com/tailscale/hujson"
 
 	generated "eelgrassladder.example/eelgrassladder/gen/platform"
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/host/fleet"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	tasks := task.New(ctx)
 	store := platform.NewStore()
@@ -79,7 +80,7 @@
 
 // Execute serves until it is told to stop.
 func (c *groupCommand) Execute([]string) error {
-	ctx, cancel := interrupted()
+	ctx, cancel := command.Interrupted()
 	defer cancel()
 	tasks := task.New(ctx)
 	size := group.Size{Slots: c.Slots, Connections: c.Connections, Addresses: c.Addresses, DataCentres: make([]string, len(c.Addresses))}
--- a/cmd/eelgrassladder/configure.go
+++ b/cmd/eelgrassladder/configure.go
@@ -16,6 +16,7 @@
 
 	"eelgrassladder.example/eelgrassladder/gen/http/operator/client"
 	generated "eelgrassladder.example/eelgrassladder/gen/operator"
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/host/password"
 	"eelgrassladder.example/eelgrassladder/internal/trade/configuration"
 )
@@ -42,7 +43,7 @@
 func readToken(file string) (string, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return "", errors.WithMessage(errSettings, err.Error())
+		return "", command.Usage(err.Error())
 	}
 	return strings.TrimSpace(string(text)), nil
 }
@@ -92,10 +93,10 @@
 func (c *putCommand) Execute([]string) error {
 	text, err := os.ReadFile(c.Arguments.File)
 	if err != nil {
-		return errors.WithMessage(errSettings, err.Error())
+		return command.Usage(err.Error())
 	}
 	if _, findings := configuration.Parse(c.Arguments.File, text); len(findings) > 0 {
-		return errors.WithMessage(errSettings, findings.Err().Error())
+		return command.Usage(findings.Err().Error())
 	}
 	proxy, token, err := c.open()
 	if err != nil {
@@ -168,7 +169,7 @@
 func (*verifierCommand) Execute([]string) error {
 	line, err := bufio.NewReader(os.Stdin).ReadString('\n')
 	if err != nil && line == "" {
-		return errors.WithMessage(errSettings, "no password on standard input")
+		return command.Usage("no password on standard input")
 	}
 	v, err := password.NewVerifier(strings.TrimRight(line, "\r\n"))
 	if err != nil {
--- a/cmd/eelgrassladder/main.go
+++ b/cmd/eelgrassladder/main.go
@@ -2,29 +2,15 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
-	"github.com/jessevdk/go-flags"
-	"github.com/pkg/errors"
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 )
 
-// The exit codes of the command.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
-// errSettings marks a failure that the user mends in a file or on the command
-// line.
-var errSettings = errors.New("settings are not usable")
-
-// command is the command line.
-type command struct {
+// commands is the command line.
+type commands struct {
 	Version   func()           `long:"version" description:"Print the version and exit"`
 	Serve     serveCommand     `command:"serve" description:"Run a proxy"`
 	Check     checkCommand     `command:"check" description:"Check settings and configuration files without starting anything"`
@@ -47,28 +33,8 @@
 
 // run runs the command line and returns the exit code.
 func run(arguments []string) int {
-	var c command
-	c.Version = printVersion
-	parser := flags.NewParser(&c, flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "A database proxy driven by targets per class of work.\n\n" + examples
-	_, err := parser.ParseArgs(arguments)
-	var usage *flags.Error
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		fmt.Println(usage.Message)
-		return 0
-	case errors.As(err, &usage):
-		fmt.Fprintln(os.Stderr, usage.Message)
-		return exitUsage
-	case errors.Is(err, errSettings):
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	default:
-		fmt.Fprintln(os.Stderr, "eelgrassladder:", err)
-		return exitFailure
-	}
+	c := commands{Version: printVersion}
+	return command.Run(&c, "A database proxy driven by targets per class of work.\n\n"+examples, arguments)
 }
 
 // printVersion prints the version of the build and ends the process.
@@ -80,8 +46,3 @@
 	fmt.Println("eelgrassladder", version)
 	os.Exit(0)
 }
-
-// interrupted returns a context that ends with the first signal to stop.
-func interrupted() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-}
--- a/cmd/eelgrassladder/main_test.go
+++ b/cmd/eelgrassladder/main_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 )
 
 // start runs a built command and ends it with the test.
@@ -175,8 +177,8 @@
 	dir := t.TempDir()
 	bad := write(t, filepath.Join(dir, "bad.hujson"), `{"Classes": [], "Wrong": 1}`)
 	assert.Equal(t, run([]string{"check", "../../examples/magnolia/configuration.hujson", "../../examples/processes/proxy-1.hujson"}), 0)
-	assert.Equal(t, run([]string{"check", bad}), exitUsage)
-	assert.Equal(t, run([]string{"serve", "--settings", filepath.Join(dir, "none")}), exitUsage)
-	assert.Equal(t, run([]string{"serve", "--unknown"}), exitUsage)
-	assert.Equal(t, run([]string{"configure", "get", "--operator", "127.0.0.1:1", "--token-file", bad}), exitFailure)
+	assert.Equal(t, run([]string{"check", bad}), command.ExitUsage)
+	assert.Equal(t, run([]string{"serve", "--settings", filepath.Join(dir, "none")}), command.ExitUsage)
+	assert.Equal(t, run([]string{"serve", "--unknown"}), command.ExitUsage)
+	assert.Equal(t, run([]string{"configure", "get", "--operator", "127.0.0.1:1", "--token-file", bad}), command.ExitFailure)
 }
--- a/cmd/eelgrassladder/serve.go
+++ b/cmd/eelgrassladder/serve.go
@@ -5,9 +5,9 @@
 	"os"
 	"strings"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/host/finding"
 	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 	"eelgrassladder.example/eelgrassladder/internal/host/keyring"
@@ -26,10 +26,10 @@
 func (c *serveCommand) Execute([]string) error {
 	s, findings, err := settings.Read(c.Settings)
 	if err != nil {
-		return errors.WithMessage(errSettings, err.Error())
+		return command.Usage(err.Error())
 	}
 	if len(findings) > 0 {
-		return errors.WithMessage(errSettings, findings.Err().Error())
+		return command.Usage(findings.Err().Error())
 	}
 	if err := journal.Start(os.Stderr, s.Log.Level); err != nil {
 		return err
@@ -37,9 +37,9 @@
 	defer klog.Flush()
 	keys, err := keyring.Read(s)
 	if err != nil {
-		return errors.WithMessage(errSettings, err.Error())
+		return command.Usage(err.Error())
 	}
-	stopping, cancel := interrupted()
+	stopping, cancel := command.Interrupted()
 	defer cancel()
 	process, err := service.New(context.Background(), s, keys)
 	if err != nil {
@@ -79,7 +79,7 @@
 		all = append(all, check(file, text)...)
 	}
 	if len(all) > 0 {
-		return errors.WithMessage(errSettings, all.Err().Error())
+		return command.Usage(all.Err().Error())
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/host/command/command.go
@@ -0,0 +1,59 @@
+// Package command runs the command lines of the programs: usage, help and
+// exit codes.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// The exit codes of the programs.
+const (
+	// ExitFailure means that the command could not do what it was asked.
+	ExitFailure = 1
+	// ExitUsage means that the command line or a file must be mended.
+	ExitUsage = 2
+)
+
+// ErrUsage marks a failure that the user mends in a file or on the command
+// line. Wrap it with what is wrong.
+var ErrUsage = errors.New("settings are not usable")
+
+// Usage returns a failure of this kind with a text.
+func Usage(text string) error { return errors.WithMessage(ErrUsage, text) }
+
+// Run parses the arguments into c, a struct with go-flags tags, executes the
+// command that they name, and returns the exit code.
+func Run(c any, description string, arguments []string) int {
+	parser := flags.NewParser(c, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	_, err := parser.ParseArgs(arguments)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return ExitUsage
+	case errors.Is(err, ErrUsage):
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	default:
+		fmt.Fprintln(os.Stderr, parser.Name+":", err)
+		return ExitFailure
+	}
+}
+
+// Interrupted returns a context that ends with the first signal to stop.
+func Interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
--- a/internal/host/dispatch/dispatch.go
+++ b/internal/host/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/policy/ownership"
 	"eelgrassladder.example/eelgrassladder/internal/policy/retry"
 	"eelgrassladder.example/eelgrassladder/internal/trade/class"
@@ -72,7 +73,7 @@
 		if ctx.Err() != nil || d.timer.Now().Sub(r.Arrived) > retry.Patience(c) {
 			return last(answer, sent)
 		}
-		d.pause(ctx)
+		timer.Pause(ctx, d.timer, movedPause)
 	}
 }
 
@@ -137,13 +138,3 @@
 	}
 	return d.siblings.Sibling(p)
 }
-
-// pause waits before another try.
-func (d *Dispatcher) pause(ctx context.Context) {
-	s := d.timer.Once(movedPause)
-	defer s.Stop()
-	select {
-	case <-ctx.Done():
-	case <-s.C():
-	}
-}
--- a/internal/host/fleet/fleet.go
+++ b/internal/host/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/peer/proxy"
 	"eelgrassladder.example/eelgrassladder/internal/policy/gossip"
 	"eelgrassladder.example/eelgrassladder/internal/table/configurations"
@@ -155,7 +156,7 @@
 		for _, p := range plan.Targets {
 			round.Detach("beat "+p.Name, func(ctx context.Context) { f.exchange(ctx, p, true) })
 		}
-		f.pause(ctx, plan.Period)
+		timer.Pause(ctx, f.timer, plan.Period)
 		_ = round.Wait()
 	}
 	return ctx.Err()
@@ -342,13 +343,3 @@
 		}
 	}
 }
-
-// pause waits for a time or the end of ctx.
-func (f *Fleet) pause(ctx context.Context, d time.Duration) {
-	s := f.timer.Once(d)
-	defer s.Stop()
-	select {
-	case <-ctx.Done():
-	case <-s.C():
-	}
-}
--- a/internal/host/fleet/platform.go
+++ b/internal/host/fleet/platform.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/policy/ownership"
 	"eelgrassladder.example/eelgrassladder/internal/trade/hostlist"
 	"eelgrassladder.example/eelgrassladder/internal/trade/membership"
@@ -35,7 +36,7 @@
 		} else {
 			f.setHosts(list, true)
 		}
-		f.pause(ctx, listPeriod)
+		timer.Pause(ctx, f.timer, listPeriod)
 	}
 	return ctx.Err()
 }
@@ -64,12 +65,12 @@
 	for ctx.Err() == nil {
 		current := f.versions.Current()
 		if current.Version > 0 && !f.watches() {
-			f.pause(ctx, checkPeriod)
+			timer.Pause(ctx, f.timer, checkPeriod)
 			continue
 		}
 		e, err := f.store.Watch(ctx, ConfigurationKey, current.Version, watchWait)
 		if err != nil {
-			f.pause(ctx, watchPause)
+			timer.Pause(ctx, f.timer, watchPause)
 			continue
 		}
 		if e.Version > current.Version && f.Adopt(e.Value, e.Version, e.ChangeID) {
@@ -77,7 +78,7 @@
 			continue
 		}
 		if e.Version > current.Version {
-			f.pause(ctx, watchPause)
+			timer.Pause(ctx, f.timer, watchPause)
 		}
 	}
 	return ctx.Err()
--- a/internal/host/owner/execute.go
+++ b/internal/host/owner/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/peer/endpoint"
 	"eelgrassladder.example/eelgrassladder/internal/table/pins"
 	"eelgrassladder.example/eelgrassladder/internal/table/queue"
@@ -195,13 +196,8 @@
 // over. The pause keeps a broken member from being asked without rest.
 func (o *Owner) retry(j queue.Job) {
 	o.queue.Done(j, false)
-	pause := o.timer.Once(retryPause)
 	o.tasks.Detach("retry", func(ctx context.Context) {
-		defer pause.Stop()
-		select {
-		case <-ctx.Done():
-		case <-pause.C():
-		}
+		timer.Pause(ctx, o.timer, retryPause)
 		o.queue.Requeue(j.Item)
 	})
 }
--- a/internal/host/owner/handover.go
+++ b/internal/host/owner/handover.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/table/keys"
 	"eelgrassladder.example/eelgrassladder/internal/table/sessions"
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
@@ -45,7 +46,7 @@
 	o.queue.Close(moved())
 	end := o.timer.Now().Add(drainTime)
 	for o.queue.Running()+o.acks.Waiting() > 0 && o.timer.Now().Before(end) && ctx.Err() == nil {
-		o.pause(ctx, drainPace)
+		timer.Pause(ctx, o.timer, drainPace)
 	}
 	h := Handover{
 		Floor:    o.sessions.Floor(),
@@ -68,7 +69,7 @@
 func (o *Owner) Linger(ctx context.Context) {
 	end := o.timer.Now().Add(lingerTime)
 	for o.pins.Len() > 0 && o.timer.Now().Before(end) && ctx.Err() == nil {
-		o.pause(ctx, drainPace)
+		timer.Pause(ctx, o.timer, drainPace)
 	}
 	if n := o.pins.Len(); n > 0 {
 		klog.InfoS("Transactions cut off after a handover", "Group", o.Group().Name, "Count", n)
--- a/internal/host/owner/observe.go
+++ b/internal/host/owner/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/peer/endpoint"
 	"eelgrassladder.example/eelgrassladder/internal/policy/promotion"
 	"eelgrassladder.example/eelgrassladder/internal/table/queue"
@@ -48,7 +49,7 @@
 			pace = o.answered(m, p, sent)
 		}
 		o.refresh(o.timer.Now())
-		o.pause(ctx, pace)
+		timer.Pause(ctx, o.timer, pace)
 	}
 }
 
@@ -89,16 +90,6 @@
 	o.highest = max(o.highest, term)
 }
 
-// pause waits for a time or the end of ctx.
-func (o *Owner) pause(ctx context.Context, d time.Duration) {
-	s := o.timer.Once(d)
-	defer s.Stop()
-	select {
-	case <-ctx.Done():
-	case <-s.C():
-	}
-}
-
 // refresh brings what was observed to the queue, to the answers that wait for
 // a majority, and to the decision whether the term stands.
 func (o *Owner) refresh(now time.Time) {
--- a/internal/host/owner/registry.go
+++ b/internal/host/owner/registry.go
@@ -8,6 +8,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/policy/ownership"
 	"eelgrassladder.example/eelgrassladder/internal/table/rank"
 	"eelgrassladder.example/eelgrassladder/internal/trade/group"
@@ -222,16 +223,13 @@
 // then the next owner raises the term by itself.
 func (r *Registry) offer(ctx context.Context, next membership.Proxy, name string, h Handover) bool {
 	for range handTries {
+		if ctx.Err() != nil {
+			return false
+		}
 		if r.hand(ctx, next, name, h) {
 			return true
 		}
-		s := r.timer.Once(handPause)
-		select {
-		case <-ctx.Done():
-			s.Stop()
-			return false
-		case <-s.C():
-		}
+		timer.Pause(ctx, r.timer, handPause)
 	}
 	return false
 }
--- a/internal/host/owner/term.go
+++ b/internal/host/owner/term.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/peer/endpoint"
 	"eelgrassladder.example/eelgrassladder/internal/policy/promotion"
 	"eelgrassladder.example/eelgrassladder/internal/trade/group"
@@ -68,7 +69,7 @@
 	began := o.timer.Now()
 	if reason == string(promotion.Superseded) {
 		o.retire()
-		o.pause(ctx, yieldTime+rand.N(yieldTime))
+		timer.Pause(ctx, o.timer, yieldTime+rand.N(yieldTime))
 	}
 	if g := o.current(); g != nil && !o.stillNeeded(g, reason) {
 		return
@@ -79,7 +80,7 @@
 		if o.tryRaise(ctx, commands, before, reason, began) {
 			return
 		}
-		o.pause(ctx, tryPause+rand.N(tryPause))
+		timer.Pause(ctx, o.timer, tryPause+rand.N(tryPause))
 	}
 }
 
@@ -96,7 +97,7 @@
 		if seen >= o.Group().Majority() {
 			return
 		}
-		o.pause(ctx, drainPace)
+		timer.Pause(ctx, o.timer, drainPace)
 	}
 }
 
--- a/internal/host/service/service.go
+++ b/internal/host/service/service.go
@@ -245,27 +245,17 @@
 	s.fleet.Leave()
 	end := s.timer.Now().Add(drainTime)
 	for s.registry.Len() > 0 && s.timer.Now().Before(end) && ctx.Err() == nil {
-		s.pause(ctx)
+		timer.Pause(ctx, s.timer, drainPace)
 	}
 	s.front.Drain()
 	_ = s.listeners.postgres.Close()
 	for s.front.Connections() > 0 && s.timer.Now().Before(end) && ctx.Err() == nil {
-		s.pause(ctx)
+		timer.Pause(ctx, s.timer, drainPace)
 	}
 	klog.InfoS("Proxy left", "Proxy", s.settings.Name, "Groups", s.registry.Len(), "Callers", s.front.Connections())
 	s.tasks.Stop()
 }
 
-// pause waits a short time.
-func (s *Service) pause(ctx context.Context) {
-	alarm := s.timer.Once(drainPace)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-alarm.C():
-	}
-}
-
 // Addresses tells where the process listens.
 func (s *Service) Addresses() settings.Listen {
 	return settings.Listen{
--- a/internal/host/timer/manual.go
+++ b/internal/host/timer/manual.go
@@ -70,7 +70,5 @@
 func (m *Manual) remove(e *entry) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if e.index >= 0 {
-		heap.Remove(&m.subscriptions, e.index)
-	}
+	m.subscriptions.remove(e)
 }
--- a/internal/host/timer/schedule.go
+++ b/internal/host/timer/schedule.go
@@ -1,6 +1,9 @@
 package timer
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
 
 // entry is one subscription.
 type entry struct {
@@ -57,3 +60,10 @@
 	*s = old[:len(old)-1]
 	return e
 }
+
+// remove takes an entry off the schedule, if it is there.
+func (s *schedule) remove(e *entry) {
+	if e.index >= 0 {
+		heap.Remove(s, e.index)
+	}
+}
--- a/internal/host/timer/timer.go
+++ b/internal/host/timer/timer.go
@@ -76,9 +76,7 @@
 func (s *Service) remove(e *entry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if e.index >= 0 {
-		heap.Remove(&s.subscriptions, e.index)
-	}
+	s.subscriptions.remove(e)
 }
 
 // wake makes Run look at the schedule again.
--- a/internal/lab/experiment/control.go
+++ b/internal/lab/experiment/control.go
@@ -126,7 +126,7 @@
 // Watch waits and finds nothing new.
 func (n *network) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (eelgrassladder.Entry, error) {
 	n.calls.Add(1)
-	pause(ctx, wait)
+	timer.Sleep(ctx, wait)
 	return eelgrassladder.Entry{}, ctx.Err()
 }
 
@@ -162,7 +162,7 @@
 	if !await(ctx, func() bool { return version(all, 1) }) {
 		return Control{}, errors.New("the configuration did not reach all")
 	}
-	pause(ctx, 6*time.Second)
+	timer.Sleep(ctx, 6*time.Second)
 	c := Control{Nodes: nodes, Groups: groups}
 	c.StateBytes = (heap() - before) / float64(nodes)
 	c.measure(ctx, n, length)
@@ -219,7 +219,7 @@
 func (c *Control) measure(ctx context.Context, n *network, length time.Duration) {
 	bytes, messages, calls, used := n.bytes.Load(), n.messages.Load(), n.calls.Load(), processorTime()
 	began := time.Now()
-	pause(ctx, length)
+	timer.Sleep(ctx, length)
 	seconds := time.Since(began).Seconds()
 	perNode := seconds * float64(c.Nodes)
 	// Each byte and message is sent by one proxy and received by another.
@@ -267,7 +267,7 @@
 		if condition() {
 			return true
 		}
-		pause(ctx, 10*time.Millisecond)
+		timer.Sleep(ctx, 10*time.Millisecond)
 	}
 	return false
 }
--- a/internal/lab/experiment/overhead.go
+++ b/internal/lab/experiment/overhead.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
 	"eelgrassladder.example/eelgrassladder/internal/lab/site"
 	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
@@ -181,10 +182,10 @@
 	if err != nil {
 		return Idle{}, err
 	}
-	pause(ctx, time.Second)
+	timer.Sleep(ctx, time.Second)
 	after := heap()
 	used := processorTime()
-	pause(ctx, 5*time.Second)
+	timer.Sleep(ctx, 5*time.Second)
 	return Idle{
 		Connections: connections,
 		BytesEach:   (after - before) / float64(connections),
--- a/internal/lab/experiment/trial.go
+++ b/internal/lab/experiment/trial.go
@@ -11,6 +11,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/owner"
 	"eelgrassladder.example/eelgrassladder/internal/host/service"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
 	"eelgrassladder.example/eelgrassladder/internal/lab/load"
 	"eelgrassladder.example/eelgrassladder/internal/lab/site"
@@ -147,7 +148,7 @@
 
 // happen makes a fault begin and end.
 func happen(ctx context.Context, s *site.Site, run *load.Run, f Fault) error {
-	pause(ctx, f.At)
+	timer.Sleep(ctx, f.At)
 	klog.InfoS("Fault begins", "Fault", f.String())
 	g := s.Groups[f.Group%len(s.Groups)]
 	switch f.Kind {
@@ -160,23 +161,23 @@
 			run.Fault(g, m)
 		}
 		m.Set(failing(m.Conditions(), f.Kind, true))
-		pause(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		m.Set(failing(m.Conditions(), f.Kind, false))
 	case PauseReplica, CrashReplica:
 		if m := replica(g); m != nil {
 			m.Set(failing(m.Conditions(), f.Kind, true))
-			pause(ctx, f.For)
+			timer.Sleep(ctx, f.For)
 			m.Set(failing(m.Conditions(), f.Kind, false))
 		}
 	case Lag, Far:
 		lagging(ctx, g, f)
 	case StoreDown:
 		s.Store.Set(s.Store.Conditions().WithDown(true))
-		pause(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		s.Store.Set(s.Store.Conditions().WithDown(false))
 	case StoreSlow:
 		s.Store.Set(s.Store.Conditions().WithDelay(f.Lag))
-		pause(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		s.Store.Set(s.Store.Conditions().WithDelay(0))
 	case KillProxy:
 		return restart(ctx, s, f.Proxy%len(s.Proxies), f.For)
@@ -192,7 +193,7 @@
 			return nil
 		}
 		s.PublishLeaving(map[string]bool{m.Name(): true})
-		pause(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		s.Publish()
 	}
 	return nil
@@ -242,7 +243,7 @@
 			}
 		}
 	}
-	pause(ctx, f.For)
+	timer.Sleep(ctx, f.For)
 	for m, c := range before {
 		m.Set(m.Conditions().WithApply(c.Apply).WithReceive(c.Receive))
 	}
@@ -253,7 +254,7 @@
 	if !s.Kill(i) {
 		return nil
 	}
-	pause(ctx, after)
+	timer.Sleep(ctx, after)
 	return s.StartProxy(i)
 }
 
@@ -270,13 +271,3 @@
 	}
 	return nil
 }
-
-// pause waits for a time or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-alarm.C:
-	}
-}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
 	"eelgrassladder.example/eelgrassladder/internal/lab/site"
 	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
@@ -131,7 +132,7 @@
 				if time.Now().After(end) || ctx.Err() != nil {
 					return errors.Errorf("%s has not caught up", m.Name())
 				}
-				pause(ctx, 5*time.Millisecond)
+				timer.Sleep(ctx, 5*time.Millisecond)
 			}
 		}
 	}
@@ -182,7 +183,7 @@
 			return
 		}
 		intended := start.Add(time.Duration(at * float64(time.Second)))
-		pause(ctx, time.Until(intended))
+		timer.Sleep(ctx, time.Until(intended))
 		if ctx.Err() != nil {
 			return
 		}
@@ -301,7 +302,7 @@
 				r.acknowledged[u.group] = append(r.acknowledged[u.group], acknowledgement{at: time.Now(), term: o.position.Term})
 			}
 		})
-		pause(ctx, probePeriod)
+		timer.Sleep(ctx, probePeriod)
 	}
 	return nil
 }
@@ -417,20 +418,7 @@
 			}
 		}
 		last = err
-		pause(ctx, 200*time.Millisecond)
+		timer.Sleep(ctx, 200*time.Millisecond)
 	}
 	return errors.WithStack(last)
 }
-
-// pause waits for a time or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-alarm.C:
-	}
-}
--- a/internal/lab/platform/store.go
+++ b/internal/lab/platform/store.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	generated "eelgrassladder.example/eelgrassladder/gen/platform"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 )
 
 // The rates that the service sustains, in calls a second.
@@ -124,7 +125,7 @@
 	c := s.conditions
 	s.mutex.Unlock()
 	if c.Delay > 0 {
-		sleep(ctx, c.Delay)
+		timer.Sleep(ctx, c.Delay)
 	}
 	if c.Down || !limit.Allow() {
 		return generated.MakeUnavailable(errUnavailable)
@@ -234,13 +235,3 @@
 	}
 	return shown, nil
 }
-
-// sleep waits for a time or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-alarm.C:
-	}
-}
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -17,6 +17,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/service"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
 	"eelgrassladder.example/eelgrassladder/internal/lab/platform"
 	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
@@ -222,7 +223,7 @@
 		if s.served() {
 			return nil
 		}
-		pause(ctx, 5*time.Millisecond)
+		timer.Sleep(ctx, 5*time.Millisecond)
 	}
 	return errors.New("the site was not served in time")
 }
@@ -287,13 +288,3 @@
 	s.tasks.Stop()
 	_ = s.tasks.Wait()
 }
-
-// pause waits for a time or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-alarm.C:
-	}
-}
--- a/internal/lab/sql/transaction.go
+++ b/internal/lab/sql/transaction.go
@@ -233,11 +233,7 @@
 }
 
 func (t *Transaction) modify(s Statement, arguments []any) (Result, error) {
-	target, err := t.table(s.Table)
-	if err != nil {
-		return Result{}, err
-	}
-	found, err := t.find(s, target, arguments)
+	target, found, err := t.lookup(s, arguments)
 	if err != nil {
 		return Result{}, err
 	}
@@ -282,11 +278,7 @@
 }
 
 func (t *Transaction) read(s Statement, arguments []any) (Result, error) {
-	target, err := t.table(s.Table)
-	if err != nil {
-		return Result{}, err
-	}
-	found, err := t.find(s, target, arguments)
+	target, found, err := t.lookup(s, arguments)
 	if err != nil {
 		return Result{}, err
 	}
@@ -306,6 +298,16 @@
 	return returning(target, s.Names, found, "SELECT "+strconv.Itoa(len(found)))
 }
 
+// lookup returns the table of a statement and the rows that it is about.
+func (t *Transaction) lookup(s Statement, arguments []any) (*table, []Row, error) {
+	target, err := t.table(s.Table)
+	if err != nil {
+		return nil, nil, err
+	}
+	found, err := t.find(s, target, arguments)
+	return target, found, err
+}
+
 // find returns the rows that satisfy all conditions.
 func (t *Transaction) find(s Statement, target *table, arguments []any) ([]Row, error) {
 	indexes := make([]int, len(s.Where))
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -15,6 +15,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	generated "eelgrassladder.example/eelgrassladder/gen/operator"
 	"eelgrassladder.example/eelgrassladder/internal/host/fleet"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/table/burn"
 	"eelgrassladder.example/eelgrassladder/internal/table/configurations"
 	"eelgrassladder.example/eelgrassladder/internal/trade/configuration"
@@ -109,7 +110,7 @@
 	for range settleTries {
 		held, err := s.store.Read(ctx, fleet.ConfigurationKey)
 		if err != nil {
-			s.pause(ctx)
+			timer.Pause(ctx, s.timer, settlePause)
 			continue
 		}
 		if held.ChangeID == wanted.ChangeID && held.Version > based {
@@ -142,16 +143,6 @@
 // settlePause is the wait before the store is asked again.
 const settlePause = 200 * time.Millisecond
 
-// pause waits before the store is asked again.
-func (s *Service) pause(ctx context.Context) {
-	alarm := s.timer.Once(settlePause)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-alarm.C():
-	}
-}
-
 // Groups lists groups, members and terms as observed here.
 func (s *Service) Groups(context.Context, *generated.GroupsPayload) ([]*generated.ObservedGroup, error) {
 	return s.observe(), nil
