Probe a silent member again at once, and time probes more tightly

A last proxy that left waited 15 s for somebody to hand its groups to. Change: 250 ms beyond the hold; after a failure the next probe asks for an answer at once; a proxy without live siblings does not wait. The process test freezes the owner with SIGSTOP and lets it go on.

--- a/cmd/eelgrasslab/experiment.go
+++ b/cmd/eelgrasslab/experiment.go
@@ -17,8 +17,10 @@
 
 // experimentCommand runs experiments.
 type experimentCommand struct {
-	Control controlCommand `command:"control" description:"Measure what proxies spend on each other, by their number"`
-	Chaos   chaosCommand   `command:"chaos" description:"Draw faults from a seed, together and twice, and check every promise"`
+	Overhead overheadCommand `command:"overhead" description:"Compare a read through proxies with a direct one"`
+	Idle     idleCommand     `command:"idle" description:"Measure what idle callers cost"`
+	Control  controlCommand  `command:"control" description:"Measure what proxies spend on each other, by their number"`
+	Chaos    chaosCommand    `command:"chaos" description:"Draw faults from a seed, together and twice, and check every promise"`
 }
 
 // chaosCommand runs a chaos trial.
--- a/cmd/eelgrassladder/main_test.go
+++ b/cmd/eelgrassladder/main_test.go
@@ -135,6 +135,7 @@
 	assert.NilError(t, err, string(report))
 	assert.Assert(t, strings.Contains(string(report), "deposits"), string(report))
 
+	freeze(t, product, token, proxies, []string{p[4], p[8]}, []string{p[6], p[10]})
 	for i, one := range proxies {
 		assert.NilError(t, one.Process.Signal(syscall.SIGTERM))
 		assert.NilError(t, one.Wait(), "proxy %d did not leave cleanly", i)
@@ -142,6 +143,51 @@
 	}
 }
 
+// freeze stops the process of the proxy that owns the group, asks that the
+// other one serves, and that the first does no harm when it goes on.
+func freeze(t *testing.T, product, token string, proxies []*exec.Cmd, postgres, operators []string) {
+	t.Helper()
+	owner := 0
+	groups, err := exec.Command(product, "groups", "--operator", operators[0], "--token-file", token).CombinedOutput()
+	assert.NilError(t, err, string(groups))
+	if strings.Contains(string(groups), "Owner=proxy-1") {
+		owner = 1
+	}
+	other := 1 - owner
+	written := int64(0)
+	insert := func(i int) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		c, err := pgx.Connect(ctx, fmt.Sprintf("postgres://commissions:brushwork@%s/commission-orders-1?sslmode=disable", postgres[i]))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = c.Close(ctx) }()
+		if _, err = c.Exec(ctx, "INSERT INTO frozen (pet) VALUES ('Biscuit')"); err == nil {
+			written++
+		}
+		return err
+	}
+	ctx := context.Background()
+	// The class of deposits allows no staleness: its count is the newest.
+	c, err := pgx.Connect(ctx, fmt.Sprintf(
+		"postgres://commissions:brushwork@%s/commission-orders-1?sslmode=disable&eelgrassladder.class=deposits", postgres[other]))
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "CREATE TABLE frozen (id bigserial, pet text)")
+	assert.NilError(t, err)
+	assert.NilError(t, proxies[owner].Process.Signal(syscall.SIGSTOP))
+	eventually(t, "the other proxy serves while the owner is frozen", func() error { return insert(other) })
+	assert.NilError(t, proxies[owner].Process.Signal(syscall.SIGCONT))
+	for range 10 {
+		eventually(t, "both serve after the owner goes on", func() error { return insert(owner) })
+		eventually(t, "both serve after the owner goes on", func() error { return insert(other) })
+	}
+	var rows int64
+	assert.NilError(t, c.QueryRow(ctx, "SELECT count(*) FROM frozen").Scan(&rows))
+	assert.Assert(t, rows >= written, "%d rows are left of %d acknowledged writes", rows, written)
+	assert.NilError(t, c.Close(ctx))
+}
+
 // post runs a request over HTTP.
 func post(t *testing.T, address, body string) map[string]any {
 	t.Helper()
--- a/internal/host/owner/observe.go
+++ b/internal/host/owner/observe.go
@@ -35,9 +35,17 @@
 	control := endpoint.NewControl(m.Address, o.Group().Name, o.credentials)
 	defer control.Close()
 	var known group.Progress
+	var err error
 	for ctx.Err() == nil {
 		sent := o.timer.Now()
-		p, err := control.Progress(ctx, known, o.probeWait(m.Name))
+		wait := o.probeWait(m.Name)
+		if err != nil {
+			// A member that has just failed to answer is asked for an answer
+			// at once.
+			wait = 0
+		}
+		var p group.Progress
+		p, err = control.Progress(ctx, known, wait)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/host/service/service.go
+++ b/internal/host/service/service.go
@@ -244,7 +244,7 @@
 	s.ready.Store(false)
 	s.fleet.Leave()
 	end := s.timer.Now().Add(drainTime)
-	for s.registry.Len() > 0 && s.timer.Now().Before(end) && ctx.Err() == nil {
+	for s.registry.Len() > 0 && s.Live() > 0 && s.timer.Now().Before(end) && ctx.Err() == nil {
 		timer.Pause(ctx, s.timer, drainPace)
 	}
 	s.front.Drain()
--- a/internal/peer/endpoint/control.go
+++ b/internal/peer/endpoint/control.go
@@ -13,6 +13,9 @@
 	"eelgrassladder.example/eelgrassladder/internal/trade/group"
 )
 
+// probeSlack is added to the wait of a probe before it counts as failed.
+const probeSlack = 250 * time.Millisecond
+
 // Control is the control connection of one member; it implements the root
 // package's Member. Calls open the connection as needed. One call runs on it
 // at a time; use two controls for calls that must not wait for each other.
--- a/internal/peer/endpoint/exchange.go
+++ b/internal/peer/endpoint/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -197,6 +196,3 @@
 	}
 	return grown
 }
-
-// probeSlack is added to the wait of a probe before it counts as failed.
-const probeSlack = 400 * time.Millisecond
