Never call a request not run after an earlier try may have run

Cause: idempotent work whose answer was lost is tried again; when the later try was refused, the caller heard NotRun although the first may have run. Change: an item that may have run at the primary, and a request with a lost try, end as unknown in place of not run. Names: MarkDead and refute.

--- a/internal/host/dispatch/dispatch.go
+++ b/internal/host/dispatch/dispatch.go
@@ -57,30 +57,44 @@
 	if r.Pin != 0 {
 		return d.pinned(ctx, r)
 	}
-	answer := notServed()
+	ran := false
 	for {
-		sent := false
-		if way, ok := d.way(r.Group); ok {
-			answer, sent = way.Forward(ctx, r)
-		}
+		answer, sent := d.try(ctx, r)
+		now := d.timer.Now()
 		if !retry.Again(c, r, answer, sent) {
-			d.budget.Succeeded(d.timer.Now())
-			return answer
-		}
-		if sent && !answer.Moved && !d.budget.Spend(d.timer.Now()) {
-			return answer
+			d.budget.Succeeded(now)
+			return honest(answer, ran)
 		}
-		if ctx.Err() != nil || d.timer.Now().Sub(r.Arrived) > retry.Patience(c) {
-			return last(answer, sent)
+		spent := !answer.Moved && sent
+		ran = ran || (spent && !r.ReadOnly)
+		over := ctx.Err() != nil || now.Sub(r.Arrived) > retry.Patience(c)
+		if over || (spent && !d.budget.Spend(now)) {
+			return honest(answer, ran)
 		}
 		timer.Pause(ctx, d.timer, movedPause)
 	}
 }
 
-// last is the answer when the time for tries is over.
-func last(a request.Answer, sent bool) request.Answer {
-	if !sent || a.Moved {
-		return notServed()
+// try sends a request to the owner of its group once.
+func (d *Dispatcher) try(ctx context.Context, r request.Request) (request.Answer, bool) {
+	way, ok := d.way(r.Group)
+	if !ok {
+		return notServed(), false
+	}
+	answer, sent := way.Forward(ctx, r)
+	if !sent || answer.Moved {
+		refused := notServed()
+		refused.Moved = answer.Moved
+		return refused, sent
+	}
+	return answer, true
+}
+
+// honest returns the answer that a caller may be told: a request of which an
+// earlier try may have run is not told that it was not run.
+func honest(a request.Answer, ran bool) request.Answer {
+	if ran && a.Outcome == request.NotRun {
+		return request.Lost("an earlier try may have run: " + a.Refusal.Message)
 	}
 	return a
 }
--- a/internal/host/fleet/fleet.go
+++ b/internal/host/fleet/fleet.go
@@ -313,7 +313,7 @@
 	delete(f.misses, p.Name)
 }
 
-// missed notes that a proxy did not answer, and buries it after too many.
+// missed notes that a proxy did not answer, and marks it dead after too many.
 func (f *Fleet) missed(p membership.Proxy) {
 	f.mutex.Lock()
 	f.misses[p.Name]++
@@ -325,7 +325,7 @@
 	if !dead || p.State == membership.Dead {
 		return
 	}
-	if f.members.Bury(p, f.timer.Now()) {
+	if f.members.MarkDead(p, f.timer.Now()) {
 		klog.InfoS("Proxy does not answer", "Proxy", p.Name)
 		f.exchanger.Forget(p.Address)
 		f.Spread()
--- a/internal/host/owner/execute.go
+++ b/internal/host/owner/execute.go
@@ -185,6 +185,7 @@
 	}
 	harmless := j.Member != g.primary || j.Item.Request.ReadOnly || j.Item.Class.Idempotent
 	if !sent || harmless {
+		j.Item.Ran = j.Item.Ran || (sent && j.Member == g.primary && !j.Item.Request.ReadOnly)
 		o.retry(j)
 		return
 	}
--- /dev/null
+++ b/internal/lab/load/finish.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/lab/group"
+)
+
+// gaps returns the milliseconds from each fault to the first write that a
+// later term acknowledged; minus one if there was none.
+func (r *Run) gaps() []float64 {
+	var all []float64
+	for _, f := range r.faults {
+		gap := -1.0
+		for _, a := range r.acknowledged[f.group] {
+			ms := float64(a.at.Sub(f.at).Microseconds()) / 1000
+			if a.term > f.term && ms > 0 && (gap < 0 || ms < gap) {
+				gap = ms
+			}
+		}
+		all = append(all, gap)
+	}
+	return all
+}
+
+// Finish compares what callers were told with what the groups hold, and
+// returns the report. Every fault must have ended.
+func (r *Run) Finish(ctx context.Context) (Report, error) {
+	defer r.pools.close()
+	all := map[string]contents{}
+	for _, g := range r.site.Groups {
+		c, err := r.read(ctx, g)
+		if err != nil {
+			return Report{}, err
+		}
+		all[g.Name()] = c
+	}
+	r.ledger.settle(all)
+	primary, replica := r.countReads()
+	primary -= r.primaryReads
+	replica -= r.replicaReads
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	report := Report{
+		Workload: r.plan.Workload.Name, Seed: r.plan.Seed, Seconds: r.plan.Seconds,
+		PayingRate: r.plan.PayingRate, FreeRate: r.plan.FreeRate,
+		FailoverGapMs: r.gaps(), UnknownOutcomes: r.unknown, TermChanges: r.terms, Reconnects: r.reconnects,
+		Violations: r.ledger.violations, Notes: r.ledger.notes, Codes: r.codes,
+	}
+	for _, name := range r.order {
+		report.Classes = append(report.Classes, r.tallies[name].report(r.plan.Seconds))
+	}
+	if primary+replica > 0 {
+		report.ReplicaReadShare = float64(replica) / float64(primary+replica)
+	}
+	return report, nil
+}
+
+// read returns what a group holds, read through a proxy from the primary.
+func (r *Run) read(ctx context.Context, g *group.Group) (contents, error) {
+	c := contents{deposits: map[string]int{}, legs: map[string]map[int64]int{}}
+	s := r.plan.Workload.Paying[0]
+	opened, err := connect(ctx, r.site.Addresses()[0], s, g.Name())
+	if err != nil {
+		return c, err
+	}
+	defer func() { _ = opened.Close(ctx) }()
+	if err := each(ctx, opened, "SELECT request, amount FROM deposits", func(name string, _ int64) { c.deposits[name]++ }); err != nil {
+		return c, err
+	}
+	err = each(ctx, opened, "SELECT request, leg FROM legs", func(name string, leg int64) {
+		if c.legs[name] == nil {
+			c.legs[name] = map[int64]int{}
+		}
+		c.legs[name][leg]++
+	})
+	c.lineages = g.Primary().Lineages()
+	return c, err
+}
+
+// each calls f for each row of a query; it tries for a while, because a
+// change of primary may still be under way.
+func each(ctx context.Context, c *pgx.Conn, text string, f func(string, int64)) error {
+	var last error
+	for range 20 {
+		rows, err := c.Query(ctx, text)
+		if err == nil {
+			type pair struct {
+				name   string
+				number int64
+			}
+			var all []pair
+			all, err = pgx.CollectRows(rows, func(row pgx.CollectableRow) (pair, error) {
+				var p pair
+				err := row.Scan(&p.name, &p.number)
+				return p, err
+			})
+			if err == nil {
+				for _, p := range all {
+					f(p.name, p.number)
+				}
+				return nil
+			}
+		}
+		last = err
+		timer.Sleep(ctx, 200*time.Millisecond)
+	}
+	return errors.WithStack(last)
+}
--- a/internal/table/members/members.go
+++ b/internal/table/members/members.go
@@ -63,7 +63,7 @@
 	learned := false
 	for _, p := range all {
 		if p.Name == t.self.Name {
-			learned = t.contradict(p, now) || learned
+			learned = t.refute(p, now) || learned
 			continue
 		}
 		if _, known := t.view.Proxy(p.Name); !known && p.State == membership.Dead {
@@ -113,8 +113,8 @@
 	t.take(t.self, now)
 }
 
-// Bury marks a proxy as dead, if it is still in the incarnation that failed.
-func (t *Table) Bury(p membership.Proxy, now time.Time) bool {
+// MarkDead marks a proxy as dead, if it is still in the incarnation that failed.
+func (t *Table) MarkDead(p membership.Proxy, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known, ok := t.view.Proxy(p.Name)
@@ -155,9 +155,9 @@
 	return true
 }
 
-// contradict answers a wrong report about this proxy. The caller holds the
+// refute answers a wrong report about this proxy. The caller holds the
 // mutex.
-func (t *Table) contradict(p membership.Proxy, now time.Time) bool {
+func (t *Table) refute(p membership.Proxy, now time.Time) bool {
 	if !p.Supersedes(t.self) {
 		return false
 	}
--- a/internal/table/queue/queue.go
+++ b/internal/table/queue/queue.go
@@ -25,6 +25,9 @@
 	Replica bool
 	// Member is the only member that may run it; empty for any.
 	Member string
+	// Ran is true once a try may have run at the primary. From then on the
+	// item is never told as not run.
+	Ran bool
 	// Context ends when the caller gives the request up.
 	Context context.Context
 	// deliver is called once with the answer.
@@ -169,6 +172,15 @@
 	q.Settle(i, answer)
 }
 
+// honest returns the answer that an item may be told: one that may have run
+// is not told that it was not.
+func (i *Item) honest(a request.Answer) request.Answer {
+	if i.Ran && a.Outcome == request.NotRun {
+		return request.Lost("an earlier try may have run: " + a.Refusal.Message)
+	}
+	return a
+}
+
 // Settle delivers the answer of an item, once.
 func (q *Table) Settle(i *Item, a request.Answer) {
 	q.mutex.Lock()
@@ -176,7 +188,7 @@
 	i.settled = true
 	q.mutex.Unlock()
 	if first {
-		i.deliver(a)
+		i.deliver(i.honest(a))
 	}
 }
 
@@ -236,7 +248,7 @@
 func (q *Table) Sweep() {
 	refused := q.overdue()
 	for i, answer := range refused {
-		i.deliver(answer)
+		i.deliver(i.honest(answer))
 	}
 }
 
@@ -292,7 +304,7 @@
 	q.wake.Broadcast()
 	q.mutex.Unlock()
 	for _, i := range items {
-		i.deliver(answer)
+		i.deliver(i.honest(answer))
 	}
 }
 
