Lose the answers to fences and promotions as a fault

Cause: the promise that a lost answer to a fence or a promotion does no harm had no test. Change: a fault that lets commands take effect and cuts their connection; a test with a crash in it; chaos draws it too.

--- a/cmd/eelgrasslab/load.go
+++ b/cmd/eelgrasslab/load.go
@@ -38,7 +38,7 @@
 	Service    time.Duration `long:"service" default:"4ms" description:"Time that a statement holds a slot"`
 	Lag        time.Duration `long:"lag" default:"50ms" description:"Time until a replica shows what it received"`
 	Receive    time.Duration `long:"receive" default:"500us" description:"Time that log entries take between members"`
-	Fault      []string      `long:"fault" description:"A fault in the middle of the load: crash, pause, isolate, lose-answers, lag, far, store-down, store-slow, kill-proxy, kill-owner, roll or leave; repeat for more"`
+	Fault      []string      `long:"fault" description:"A fault in the middle of the load: crash, pause, isolate, lose-answers, lose-commands, lag, far, store-down, store-slow, kill-proxy, kill-owner, roll or leave; repeat for more"`
 	Baseline   bool          `long:"baseline" description:"Serve in order of arrival, and read from primaries only"`
 	JSON       bool          `long:"json" description:"Print JSON"`
 	Verbose    bool          `long:"verbose" description:"Log to standard error"`
--- a/internal/lab/experiment/chaos.go
+++ b/internal/lab/experiment/chaos.go
@@ -25,7 +25,7 @@
 // chaosKinds are the faults that chaos draws from, the frequent ones twice.
 var chaosKinds = []Kind{
 	Crash, Crash, Pause, Isolate, Isolate, LoseAnswers, Lag, Far, StoreDown, StoreSlow,
-	KillProxy, KillOwner, KillOwner, PauseReplica, CrashReplica, Leave,
+	KillProxy, KillOwner, KillOwner, LoseCommands, PauseReplica, CrashReplica, Leave,
 }
 
 // Chaos returns the trial of a seed: a workload and faults drawn from the
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -53,15 +53,16 @@
 
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	cases := map[string][]experiment.Kind{
-		"primary crashes":                         {experiment.Crash},
-		"primary pauses":                          {experiment.Pause},
-		"primary is cut off from its peers":       {experiment.Isolate},
-		"primary crashes while the store is down": {experiment.StoreDown, experiment.Crash},
-		"primary and its owner go at once":        {experiment.KillOwner, experiment.Crash},
-		"answers of the primary are lost":         {experiment.LoseAnswers},
-		"replicas lag":                            {experiment.Lag, experiment.Far},
-		"a replica crashes and the owner is lost": {experiment.CrashReplica, experiment.KillOwner},
-		"the primary leaves":                      {experiment.Leave},
+		"primary crashes":                           {experiment.Crash},
+		"primary pauses":                            {experiment.Pause},
+		"primary is cut off from its peers":         {experiment.Isolate},
+		"primary crashes while the store is down":   {experiment.StoreDown, experiment.Crash},
+		"primary and its owner go at once":          {experiment.KillOwner, experiment.Crash},
+		"answers of the primary are lost":           {experiment.LoseAnswers},
+		"answers to fences and promotions are lost": {experiment.LoseCommands, experiment.Crash},
+		"replicas lag":                              {experiment.Lag, experiment.Far},
+		"a replica crashes and the owner is lost":   {experiment.CrashReplica, experiment.KillOwner},
+		"the primary leaves":                        {experiment.Leave},
 	}
 	seed := uint64(100)
 	for name, kinds := range cases {
--- a/internal/lab/experiment/trial.go
+++ b/internal/lab/experiment/trial.go
@@ -65,6 +65,9 @@
 	Isolate Kind = "isolate"
 	// LoseAnswers makes the primary's commits take effect without an answer.
 	LoseAnswers Kind = "lose-answers"
+	// LoseCommands makes fences and promotions of a group take effect without
+	// an answer.
+	LoseCommands Kind = "lose-commands"
 	// Lag makes the replicas of a group apply late.
 	Lag Kind = "lag"
 	// Far makes one replica of a group receive late.
@@ -163,6 +166,10 @@
 		m.Set(failing(m.Conditions(), f.Kind, true))
 		timer.Sleep(ctx, f.For)
 		m.Set(failing(m.Conditions(), f.Kind, false))
+	case LoseCommands:
+		loseCommands(g, true)
+		timer.Sleep(ctx, f.For)
+		loseCommands(g, false)
 	case PauseReplica, CrashReplica:
 		if m := replica(g); m != nil {
 			m.Set(failing(m.Conditions(), f.Kind, true))
@@ -199,6 +206,13 @@
 	return nil
 }
 
+// loseCommands turns the fault on or off at all members of a group.
+func loseCommands(g *group.Group, on bool) {
+	for _, m := range g.Members() {
+		m.Set(m.Conditions().WithLoseCommands(on))
+	}
+}
+
 // replica returns a member that is not the primary.
 func replica(g *group.Group) *group.Member {
 	primary := g.Primary()
--- a/internal/lab/group/call.go
+++ b/internal/lab/group/call.go
@@ -21,6 +21,7 @@
 
 // call runs the functions that the platform offers on each member.
 func (p *session) call(ctx context.Context, s sql.Statement, arguments []any) (sql.Result, error) {
+	p.commanded = s.Table == "group_fence" || s.Table == "group_promote" || s.Table == "group_follow"
 	switch s.Table {
 	case "":
 		return p.constant(ctx, s, arguments)
--- a/internal/lab/group/fault.go
+++ b/internal/lab/group/fault.go
@@ -21,6 +21,9 @@
 	Isolated bool
 	// LoseAnswers cuts the connection after a commit has taken effect.
 	LoseAnswers bool
+	// LoseCommands cuts the connection after a fence, a promotion or an order
+	// to follow has taken effect.
+	LoseCommands bool
 	// Broken makes the member break a promise, to show that the checkers of
 	// the load see it.
 	Broken Broken
@@ -38,6 +41,9 @@
 // WithLoseAnswers returns the conditions with answers lost after the effect.
 func (c Conditions) WithLoseAnswers(on bool) Conditions { c.LoseAnswers = on; return c }
 
+// WithLoseCommands returns the conditions with answers to commands lost.
+func (c Conditions) WithLoseCommands(on bool) Conditions { c.LoseCommands = on; return c }
+
 // WithBroken returns the conditions with a promise that is broken.
 func (c Conditions) WithBroken(b Broken) Conditions { c.Broken = b; return c }
 
--- a/internal/lab/group/session.go
+++ b/internal/lab/group/session.go
@@ -37,6 +37,8 @@
 	skipping bool
 	prepared map[string]preparedStatement
 	portals  map[string]portal
+	// commanded is true after a command, until its answer is sent.
+	commanded bool
 	// last is the result before, for a member that swaps answers.
 	last sql.Result
 }
@@ -152,9 +154,10 @@
 func (p *session) ready(ctx context.Context) bool {
 	p.member.waitWhilePaused(ctx)
 	c := p.member.Conditions()
-	if c.Crashed || (c.LoseAnswers && p.term != 0) {
+	if c.Crashed || (c.LoseAnswers && p.term != 0) || (c.LoseCommands && p.commanded) {
 		return false
 	}
+	p.commanded = false
 	status := byte('I')
 	if p.open != nil {
 		status = 'T'
