Bring the probes of idle groups within the budget of control

Cause: at 1.42 groups a proxy the probes of idle members were worked out at 3.9 KB a second from the sizes of their messages, beside 2.6 KB of heartbeats: over the 4 KB of the budget. Change: a progress is one short text; an idle primary holds a probe for 500 ms; among many proxies each watches one successor. The control experiment measures the probes on the members' connections.

--- a/cmd/eelgrasslab/experiment.go
+++ b/cmd/eelgrasslab/experiment.go
@@ -81,7 +81,15 @@
 		}
 		all = append(all, one)
 	}
-	return experiment.WriteControl(os.Stdout, all)
+	if err := experiment.WriteControl(os.Stdout, all); err != nil {
+		return err
+	}
+	probe, err := experiment.RunProbe(ctx, time.Duration(c.Seconds)*time.Second)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("Probes of a group: %.0f bytes a second when idle, %.0f bytes more for each write\n", probe.IdleBytes, probe.WriteBytes)
+	return nil
 }
 
 // overheadCommand compares the ways to a member.
--- a/internal/host/owner/observe.go
+++ b/internal/host/owner/observe.go
@@ -15,7 +15,7 @@
 // The pace of probes.
 const (
 	// primaryWait is how long a primary holds a probe when nothing changes.
-	primaryWait = 250 * time.Millisecond
+	primaryWait = 500 * time.Millisecond
 	// replicaWait is how long a replica does.
 	replicaWait = time.Second
 	// awaitedWait is how long any member does while answers wait for probes.
--- a/internal/lab/experiment/overhead.go
+++ b/internal/lab/experiment/overhead.go
@@ -193,6 +193,60 @@
 	}, nil
 }
 
+// Probe is what the owner of a group spends on watching its members.
+type Probe struct {
+	// IdleBytes is bytes a second for each group without work, both ways.
+	IdleBytes float64
+	// WriteBytes is bytes for each write beyond that.
+	WriteBytes float64
+}
+
+// RunProbe measures the probes of idle groups, and of one with writes.
+func RunProbe(ctx context.Context, length time.Duration) (Probe, error) {
+	w := workload.Magnolia()
+	s, err := site.Start(ctx, site.Plan{Workload: w, Proxies: 1, Conditions: group.Conditions{Receive: w.Between}})
+	if err != nil {
+		return Probe{}, err
+	}
+	defer s.Stop()
+	target := callerURL(w, s.Addresses()[0])
+	if err := fill(ctx, target); err != nil {
+		return Probe{}, err
+	}
+	timer.Sleep(ctx, time.Second)
+	before := controlBytes(s)
+	timer.Sleep(ctx, length)
+	idle := float64(controlBytes(s)-before) / length.Seconds()
+	c, err := pgx.Connect(ctx, target)
+	if err != nil {
+		return Probe{}, errors.WithStack(err)
+	}
+	defer func() { _ = c.Close(ctx) }()
+	before = controlBytes(s)
+	began := time.Now()
+	writes := 0
+	for time.Since(began) < length {
+		writes++
+		if _, err := c.Exec(ctx, "UPDATE proofs SET label = 'proof' WHERE id = 1"); err != nil {
+			return Probe{}, errors.WithStack(err)
+		}
+		timer.Sleep(ctx, 10*time.Millisecond)
+	}
+	spent := float64(controlBytes(s)-before) - idle*time.Since(began).Seconds()
+	return Probe{IdleBytes: idle / float64(len(s.Groups)), WriteBytes: spent / float64(writes)}, nil
+}
+
+// controlBytes adds what the control connections of all members have carried.
+func controlBytes(s *site.Site) uint64 {
+	var sum uint64
+	for _, g := range s.Groups {
+		for _, m := range g.Members() {
+			sum += m.ControlBytes()
+		}
+	}
+	return sum
+}
+
 // openIdle opens connections, a few at a time.
 func openIdle(ctx context.Context, target string, connections int) ([]net.Conn, error) {
 	const openers = 8
--- a/internal/lab/group/call.go
+++ b/internal/lab/group/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -9,15 +10,9 @@
 	trade "eelgrassladder.example/eelgrassladder/internal/trade/group"
 )
 
-// progressColumns are the columns of every function that answers a progress.
-var progressColumns = []sql.Column{
-	{Name: "term"},
-	{Name: "role", Text: true},
-	{Name: "log_term"},
-	{Name: "received"},
-	{Name: "applied"},
-	{Name: "contact_ms"},
-}
+// progressColumns are the columns of every function that answers a progress:
+// one text, so that the answer is short.
+var progressColumns = []sql.Column{{Name: "progress", Text: true}}
 
 // call runs the functions that the platform offers on each member.
 func (p *session) call(ctx context.Context, s sql.Statement, arguments []any) (sql.Result, error) {
@@ -106,11 +101,8 @@
 	if err != nil {
 		return sql.Result{}, err
 	}
-	row := sql.Row{
-		int64(p.Term), string(p.Role), int64(p.LogTerm),
-		int64(p.Received), int64(p.Applied), p.Contact.Milliseconds(),
-	}
-	return sql.Result{Columns: progressColumns, Rows: []sql.Row{row}, Tag: "SELECT 1"}, nil
+	row := fmt.Sprintf("%d %s %d %d %d %d", p.Term, p.Role, p.LogTerm, p.Received, p.Applied, p.Contact.Milliseconds())
+	return sql.Result{Columns: progressColumns, Rows: []sql.Row{{row}}, Tag: "SELECT 1"}, nil
 }
 
 // text returns the value as text.
--- a/internal/lab/group/member.go
+++ b/internal/lab/group/member.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrassladder.example/eelgrassladder/internal/lab/sql"
@@ -38,6 +39,10 @@
 	// limit is how many connections are accepted.
 	limit int
 
+	// controlBytes counts what control connections carry, with the headers
+	// of packets.
+	controlBytes atomic.Uint64
+
 	// mutex guards everything below. It is a leaf.
 	mutex sync.Mutex
 	// changed is closed and replaced whenever something below changes.
@@ -123,6 +128,10 @@
 	return m.primaryReads, m.replicaReads
 }
 
+// ControlBytes returns what control connections have carried, with the headers
+// of packets.
+func (m *Member) ControlBytes() uint64 { return m.controlBytes.Load() }
+
 // notify wakes everyone that waits for a change. The caller holds the mutex.
 func (m *Member) notify() {
 	close(m.changed)
--- a/internal/lab/group/server.go
+++ b/internal/lab/group/server.go
@@ -61,12 +61,16 @@
 	defer stop()
 	defer c.Close()
 	s.tasks.Detach(s.member.name+" crash watch", func(context.Context) { s.watchCrash(ctx, cancel) })
-	backend := pgproto3.NewBackend(c, c)
+	counted := &countedConn{Conn: c}
+	backend := pgproto3.NewBackend(counted, counted)
 	p, err := s.startup(ctx, c, backend)
 	if err != nil || p == nil {
 		return
 	}
 	defer s.leave()
+	if p.term == 0 {
+		counted.total = &s.member.controlBytes
+	}
 	p.number = s.last.Add(1)
 	s.sessions.add(p)
 	defer s.sessions.remove(p.number)
@@ -189,3 +193,33 @@
 		wait(ctx, changed, heartbeatPeriod)
 	}
 }
+
+// countedConn counts the bytes of a control connection.
+type countedConn struct {
+	net.Conn
+	// total is nil while the bytes are not counted.
+	total *atomic.Uint64
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(n)
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
+
+// packetOverhead is the headers of TCP and IP for each packet, in bytes.
+const packetOverhead = 52
+
+func (c *countedConn) count(n int) {
+	if c.total != nil && n > 0 {
+		c.total.Add(uint64(n + packetOverhead))
+	}
+}
--- a/internal/peer/endpoint/control.go
+++ b/internal/peer/endpoint/control.go
@@ -125,22 +125,27 @@
 	return errors.WithStack(err)
 }
 
-// onlyRow reads the single row of a progress.
+// onlyRow reads the single value of a progress.
 func onlyRow(r *pgconn.Result) (group.Progress, error) {
-	if len(r.Rows) != 1 || len(r.Rows[0]) != 6 {
+	if len(r.Rows) != 1 || len(r.Rows[0]) != 1 {
 		return group.Progress{}, errors.New("malformed progress")
 	}
-	return parseProgress(r.Rows[0])
+	return parseProgress(string(r.Rows[0][0]))
 }
 
-// parseProgress reads the columns of a progress.
-func parseProgress(row [][]byte) (group.Progress, error) {
-	var numbers [6]uint64
-	for i, raw := range row {
-		if i == 1 {
+// parseProgress reads a progress: term, role, last term of the log, places
+// received and applied, and milliseconds since the last contact.
+func parseProgress(text string) (group.Progress, error) {
+	fields := strings.Fields(text)
+	if len(fields) != progressFields {
+		return group.Progress{}, errors.New("malformed progress")
+	}
+	var numbers [progressFields]uint64
+	for i, f := range fields {
+		if i == roleField {
 			continue
 		}
-		n, err := strconv.ParseUint(string(raw), 10, 64)
+		n, err := strconv.ParseUint(f, 10, 64)
 		if err != nil {
 			return group.Progress{}, errors.WithStack(err)
 		}
@@ -148,7 +153,7 @@
 	}
 	return group.Progress{
 		Term:     numbers[0],
-		Role:     group.Role(row[1]),
+		Role:     group.Role(fields[roleField]),
 		LogTerm:  numbers[2],
 		Received: numbers[3],
 		Applied:  numbers[4],
@@ -156,5 +161,11 @@
 	}, nil
 }
 
+// The fields of a progress.
+const (
+	progressFields = 6
+	roleField      = 1
+)
+
 // quote returns the text as an SQL constant.
 func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
--- a/internal/policy/gossip/gossip.go
+++ b/internal/policy/gossip/gossip.go
@@ -15,7 +15,7 @@
 	meshSize = 8
 	// successors is how many proxies that follow in order of name are watched
 	// when there are more.
-	successors = 2
+	successors = 1
 	// meshPeriod is the time between heartbeats in a mesh.
 	meshPeriod = 250 * time.Millisecond
 	// ringPeriod is the time between heartbeats among many.
