--- a/internal/host/report/draw.go
+++ b/internal/host/report/draw.go
@@ -22,6 +22,9 @@
 	p.Title.Text = "Service-level burn"
 	p.Y.Label.Text = "Burn rate (1 uses the budget up just in time)"
 	classes, rates := b.rates()
+	if len(classes) == 0 {
+		return errors.New("there is nothing to draw yet")
+	}
 	for i, window := range []string{"5m", "1h", "6h", "3d"} {
 		bars, err := plotter.NewBarChart(rates[window], barWidth)
 		if err != nil {
@@ -38,7 +41,8 @@
 	return errors.WithStack(p.Save(pictureWidth, pictureHeight, file))
 }
 
-// rates returns the classes, and the burn rate of each by window.
+// rates returns the classes, and the burn rate of each by window; zero where
+// nothing was counted.
 func (b Burn) rates() ([]string, map[string]plotter.Values) {
 	var classes []string
 	rates := map[string]plotter.Values{}
@@ -48,8 +52,11 @@
 		}
 		if len(classes) == 0 || classes[len(classes)-1] != r.Class {
 			classes = append(classes, r.Class)
+			for window := range windowOrder {
+				rates[window] = append(rates[window], 0)
+			}
 		}
-		rates[r.Window] = append(rates[r.Window], r.BurnRate)
+		rates[r.Window][len(classes)-1] = r.BurnRate
 	}
 	return classes, rates
 }
