Refuse a flood on arrival again, and watch proxies along a hashed ring

Proxies were watched in order of name, so a lost rack could hide its own watchers. Change: the use of a caller is known when its request arrives; the ring is ordered by hashes of names; the load sends callers to ready proxies, as the platform's balancer does.

--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -272,15 +272,24 @@
 	return -1
 }
 
-// Addresses returns the PostgreSQL addresses of the running proxies.
+// Addresses returns the PostgreSQL addresses of the proxies that a balancer
+// would send callers to: those that run and are ready, or all that run if
+// none is ready.
 func (s *Site) Addresses() []string {
-	var all []string
+	var ready, all []string
 	for _, p := range s.running() {
-		if p != nil {
-			all = append(all, p.Service.Addresses().Postgres)
+		if p == nil {
+			continue
+		}
+		all = append(all, p.Service.Addresses().Postgres)
+		if p.Service.Ready() {
+			ready = append(ready, p.Service.Addresses().Postgres)
 		}
 	}
-	return all
+	if len(ready) == 0 {
+		return all
+	}
+	return ready
 }
 
 // Stop ends the site and waits for it.
--- a/internal/policy/gossip/gossip.go
+++ b/internal/policy/gossip/gossip.go
@@ -3,9 +3,12 @@
 package gossip
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"eelgrassladder.example/eelgrassladder/internal/trade/membership"
 )
 
@@ -13,8 +16,8 @@
 const (
 	// meshSize is the most proxies that all exchange heartbeats.
 	meshSize = 8
-	// successors is how many proxies that follow in order of name are watched
-	// when there are more.
+	// successors is how many proxies that follow on the ring are watched when
+	// there are more.
 	successors = 1
 	// meshPeriod is the time between heartbeats in a mesh.
 	meshPeriod = 250 * time.Millisecond
@@ -88,16 +91,21 @@
 	return others, dead
 }
 
-// following returns the n proxies that come after self in order of name, as
-// on a ring.
+// following returns the n proxies that come after self on a ring in order of
+// the hashes of their names, so that proxies of one rack or data centre are
+// watched from others.
 func following(others []membership.Proxy, self string, n int) []membership.Proxy {
-	first := 0
-	for first < len(others) && others[first].Name < self {
-		first++
-	}
+	ring := slices.Clone(others)
+	slices.SortFunc(ring, func(a, b membership.Proxy) int {
+		return cmp.Compare(place(a.Name), place(b.Name))
+	})
+	first := slices.IndexFunc(ring, func(p membership.Proxy) bool { return place(p.Name) > place(self) })
 	var found []membership.Proxy
-	for i := range min(n, len(others)) {
-		found = append(found, others[(first+i)%len(others)])
+	for i := range min(n, len(ring)) {
+		found = append(found, ring[(max(first, 0)+i)%len(ring)])
 	}
 	return found
 }
+
+// place is where a name stands on the ring.
+func place(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/table/queue/pick.go
+++ b/internal/table/queue/pick.go
@@ -70,10 +70,18 @@
 // lately held.
 func (q *Table) noteUse(now time.Time) {
 	for _, i := range q.items {
-		if r, ok := q.callers[i.Request.Caller]; ok {
-			i.used = r.value(now) * q.service.Seconds()
-		}
+		i.used = q.usedBy(i.Request.Caller, now)
+	}
+}
+
+// usedBy returns how many slots a caller has lately held. The caller of the
+// method holds the mutex.
+func (q *Table) usedBy(caller string, now time.Time) float64 {
+	r, ok := q.callers[caller]
+	if !ok {
+		return 0
 	}
+	return r.value(now) * q.service.Seconds()
 }
 
 // start takes a slot. The caller holds the mutex.
--- a/internal/table/queue/queue.go
+++ b/internal/table/queue/queue.go
@@ -148,7 +148,10 @@
 		q.wake.Signal()
 		return request.Answer{}, false
 	}
-	if verdict := q.admission.Arriving(q.timer.Now(), i.waiting(), q.load(i)); verdict.Refuse {
+	now := q.timer.Now()
+	q.noteUse(now)
+	i.used = q.usedBy(i.Request.Caller, now)
+	if verdict := q.admission.Arriving(now, i.waiting(), q.load(i)); verdict.Refuse {
 		i.settled = true
 		return overTarget(verdict), true
 	}
@@ -208,6 +211,13 @@
 	return Job{}, false
 }
 
+// TryTake returns a job if one may run now, without waiting.
+func (q *Table) TryTake() (Job, bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.pick()
+}
+
 // Wake lets all workers look again.
 func (q *Table) Wake() {
 	q.mutex.Lock()
--- a/internal/table/queue/queue_test.go
+++ b/internal/table/queue/queue_test.go
@@ -33,7 +33,7 @@
 
 func newBench() *bench {
 	b := &bench{clock: timer.NewManual(time.Unix(1000, 0)), told: map[*queue.Item]int{}}
-	b.table = queue.New(admission.Targets{}, routing.Replicas{}, b.clock, 100)
+	b.table = queue.New(admission.Targets{}, routing.Replicas{}, b.clock, 4096)
 	b.table.SetPlaces([]queue.Place{{Name: "a", Slots: 2, Place: eelgrassladder.Place{Primary: true, Usable: true}}})
 	return b
 }
@@ -47,13 +47,6 @@
 	return i
 }
 
-// take returns a job if one may run now.
-func (b *bench) take() (queue.Job, bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Millisecond)
-	defer cancel()
-	return b.table.Take(ctx)
-}
-
 func TestEveryItemIsAnsweredOnceAndSlotsAreNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench()
@@ -68,7 +61,7 @@
 				b.clock.Advance(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 				b.table.Sweep()
 			default:
-				if j, ok := b.take(); ok {
+				if j, ok := b.table.TryTake(); ok {
 					running = append(running, j)
 				}
 				if len(running) > 0 && rapid.Bool().Draw(t, "done") {
@@ -94,10 +87,10 @@
 	b := newBench()
 	free := b.offer("owners", gallery)
 	paying := b.offer("kennel-club", deposits)
-	first, ok := b.take()
+	first, ok := b.table.TryTake()
 	assert.Assert(t, ok)
 	assert.Equal(t, first.Item, paying)
-	second, ok := b.take()
+	second, ok := b.table.TryTake()
 	assert.Assert(t, ok, "free work was kept from a slot that nobody needs")
 	assert.Equal(t, second.Item, free)
 	waits := b.offer("owners", gallery)
@@ -112,14 +105,14 @@
 		b.offer("kennel-club", deposits)
 	}
 	for range 20 {
-		j, ok := b.take()
+		j, ok := b.table.TryTake()
 		assert.Assert(t, ok)
 		b.clock.Advance(20 * time.Millisecond)
 		b.table.Done(j, true)
 	}
 	late := b.offer("commissions", deposits)
 	for turn := range 3 {
-		j, ok := b.take()
+		j, ok := b.table.TryTake()
 		assert.Assert(t, ok)
 		if j.Item == late {
 			return
@@ -128,3 +121,26 @@
 		assert.Assert(t, turn < 2, "a caller waits behind another one's flood")
 	}
 }
+
+func TestAFloodIsRefusedOnArrival(t *testing.T) {
+	b := newBench()
+	refused := 0
+	for range 400 {
+		i := b.offer("owners", gallery)
+		if b.told[i] == 1 {
+			refused++
+		}
+		if j, ok := b.table.TryTake(); ok {
+			b.clock.Advance(20 * time.Millisecond)
+			b.table.Done(j, true)
+		}
+		for range 5 {
+			if b.told[b.offer("owners", gallery)] == 1 {
+				refused++
+			}
+		}
+	}
+	// Six requests come for each that is served: nearly all of the others must
+	// be refused as they come, and not after they have waited.
+	assert.Assert(t, refused > 1800, "%d of 2400 requests were refused on arrival", refused)
+}
