Model reads in the property of promotion

Change: reads count as told once a majority holds what they saw; the case is also a test of its own; the property runs twenty times as many checks.

--- a/internal/policy/promotion/promotion_test.go
+++ b/internal/policy/promotion/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +91,8 @@
 	seen map[string]group.Observation
 	// wrote holds what the owner has written in its term, by place.
 	wrote map[uint64]int
+	// read holds the logs that reads at the primary have seen, in its term.
+	read [][]record
 }
 
 // model is a group with two owners that both believe in themselves.
@@ -97,7 +100,8 @@
 	group     group.Group
 	members   []*fake
 	proposers []*proposer
-	// acknowledged holds the position of everything that a caller was told.
+	// acknowledged holds the position of everything that a caller was told:
+	// what it wrote, and what it read.
 	acknowledged map[int]position.Position
 	lastID       int
 }
@@ -151,7 +155,7 @@
 	if p.chosen == nil || !p.chosen.promote(p.next, p.number) {
 		return
 	}
-	p.term, p.primary, p.wrote = p.next, p.chosen, map[uint64]int{}
+	p.term, p.primary, p.wrote, p.read = p.next, p.chosen, map[uint64]int{}, nil
 	p.chosen = nil
 }
 
@@ -165,6 +169,13 @@
 	p.wrote[uint64(len(p.primary.log))] = m.lastID
 }
 
+// look reads at the primary that the proposer believes in.
+func (m *model) look(p *proposer) {
+	if p.primary != nil && p.primary.term == p.term && p.primary.role == group.Primary {
+		p.read = append(p.read, slices.Clone(p.primary.log))
+	}
+}
+
 // hear brings the proposer's observation of one member up to date.
 func (m *model) hear(p *proposer, f *fake) {
 	p.seen[f.name] = group.Observation{Member: group.Member{Name: f.name}}.WithProgress(f.progress(), time.Unix(1, 0))
@@ -185,6 +196,16 @@
 			m.acknowledged[id] = position.Position{Term: p.term, Log: place}
 		}
 	}
+	for _, log := range p.read {
+		if uint64(len(log)) > held {
+			continue
+		}
+		for i, seen := range log {
+			if _, ok := m.acknowledged[seen.id]; !ok {
+				m.acknowledged[seen.id] = position.Position{Term: p.term, Log: uint64(i + 1)}
+			}
+		}
+	}
 }
 
 // check asks that every primary holds what was acknowledged in its term or an
@@ -224,10 +245,13 @@
 	}
 }
 
-// serve writes, replicates to the members that are reached, hears some of
+// serve reads and perhaps writes, replicates to the members that are reached, hears some of
 // them and tells callers what is held.
-func (m *model) serve(p *proposer, reach, heard []bool) {
-	m.write(p)
+func (m *model) serve(p *proposer, reach, heard []bool, writes bool) {
+	if writes {
+		m.write(p)
+	}
+	m.look(p)
 	for i, f := range m.members {
 		for range 4 {
 			if reach[i] {
@@ -241,9 +265,32 @@
 	m.acknowledge(p)
 }
 
+// propertyRounds is how often the library's number of checks is run.
+const propertyRounds = 20
+
+// TestAnEntryOfTheNewTermKeepsWhatReadsHaveSeen is the case that random steps
+// rarely meet: a longer log of an older term against a read in between.
+func TestAnEntryOfTheNewTermKeepsWhatReadsHaveSeen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(3)
+		one, two := m.proposers[0], m.proposers[1]
+		all, left, right := []bool{true, true, true}, []bool{true, false, true}, []bool{false, true, true}
+		m.raise(one, all, false, false)
+		m.serve(one, all, all, false)
+		m.write(one)
+		m.raise(two, right, false, false)
+		m.write(two)
+		m.raise(one, left, false, false)
+		m.serve(one, left, all, false)
+		assert.Assert(t, len(m.acknowledged) >= 2, "nothing was read")
+		m.raise(two, right, false, false)
+		m.check(t)
+	})
+}
+
 func TestAcknowledgedWritesSurviveEveryPromotion(t *testing.T) {
 	told := 0
-	rapid.Check(t, func(t *rapid.T) {
+	property := func(t *rapid.T) {
 		m := newModel(rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size"))
 		some := rapid.SliceOfN(rapid.Bool(), len(m.members), len(m.members))
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
@@ -260,12 +307,15 @@
 			case 4:
 				m.write(p)
 			default:
-				m.serve(p, reach, some.Draw(t, "heard"))
+				m.serve(p, reach, some.Draw(t, "heard"), rapid.Bool().Draw(t, "writes"))
 			}
 			m.check(t)
 		}
 		told += len(m.acknowledged)
-	})
+	}
+	for range propertyRounds {
+		rapid.Check(t, property)
+	}
 	assert.Assert(t, told > 100, "only %d writes were acknowledged in all", told)
 }
 
