Let free work hold what paying work leaves, rounded up, below the last slot

Change: the slots left to free work are rounded up; the last one stays free while paying work arrives.

--- a/internal/policy/admission/targets.go
+++ b/internal/policy/admission/targets.go
@@ -106,7 +106,7 @@
 	if needed < arrivingConcurrency {
 		return l.Slots
 	}
-	return max(1, min(l.Slots-1, int(math.Floor(float64(l.Slots)-needed))))
+	return max(1, min(l.Slots-1, int(math.Ceil(float64(l.Slots)-needed))))
 }
 
 // forecast is the time until new work would be answered.
