Say that a transaction was rolled back where that is known

Cause: a statement of a transaction whose connection or proxy was gone was told as unknown, though it had not been sent and no commit had run. Found by reading. Some functions had no callers.

--- a/internal/host/dispatch/dispatch.go
+++ b/internal/host/dispatch/dispatch.go
@@ -109,11 +109,11 @@
 func (d *Dispatcher) pinned(ctx context.Context, r request.Request) request.Answer {
 	way, ok := d.holder(r.Owner)
 	if !ok {
-		return request.Lost("the proxy that held the transaction is gone")
+		return request.RolledBack("the proxy that held the transaction is gone")
 	}
 	answer, sent := way.Forward(ctx, r)
 	if !sent || answer.Moved {
-		return request.Lost("the proxy that held the transaction is gone")
+		return request.RolledBack("the proxy that held the transaction is gone")
 	}
 	return answer
 }
--- a/internal/host/fleet/fleet.go
+++ b/internal/host/fleet/fleet.go
@@ -58,7 +58,7 @@
 	seeds []string
 	tasks *task.Group
 
-	// messages and bytes count what heartbeats carry, for the cost of control.
+	// messages counts heartbeats sent and heard.
 	messages atomic.Uint64
 
 	// mutex guards the fields below. It is a leaf.
--- a/internal/host/owner/execute.go
+++ b/internal/host/owner/execute.go
@@ -92,7 +92,7 @@
 	p, ok := o.pins.Use(j.Item.Request.Pin)
 	if !ok {
 		o.queue.Done(j, false)
-		o.queue.Settle(j.Item, lostTransaction())
+		o.queue.Settle(j.Item, request.RolledBack("the transaction's connection is gone"))
 		return
 	}
 	result, _, err := p.Connection.Exchange(ctx, j.Item.Request, false)
@@ -120,7 +120,7 @@
 	case err != nil:
 		o.queue.Settle(j.Item, lostTransaction())
 	case result.Code == endpoint.CodeSuperseded:
-		o.queue.Settle(j.Item, request.Refused("40001", "the transaction was rolled back by a change of primary", "Run it again.", 0))
+		o.queue.Settle(j.Item, request.RolledBack("the transaction was rolled back by a change of primary"))
 	default:
 		o.release(j, p.Replica, result, at)
 	}
--- a/internal/host/owner/owner.go
+++ b/internal/host/owner/owner.go
@@ -242,7 +242,7 @@
 	if r.Pin != 0 {
 		p, ok := o.pins.Find(r.Pin)
 		if !ok {
-			return lostTransaction()
+			return request.RolledBack("the transaction has waited too long, or its connection is gone")
 		}
 		item.Member = p.Member
 	} else {
--- a/internal/host/service/service.go
+++ b/internal/host/service/service.go
@@ -145,6 +145,9 @@
 	s.metrics.Gauge("eelgrassladder_configuration_version", "Version of the configuration in force.", func() float64 {
 		return float64(s.versions.Current().Version)
 	})
+	s.metrics.Gauge("eelgrassladder_heartbeats", "Heartbeats sent and heard since the start.", func() float64 {
+		return float64(s.fleet.Messages())
+	})
 	s.metrics.Gauge("eelgrassladder_proxies_live", "Proxies believed to be live.", func() float64 {
 		view, _ := s.members.View()
 		return float64(len(view.Live()))
--- a/internal/lab/group/fault.go
+++ b/internal/lab/group/fault.go
@@ -53,9 +53,6 @@
 // WithReceive returns the conditions with another receive delay.
 func (c Conditions) WithReceive(d time.Duration) Conditions { c.Receive = d; return c }
 
-// WithService returns the conditions with another service time.
-func (c Conditions) WithService(d time.Duration) Conditions { c.Service = d; return c }
-
 // Broken is a promise that a member breaks.
 type Broken int
 
--- a/internal/lab/group/group.go
+++ b/internal/lab/group/group.go
@@ -1,9 +1,7 @@
 package group
 
 import (
-	"context"
 	"net"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -112,15 +110,3 @@
 	}
 	return found
 }
-
-// WaitPrimary returns the primary of a term above the one given, or nil when
-// ctx ends first.
-func (g *Group) WaitPrimary(ctx context.Context, above uint64) *Member {
-	for ctx.Err() == nil {
-		if m := g.Primary(); m != nil && m.Progress().Term > above {
-			return m
-		}
-		wait(ctx, nil, 5*time.Millisecond)
-	}
-	return nil
-}
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -60,9 +60,6 @@
 	return kind, buffer, nil
 }
 
-// Buffered returns how many bytes wait in the reader.
-func (r *Reader) Buffered() int { return r.source.Buffered() }
-
 // Body returns the contents of a whole message.
 func Body(message []byte) []byte { return message[headerBytes:] }
 
--- a/internal/trade/group/group.go
+++ b/internal/trade/group/group.go
@@ -5,8 +5,6 @@
 import (
 	"slices"
 	"time"
-
-	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 )
 
 // Member describes one endpoint of a group, from the platform's host list.
@@ -94,11 +92,6 @@
 	Contact time.Duration
 }
 
-// Last returns the position of the end of the member's log.
-func (p Progress) Last() position.Position {
-	return position.Position{Term: p.LogTerm, Log: p.Received}
-}
-
 // MoreAdvanced reports whether p's log must be preferred to o's: the later
 // last term, then the longer log.
 func (p Progress) MoreAdvanced(o Progress) bool {
--- a/internal/trade/request/answer.go
+++ b/internal/trade/request/answer.go
@@ -94,6 +94,8 @@
 	CodeUnknown = "08007"
 	// CodeCancelled says that the caller cancelled the request.
 	CodeCancelled = "57014"
+	// CodeRolledBack reports a transaction that was rolled back.
+	CodeRolledBack = "40001"
 	// CodeReadOnly is how a replica refuses a write.
 	CodeReadOnly = "25006"
 	// CodeProtocol reports a malformed message.
@@ -132,6 +134,12 @@
 	}
 }
 
+// RolledBack returns an answer that a transaction is gone. The request was not
+// sent, so neither it nor a commit has run, and the member rolls back.
+func RolledBack(message string) Answer {
+	return Refused(CodeRolledBack, message, "Run the transaction again.", 0)
+}
+
 // WithPosition returns an answer with a position.
 func (a Answer) WithPosition(p position.Position) Answer {
 	a.Position = p
