--- a/internal/host/command/command.go
+++ b/internal/host/command/command.go
@@ -21,12 +21,16 @@
 	ExitUsage = 2
 )
 
-// ErrUsage marks a failure that the user mends in a file or on the command
-// line. Wrap it with what is wrong.
-var ErrUsage = errors.New("settings are not usable")
+// usageError is a failure that the user mends in a file or on the command
+// line. Its text is printed as it is.
+type usageError string
 
-// Usage returns a failure of this kind with a text.
-func Usage(text string) error { return errors.WithMessage(ErrUsage, text) }
+// Error returns the text.
+func (e usageError) Error() string { return string(e) }
+
+// Usage returns a failure that the user mends in a file or on the command
+// line; it ends the program with ExitUsage.
+func Usage(text string) error { return usageError(text) }
 
 // Run parses the arguments into c, a struct with go-flags tags, executes the
 // command that they name, and returns the exit code.
@@ -35,6 +39,7 @@
 	parser.LongDescription = description
 	_, err := parser.ParseArgs(arguments)
 	var usage *flags.Error
+	var mend usageError
 	switch {
 	case err == nil:
 		return 0
@@ -44,7 +49,7 @@
 	case errors.As(err, &usage):
 		fmt.Fprintln(os.Stderr, usage.Message)
 		return ExitUsage
-	case errors.Is(err, ErrUsage):
+	case errors.As(err, &mend):
 		fmt.Fprintln(os.Stderr, err)
 		return ExitUsage
 	default:
