--- a/internal/lab/experiment/trial.go
+++ b/internal/lab/experiment/trial.go
@@ -190,6 +190,7 @@
 		return restart(ctx, s, f.Proxy%len(s.Proxies), f.For)
 	case KillOwner:
 		if i := s.Owner(g.Name()); i >= 0 {
+			run.Fault(g)
 			return restart(ctx, s, i, f.For)
 		}
 	case Roll:
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -306,7 +306,7 @@
 	return nil
 }
 
-// Fault records that the primary of a group fails now.
+// Fault records that the primary of a group, or its owner, fails now.
 func (r *Run) Fault(g *group.Group) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -27,7 +27,8 @@
 	Classes    []Class
 	// ReplicaReadShare is the share of queries that replicas ran.
 	ReplicaReadShare float64
-	// FailoverGapMs holds, for each fault of a primary, the milliseconds until
+	// FailoverGapMs holds, for each fault of a primary or of the proxy that
+	// owns a group, the milliseconds until
 	// the first acknowledgement of a write that was sent after it.
 	FailoverGapMs []float64
 	// UnknownOutcomes counts requests whose outcome their callers don't know.
