--- a/internal/host/owner/term.go
+++ b/internal/host/owner/term.go
@@ -22,8 +22,10 @@
 	commandTime = 400 * time.Millisecond
 	// lateGrant is how long to wait for members beyond a majority.
 	lateGrant = 40 * time.Millisecond
-	// tryPause is the wait before another try of a change of term.
-	tryPause = 30 * time.Millisecond
+	// tryPause is the first wait before another try of a change of term; it
+	// doubles with each try up to maxTryPause.
+	tryPause    = 30 * time.Millisecond
+	maxTryPause = 480 * time.Millisecond
 	// yieldTime is the least wait of a proxy whose term was superseded, so
 	// that two proxies do not raise terms against each other without end.
 	yieldTime = 300 * time.Millisecond
@@ -76,11 +78,13 @@
 	}
 	before := o.retire()
 	o.awaitObservations(ctx)
+	pause := tryPause
 	for ctx.Err() == nil && !o.draining.Load() {
 		if o.tryRaise(ctx, commands, before, reason, began) {
 			return
 		}
-		timer.Pause(ctx, o.timer, tryPause+rand.N(tryPause))
+		timer.Pause(ctx, o.timer, pause+rand.N(pause))
+		pause = min(2*pause, maxTryPause)
 	}
 }
 
--- /dev/null
+++ b/internal/lab/sql/columns.go
@@ -0,0 +1,119 @@
+package sql
+
+import "strconv"
+
+// Describe returns the columns of a statement's answer without running it.
+func (t *Transaction) Describe(s Statement) ([]Column, error) {
+	names := s.Returning
+	if s.Verb == Select {
+		names = s.Names
+	}
+	if len(names) == 0 {
+		return nil, nil
+	}
+	if names[0] == "count(*)" {
+		return []Column{{Name: "count"}}, nil
+	}
+	target, err := t.table(s.Table)
+	if err != nil {
+		return nil, err
+	}
+	columns, _, err := project(target, names)
+	return columns, err
+}
+
+// ParameterColumns returns, for each parameter of a statement, the column
+// whose type it takes.
+func (t *Transaction) ParameterColumns(s Statement) []Column {
+	columns := make([]Column, s.Parameters)
+	for i := range columns {
+		columns[i] = Column{Text: true}
+	}
+	target, err := t.table(s.Table)
+	if err != nil {
+		return columns
+	}
+	note := func(e expression, name string) {
+		if i, err := target.column(name); err == nil && e.parameter > 0 {
+			columns[e.parameter-1] = target.columns[i]
+		}
+	}
+	for _, values := range s.Values {
+		for i := range min(len(values), len(s.Names)) {
+			note(values[i], s.Names[i])
+		}
+	}
+	for i, c := range s.Changes {
+		note(c.expression, s.Names[i])
+	}
+	for _, c := range s.Where {
+		note(c.value, c.column)
+	}
+	return columns
+}
+
+// returning picks columns of rows.
+func returning(source *table, names []string, rows []Row, tag string) (Result, error) {
+	if len(names) == 0 {
+		return Result{Tag: tag}, nil
+	}
+	columns, indexes, err := project(source, names)
+	if err != nil {
+		return Result{}, err
+	}
+	picked := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		one := make(Row, len(indexes))
+		for i, column := range indexes {
+			one[i] = r[column]
+		}
+		picked = append(picked, one)
+	}
+	return Result{Columns: columns, Rows: picked, Tag: tag}, nil
+}
+
+// project returns the named columns and their indexes.
+func project(source *table, names []string) ([]Column, []int, error) {
+	var columns []Column
+	var indexes []int
+	for _, name := range names {
+		if name == "*" {
+			for i, c := range source.columns {
+				columns = append(columns, c)
+				indexes = append(indexes, i)
+			}
+			continue
+		}
+		i, err := source.column(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		columns = append(columns, source.columns[i])
+		indexes = append(indexes, i)
+	}
+	return columns, indexes, nil
+}
+
+// coerce turns a value into the type of a column.
+func coerce(v any, c Column) (any, error) {
+	switch x := v.(type) {
+	case nil:
+		return nil, nil
+	case string:
+		if c.Text {
+			return x, nil
+		}
+		n, err := strconv.ParseInt(x, 10, 64)
+		if err != nil {
+			return nil, Fail(CodeBadText, "invalid input syntax for type bigint")
+		}
+		return n, nil
+	case int64:
+		if c.Text {
+			return strconv.FormatInt(x, 10), nil
+		}
+		return x, nil
+	default:
+		return nil, Fail(CodeBadText, "value does not fit column \""+c.Name+"\"")
+	}
+}
--- a/internal/peer/caller/batch.go
+++ b/internal/peer/caller/batch.go
@@ -136,11 +136,11 @@
 
 // describe takes a Describe of a statement or a portal.
 func (b *batch) describe(known statements, message []byte) error {
-	body := wire.Body(message)
-	if len(body) < 2 {
-		return errors.New("malformed Describe")
+	kind, name, err := object(message)
+	if err != nil {
+		return err
 	}
-	if body[0] != 'S' {
+	if kind != 'S' {
 		if len(b.own) > 0 {
 			b.own = append(b.own, ownMessage{kind: 'p', text: b.own[len(b.own)-1].text})
 			return nil
@@ -148,10 +148,6 @@
 		b.payload = append(b.payload, message...)
 		return nil
 	}
-	name, _, ok := wire.Text(body[1:])
-	if !ok {
-		return errors.New("malformed Describe")
-	}
 	used, found := b.use(known, name)
 	if !found {
 		return nil
@@ -167,23 +163,33 @@
 // close takes a Close. The endpoint's statement stays, because its name is
 // made from its text; the caller's name is forgotten.
 func (b *batch) close(known statements, message []byte) error {
-	body := wire.Body(message)
-	if len(body) < 2 {
-		return errors.New("malformed Close")
+	kind, name, err := object(message)
+	if err != nil {
+		return err
 	}
-	if body[0] != 'S' {
+	if kind != 'S' {
 		b.payload = append(b.payload, message...)
 		return nil
 	}
-	name, _, ok := wire.Text(body[1:])
-	if !ok {
-		return errors.New("malformed Close")
-	}
 	delete(known, name)
 	b.payload = appendMessage(b.payload, 'C', "S"+closedStatement+"\x00", nil)
 	return nil
 }
 
+// object returns what a Describe or a Close is about: the kind, 'S' for a
+// statement, and the name.
+func object(message []byte) (byte, string, error) {
+	body := wire.Body(message)
+	if len(body) < 2 {
+		return 0, "", errors.New("malformed Describe or Close")
+	}
+	name, _, ok := wire.Text(body[1:])
+	if !ok {
+		return 0, "", errors.New("malformed Describe or Close")
+	}
+	return body[0], name, nil
+}
+
 // use finds a statement and lists it as prepared, unless the batch parses it.
 func (b *batch) use(known statements, name string) (statement, bool) {
 	used, ok := known[name]
