Keep one rule for answers after an earlier try, and one for heartbeats

Cause: the rule that a request is not told as not run after a try that may have run stood in the dispatcher and in the queue; sending and counting a heartbeat stood three times; Reconcile set what Learn had just set. Change: request.Answer.WithEarlierTry, Fleet.send, and Learn alone. Conclusion: read once more, shorter where it said the same.

--- a/internal/host/dispatch/dispatch.go
+++ b/internal/host/dispatch/dispatch.go
@@ -63,13 +63,13 @@
 		now := d.timer.Now()
 		if !retry.Again(c, r, answer, sent) {
 			d.budget.Succeeded(now)
-			return honest(answer, ran)
+			return answer.WithEarlierTry(ran)
 		}
 		spent := !answer.Moved && sent
 		ran = ran || (spent && !r.ReadOnly)
 		over := ctx.Err() != nil || now.Sub(r.Arrived) > retry.Patience(c)
 		if over || (spent && !d.budget.Spend(now)) {
-			return honest(answer, ran)
+			return answer.WithEarlierTry(ran)
 		}
 		timer.Pause(ctx, d.timer, movedPause)
 	}
@@ -90,15 +90,6 @@
 	return answer, true
 }
 
-// honest returns the answer that a caller may be told: a request of which an
-// earlier try may have run is not told that it was not run.
-func honest(a request.Answer, ran bool) request.Answer {
-	if ran && a.Outcome == request.NotRun {
-		return request.Lost("an earlier try may have run: " + a.Refusal.Message)
-	}
-	return a
-}
-
 // notServed refuses a request whose group no proxy serves.
 func notServed() request.Answer {
 	return request.Refused(request.CodeCannotConnect, "no proxy serves this database at the moment",
--- a/internal/host/fleet/fleet.go
+++ b/internal/host/fleet/fleet.go
@@ -193,8 +193,7 @@
 // exchange sends one heartbeat and takes its answer. With counted, a failure
 // counts towards the proxy's death.
 func (f *Fleet) exchange(ctx context.Context, p membership.Proxy, counted bool) {
-	answer, err := f.exchanger.Exchange(ctx, p.Address, f.compose(false), beatTime)
-	f.messages.Add(1)
+	answer, err := f.send(ctx, p.Address, f.compose(false))
 	if ctx.Err() != nil {
 		return
 	}
@@ -209,6 +208,12 @@
 	f.repair(ctx, p, answer)
 }
 
+// send sends and counts one heartbeat.
+func (f *Fleet) send(ctx context.Context, address string, b proxy.Beat) (proxy.Beat, error) {
+	f.messages.Add(1)
+	return f.exchanger.Exchange(ctx, address, b, beatTime)
+}
+
 // repair sends what the answer shows that the other proxy lacks.
 func (f *Fleet) repair(ctx context.Context, p membership.Proxy, answer proxy.Beat) {
 	view, _ := f.members.View()
@@ -221,8 +226,7 @@
 	if answer.Version < current.Version {
 		b = withConfiguration(b, current)
 	}
-	full, err := f.exchanger.Exchange(ctx, p.Address, b, beatTime)
-	f.messages.Add(1)
+	full, err := f.send(ctx, p.Address, b)
 	if err == nil {
 		f.take(full)
 	}
@@ -336,8 +340,7 @@
 // system while the platform does not answer.
 func (f *Fleet) askSeeds(ctx context.Context) {
 	for _, address := range f.seeds {
-		answer, err := f.exchanger.Exchange(ctx, address, f.compose(true), beatTime)
-		f.messages.Add(1)
+		answer, err := f.send(ctx, address, f.compose(true))
 		if err == nil {
 			f.take(answer)
 		}
--- a/internal/host/owner/registry.go
+++ b/internal/host/owner/registry.go
@@ -148,7 +148,6 @@
 	defer r.mutex.Unlock()
 	self, _ := v.Proxy(r.self)
 	r.leaving = self.State != membership.Live
-	r.groups = list.Groups
 	for name, g := range list.Groups {
 		next, ok := r.finder.Owner(v, name)
 		held := r.owners[name]
--- a/internal/table/queue/queue.go
+++ b/internal/table/queue/queue.go
@@ -171,15 +171,6 @@
 	q.Settle(i, answer)
 }
 
-// honest returns the answer that an item may be told: one that may have run
-// is not told that it was not.
-func (i *Item) honest(a request.Answer) request.Answer {
-	if i.Ran && a.Outcome == request.NotRun {
-		return request.Lost("an earlier try may have run: " + a.Refusal.Message)
-	}
-	return a
-}
-
 // Settle delivers the answer of an item, once.
 func (q *Table) Settle(i *Item, a request.Answer) {
 	q.mutex.Lock()
@@ -187,7 +178,7 @@
 	i.settled = true
 	q.mutex.Unlock()
 	if first {
-		i.deliver(i.honest(a))
+		i.deliver(a.WithEarlierTry(i.Ran))
 	}
 }
 
@@ -254,7 +245,7 @@
 func (q *Table) Sweep() {
 	refused := q.overdue()
 	for i, answer := range refused {
-		i.deliver(i.honest(answer))
+		i.deliver(answer.WithEarlierTry(i.Ran))
 	}
 }
 
@@ -310,7 +301,7 @@
 	q.wake.Broadcast()
 	q.mutex.Unlock()
 	for _, i := range items {
-		i.deliver(i.honest(answer))
+		i.deliver(answer.WithEarlierTry(i.Ran))
 	}
 }
 
--- a/internal/trade/request/answer.go
+++ b/internal/trade/request/answer.go
@@ -140,6 +140,15 @@
 	return Refused(CodeRolledBack, message, "Run the transaction again.", 0)
 }
 
+// WithEarlierTry returns the answer that a request may be told when an earlier
+// try of it may have run: never that it was not run.
+func (a Answer) WithEarlierTry(ran bool) Answer {
+	if !ran || a.Outcome != NotRun {
+		return a
+	}
+	return Lost("an earlier try may have run: " + a.Refusal.Message)
+}
+
 // WithPosition returns an answer with a position.
 func (a Answer) WithPosition(p position.Position) Answer {
 	a.Position = p
