Do not run a batch again when a COMMIT inside it has run

Cause: a batch that a member refused because of its term was taken as not run and sent again; when the refusal came after a COMMIT in the same batch, the commit ran twice. In an open transaction such a batch was told as rolled back, or its failed last statement was answered before a majority held the commit. Change: an answer says whether a COMMIT in it has run; such a batch ends as unknown in place of being retried or told as not run, and the position of every ended transaction is asked for. Conclusion: at most once holds for batches with their own COMMIT too.

--- a/internal/host/owner/execute.go
+++ b/internal/host/owner/execute.go
@@ -55,7 +55,7 @@
 		o.failed(j, g, sent)
 		return
 	}
-	if result.Code == endpoint.CodeSuperseded {
+	if result.Code == endpoint.CodeSuperseded && !result.Committed {
 		c.Close()
 		pool.Give(c)
 		o.superseded(g)
@@ -110,7 +110,7 @@
 // endPinned settles the request that ended its transaction.
 func (o *Owner) endPinned(ctx context.Context, j queue.Job, p *pins.Pin, result endpoint.Result, err error) {
 	var at position.Position
-	if err == nil && result.Code == "" {
+	if err == nil {
 		at, err = p.Connection.Position(ctx)
 	}
 	o.pins.Remove(p.ID)
@@ -119,7 +119,7 @@
 	switch {
 	case err != nil:
 		o.queue.Settle(j.Item, lostTransaction())
-	case result.Code == endpoint.CodeSuperseded:
+	case result.Code == endpoint.CodeSuperseded && !result.Committed:
 		o.queue.Settle(j.Item, request.RolledBack("the transaction was rolled back by a change of primary"))
 	default:
 		o.release(j, p.Replica, result, at)
@@ -153,13 +153,13 @@
 
 // release delivers an answer: at once from a replica, and from the primary
 // when a majority holds what it has written or read. Without a position, a
-// statement that failed has changed nothing, and anything else may be lost
-// with the term that the member has left.
+// statement that failed without a COMMIT before it has changed nothing, and
+// anything else may be lost with the term that the member has left.
 func (o *Owner) release(j queue.Job, replica bool, result endpoint.Result, at position.Position) {
 	answer := request.Answer{
 		Outcome: request.Done, Payload: result.Payload, Status: result.Status, Replica: replica,
 	}.WithPosition(at)
-	if at.IsZero() && result.Code == "" {
+	if at.IsZero() && (result.Code == "" || result.Committed) {
 		answer = request.Lost("the group changed its primary before the answer was held by a majority")
 	}
 	if at.IsZero() || replica {
--- a/internal/lab/site/promise_test.go
+++ b/internal/lab/site/promise_test.go
@@ -19,6 +19,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/lab/group"
 	"eelgrassladder.example/eelgrassladder/internal/lab/site"
 	"eelgrassladder.example/eelgrassladder/internal/lab/workload"
+	"eelgrassladder.example/eelgrassladder/internal/peer/endpoint"
 )
 
 // inForce is the stated target for an accepted configuration at five proxies.
@@ -181,3 +182,48 @@
 		assert.Equal(t, rows, int64(i+1), "the session does not read its own write")
 	}
 }
+
+// TestWorkAfterACommitInOneBatchDoesNotRunTheCommitTwice fences the primary
+// between the COMMIT of a batch and its last statement.
+func TestWorkAfterACommitInOneBatchDoesNotRunTheCommitTwice(t *testing.T) {
+	s := start(t, group.Conditions{})
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, url(s.Addresses()[0], "deposits"))
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "CREATE TABLE orders (id bigserial, pet text)")
+	assert.NilError(t, err)
+	for i, batch := range []string{
+		"BEGIN; INSERT INTO orders (pet) VALUES ('cat'); COMMIT; SELECT pg_sleep(0.4); SELECT id FROM orders",
+		"INSERT INTO orders (pet) VALUES ('dog'); COMMIT; SELECT pg_sleep(0.4); SELECT id FROM orders",
+	} {
+		if i == 1 {
+			_, err = c.Exec(ctx, "BEGIN")
+			assert.NilError(t, err)
+		}
+		primary := s.Groups[0].Primary()
+		fence := task.New(ctx)
+		fence.Go("fence", func(ctx context.Context) error {
+			time.Sleep(200 * time.Millisecond)
+			for _, m := range s.Groups[0].Descriptions() {
+				if m.Name != primary.Name() {
+					continue
+				}
+				control := endpoint.NewControl(m.Address, "commission-orders-1", endpoint.Credentials{User: "test"})
+				defer control.Close()
+				_, err := control.Fence(ctx, primary.Progress().Term+1, "another proxy")
+				return err
+			}
+			return nil
+		})
+		_, err = c.Exec(ctx, batch)
+		assert.NilError(t, fence.Wait())
+		var e *pgconn.PgError
+		assert.Assert(t, errors.As(err, &e), "%v", err)
+		assert.Equal(t, e.Code, "08007", "the commit has run, and may be lost with its term")
+		_, err = c.Exec(ctx, "ROLLBACK")
+		assert.NilError(t, err)
+		var rows int64
+		assert.NilError(t, c.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&rows))
+		assert.Assert(t, rows <= int64(i+1), "the commit ran twice: %d rows", rows)
+	}
+}
--- a/internal/peer/endpoint/connection.go
+++ b/internal/peer/endpoint/connection.go
@@ -51,6 +51,9 @@
 	Status request.Status
 	// Code is the SQLSTATE of the first error, or empty.
 	Code string
+	// Committed is true when a COMMIT in the request has run, whatever failed
+	// after it.
+	Committed bool
 	// Position is the member's term and the last place that the request can
 	// have written or read; zero if the member did not say.
 	Position position.Position
--- a/internal/peer/endpoint/exchange.go
+++ b/internal/peer/endpoint/exchange.go
@@ -113,6 +113,7 @@
 		case 'A':
 			result.Payload = grown[:start]
 		case 'd', 'c', 'C':
+			result.Committed = result.Committed || (kind == 'C' && commitTag(message))
 			if refused {
 				result.Payload = grown[:start]
 			}
@@ -120,6 +121,12 @@
 	}
 }
 
+// commitTag reports whether a statement's end is that of a COMMIT.
+func commitTag(message []byte) bool {
+	tag, _, ok := wire.Text(wire.Body(message))
+	return ok && tag == "COMMIT"
+}
+
 // refuseCopy ends a COPY that the member has begun.
 func (c *Connection) refuseCopy() error {
 	message, err := (&pgproto3.CopyFail{Message: "COPY is not supported"}).Encode(nil)
