--- a/cmd/eelgrassladder/main.go
+++ b/cmd/eelgrassladder/main.go
@@ -13,6 +13,7 @@
 type commands struct {
 	Version   func()           `long:"version" description:"Print the version and exit"`
 	Serve     serveCommand     `command:"serve" description:"Run a proxy"`
+	Node      nodeCommand      `command:"node" description:"Run a proxy on the platform of the users"`
 	Check     checkCommand     `command:"check" description:"Check settings and configuration files without starting anything"`
 	Configure configureCommand `command:"configure" description:"Read and set the configuration of the whole system"`
 	Report    reportCommand    `command:"report" description:"Report what the system does"`
--- a/gen/http/cli/eelgrassladder/cli.go
+++ b/gen/http/cli/eelgrassladder/cli.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"os"
 
+	cloudc "eelgrassladder.example/eelgrassladder/gen/http/cloud/client"
+	kvc "eelgrassladder.example/eelgrassladder/gen/http/kv/client"
 	operatorc "eelgrassladder.example/eelgrassladder/gen/http/operator/client"
 	platformc "eelgrassladder.example/eelgrassladder/gen/http/platform/client"
 	workc "eelgrassladder.example/eelgrassladder/gen/http/work/client"
@@ -25,6 +27,8 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
+		"kv (range|watch|txn|lease|keep|end)",
+		"cloud promote",
 		"operator (configuration|history|configure|groups|burn)",
 		"platform (read|watch|swap|lease|hosts)",
 		"work run",
@@ -33,9 +37,11 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "operator configuration --token \"Odio velit.\"" + "\n" +
-		os.Args[0] + " " + "platform read --key \"Cupiditate cum.\"" + "\n" +
-		os.Args[0] + " " + "work run --body '{\n      \"Class\": \"Aut et dolorem expedita sunt nulla.\",\n      \"Database\": \"Nisi sed nam quam ut nihil.\",\n      \"Key\": \"Eum sequi nihil.\",\n      \"ReadOnly\": false,\n      \"SessionName\": \"Minus deleniti.\",\n      \"Statements\": [\n         {\n            \"Arguments\": [\n               \"Accusantium ea enim corporis rem tempore in.\",\n               \"Et consequatur labore illum.\"\n            ],\n            \"SQL\": \"Ipsum incidunt earum quas dignissimos maxime optio.\"\n         },\n         {\n            \"Arguments\": [\n               \"Accusantium ea enim corporis rem tempore in.\",\n               \"Et consequatur labore illum.\"\n            ],\n            \"SQL\": \"Ipsum incidunt earum quas dignissimos maxime optio.\"\n         }\n      ]\n   }' --session \"Ut fuga commodi quaerat incidunt.\" --caller \"Quia optio odio quisquam sit libero odio.\" --password \"Id non dolorem qui magni nobis et.\"" + "\n" +
+	return os.Args[0] + " " + "kv range --path-prefix \"Neque et et.\" --after \"Est vel ut dicta cum commodi.\"" + "\n" +
+		os.Args[0] + " " + "cloud promote --body '{\n      \"id\": \"Optio non provident cumque.\",\n      \"service\": \"Repudiandae occaecati est et odit.\"\n   }' --holder \"Eos eum qui quos et rerum.\" --token 5917667376015060287" + "\n" +
+		os.Args[0] + " " + "operator configuration --token \"Sint sequi eaque quos tempora.\"" + "\n" +
+		os.Args[0] + " " + "platform read --key \"Quo quam autem non non vero.\"" + "\n" +
+		os.Args[0] + " " + "work run --body '{\n      \"Class\": \"Ipsum ex provident.\",\n      \"Database\": \"Atque reiciendis voluptas.\",\n      \"Key\": \"Dolore velit sit.\",\n      \"ReadOnly\": false,\n      \"SessionName\": \"Dolores animi et qui et omnis sint.\",\n      \"Statements\": [\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         },\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         },\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         },\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         }\n      ]\n   }' --session \"In pariatur reprehenderit facilis.\" --caller \"Ratione placeat.\" --password \"Sunt doloremque velit molestiae omnis voluptas.\"" + "\n" +
 		""
 }
 
@@ -49,6 +55,36 @@
 	restore bool,
 ) (goa.Endpoint, any, error) {
 	var (
+		kvFlags = flag.NewFlagSet("kv", flag.ContinueOnError)
+
+		kvRangeFlags          = flag.NewFlagSet("range", flag.ExitOnError)
+		kvRangePathPrefixFlag = kvRangeFlags.String("path-prefix", "REQUIRED", "")
+		kvRangeAfterFlag      = kvRangeFlags.String("after", "", "")
+
+		kvWatchFlags          = flag.NewFlagSet("watch", flag.ExitOnError)
+		kvWatchPathPrefixFlag = kvWatchFlags.String("path-prefix", "REQUIRED", "")
+		kvWatchAfterFlag      = kvWatchFlags.String("after", "REQUIRED", "")
+		kvWatchWaitMsFlag     = kvWatchFlags.String("wait-ms", "REQUIRED", "")
+
+		kvTxnFlags    = flag.NewFlagSet("txn", flag.ExitOnError)
+		kvTxnBodyFlag = kvTxnFlags.String("body", "REQUIRED", "")
+
+		kvLeaseFlags    = flag.NewFlagSet("lease", flag.ExitOnError)
+		kvLeaseBodyFlag = kvLeaseFlags.String("body", "REQUIRED", "")
+
+		kvKeepFlags     = flag.NewFlagSet("keep", flag.ExitOnError)
+		kvKeepLeaseFlag = kvKeepFlags.String("lease", "REQUIRED", "")
+
+		kvEndFlags     = flag.NewFlagSet("end", flag.ExitOnError)
+		kvEndLeaseFlag = kvEndFlags.String("lease", "REQUIRED", "")
+
+		cloudFlags = flag.NewFlagSet("cloud", flag.ContinueOnError)
+
+		cloudPromoteFlags      = flag.NewFlagSet("promote", flag.ExitOnError)
+		cloudPromoteBodyFlag   = cloudPromoteFlags.String("body", "REQUIRED", "")
+		cloudPromoteHolderFlag = cloudPromoteFlags.String("holder", "REQUIRED", "")
+		cloudPromoteTokenFlag  = cloudPromoteFlags.String("token", "REQUIRED", "")
+
 		operatorFlags = flag.NewFlagSet("operator", flag.ContinueOnError)
 
 		operatorConfigurationFlags     = flag.NewFlagSet("configuration", flag.ExitOnError)
@@ -95,6 +131,17 @@
 		workRunCallerFlag   = workRunFlags.String("caller", "", "")
 		workRunPasswordFlag = workRunFlags.String("password", "", "")
 	)
+	kvFlags.Usage = kvUsage
+	kvRangeFlags.Usage = kvRangeUsage
+	kvWatchFlags.Usage = kvWatchUsage
+	kvTxnFlags.Usage = kvTxnUsage
+	kvLeaseFlags.Usage = kvLeaseUsage
+	kvKeepFlags.Usage = kvKeepUsage
+	kvEndFlags.Usage = kvEndUsage
+
+	cloudFlags.Usage = cloudUsage
+	cloudPromoteFlags.Usage = cloudPromoteUsage
+
 	operatorFlags.Usage = operatorUsage
 	operatorConfigurationFlags.Usage = operatorConfigurationUsage
 	operatorHistoryFlags.Usage = operatorHistoryUsage
@@ -127,6 +174,10 @@
 	{
 		svcn = flag.Arg(0)
 		switch svcn {
+		case "kv":
+			svcf = kvFlags
+		case "cloud":
+			svcf = cloudFlags
 		case "operator":
 			svcf = operatorFlags
 		case "platform":
@@ -148,6 +199,35 @@
 	{
 		epn = svcf.Arg(0)
 		switch svcn {
+		case "kv":
+			switch epn {
+			case "range":
+				epf = kvRangeFlags
+
+			case "watch":
+				epf = kvWatchFlags
+
+			case "txn":
+				epf = kvTxnFlags
+
+			case "lease":
+				epf = kvLeaseFlags
+
+			case "keep":
+				epf = kvKeepFlags
+
+			case "end":
+				epf = kvEndFlags
+
+			}
+
+		case "cloud":
+			switch epn {
+			case "promote":
+				epf = cloudPromoteFlags
+
+			}
+
 		case "operator":
 			switch epn {
 			case "configuration":
@@ -213,6 +293,35 @@
 	)
 	{
 		switch svcn {
+		case "kv":
+			c := kvc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "range":
+				endpoint = c.Range()
+				data, err = kvc.BuildRangePayload(*kvRangePathPrefixFlag, *kvRangeAfterFlag)
+			case "watch":
+				endpoint = c.Watch()
+				data, err = kvc.BuildWatchPayload(*kvWatchPathPrefixFlag, *kvWatchAfterFlag, *kvWatchWaitMsFlag)
+			case "txn":
+				endpoint = c.Txn()
+				data, err = kvc.BuildTxnPayload(*kvTxnBodyFlag)
+			case "lease":
+				endpoint = c.Lease()
+				data, err = kvc.BuildLeasePayload(*kvLeaseBodyFlag)
+			case "keep":
+				endpoint = c.Keep()
+				data, err = kvc.BuildKeepPayload(*kvKeepLeaseFlag)
+			case "end":
+				endpoint = c.End()
+				data, err = kvc.BuildEndPayload(*kvEndLeaseFlag)
+			}
+		case "cloud":
+			c := cloudc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "promote":
+				endpoint = c.Promote()
+				data, err = cloudc.BuildPromotePayload(*cloudPromoteBodyFlag, *cloudPromoteHolderFlag, *cloudPromoteTokenFlag)
+			}
 		case "operator":
 			c := operatorc.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
@@ -266,6 +375,167 @@
 	return endpoint, data, nil
 }
 
+// kvUsage displays the usage of the kv command and its subcommands.
+func kvUsage() {
+	fmt.Fprintln(os.Stderr, `The key-value store of the users' platform.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] kv COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    range: Lists the keys below a prefix, a page at a time.`)
+	fmt.Fprintln(os.Stderr, `    watch: Waits for changes below a prefix after a revision.`)
+	fmt.Fprintln(os.Stderr, `    txn: Changes keys if all conditions hold.`)
+	fmt.Fprintln(os.Stderr, `    lease: Creates a lease.`)
+	fmt.Fprintln(os.Stderr, `    keep: Renews a lease.`)
+	fmt.Fprintln(os.Stderr, `    end: Ends a lease; its keys are removed.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s kv COMMAND --help\n", os.Args[0])
+}
+func kvRangeUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] kv range", os.Args[0])
+	fmt.Fprint(os.Stderr, " -path-prefix STRING")
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists the keys below a prefix, a page at a time.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -path-prefix STRING: `)
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "kv range --path-prefix \"Neque et et.\" --after \"Est vel ut dicta cum commodi.\"")
+}
+
+func kvWatchUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] kv watch", os.Args[0])
+	fmt.Fprint(os.Stderr, " -path-prefix STRING")
+	fmt.Fprint(os.Stderr, " -after UINT64")
+	fmt.Fprint(os.Stderr, " -wait-ms UINT32")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Waits for changes below a prefix after a revision.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -path-prefix STRING: `)
+	fmt.Fprintln(os.Stderr, `    -after UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -wait-ms UINT32: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "kv watch --path-prefix \"Iusto aliquid.\" --after 7026786035131399092 --wait-ms 2068684324")
+}
+
+func kvTxnUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] kv txn", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Changes keys if all conditions hold.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "kv txn --body '{\n      \"delete-keys\": [\n         \"Aperiam consequuntur atque modi blanditiis reprehenderit sit.\",\n         \"Eum et delectus sequi.\",\n         \"Illo delectus et praesentium.\",\n         \"Eveniet excepturi labore iusto recusandae.\"\n      ],\n      \"expected-rev\": [\n         {\n            \"key\": \"Et tempora ut ad.\",\n            \"revision\": 10972373010307152611\n         },\n         {\n            \"key\": \"Et tempora ut ad.\",\n            \"revision\": 10972373010307152611\n         },\n         {\n            \"key\": \"Et tempora ut ad.\",\n            \"revision\": 10972373010307152611\n         }\n      ],\n      \"put-entries\": [\n         {\n            \"key\": \"Nobis iure.\",\n            \"lease\": 6176586728167000643,\n            \"value\": \"RGVsZW5pdGkgdm9sdXB0YXRlbSBxdWkgb2ZmaWNpaXMu\"\n         },\n         {\n            \"key\": \"Nobis iure.\",\n            \"lease\": 6176586728167000643,\n            \"value\": \"RGVsZW5pdGkgdm9sdXB0YXRlbSBxdWkgb2ZmaWNpaXMu\"\n         }\n      ]\n   }'")
+}
+
+func kvLeaseUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] kv lease", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Creates a lease.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "kv lease --body '{\n      \"ttl-ms\": 41125051\n   }'")
+}
+
+func kvKeepUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] kv keep", os.Args[0])
+	fmt.Fprint(os.Stderr, " -lease UINT64")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Renews a lease.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -lease UINT64: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "kv keep --lease 3993510740604690213")
+}
+
+func kvEndUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] kv end", os.Args[0])
+	fmt.Fprint(os.Stderr, " -lease UINT64")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Ends a lease; its keys are removed.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -lease UINT64: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "kv end --lease 13409676718973752857")
+}
+
+// cloudUsage displays the usage of the cloud command and its subcommands.
+func cloudUsage() {
+	fmt.Fprintln(os.Stderr, `Calls of the users' platform that one proxy at a time makes.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] cloud COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    promote: Names the member that leads a group from now on.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s cloud COMMAND --help\n", os.Args[0])
+}
+func cloudPromoteUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] cloud promote", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -holder STRING")
+	fmt.Fprint(os.Stderr, " -token UINT64")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Names the member that leads a group from now on.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -holder STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token UINT64: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "cloud promote --body '{\n      \"id\": \"Optio non provident cumque.\",\n      \"service\": \"Repudiandae occaecati est et odit.\"\n   }' --holder \"Eos eum qui quos et rerum.\" --token 5917667376015060287")
+}
+
 // operatorUsage displays the usage of the operator command and its subcommands.
 func operatorUsage() {
 	fmt.Fprintln(os.Stderr, `What operators read and set.`)
@@ -295,7 +565,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator configuration --token \"Odio velit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator configuration --token \"Sint sequi eaque quos tempora.\"")
 }
 
 func operatorHistoryUsage() {
@@ -313,7 +583,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --token \"Suscipit incidunt.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --token \"Qui accusantium voluptas id aut.\"")
 }
 
 func operatorConfigureUsage() {
@@ -333,7 +603,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator configure --body '{\n      \"Based\": 3104335164133954933,\n      \"ChangeID\": \"Architecto exercitationem.\",\n      \"Text\": \"Quod sapiente assumenda esse.\"\n   }' --token \"Eum omnis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator configure --body '{\n      \"Based\": 18198988708785834815,\n      \"ChangeID\": \"Eaque aut voluptas ea corporis sed.\",\n      \"Text\": \"Consequatur velit eos id.\"\n   }' --token \"Mollitia accusantium tempora beatae provident non.\"")
 }
 
 func operatorGroupsUsage() {
@@ -351,7 +621,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator groups --token \"Quidem aspernatur iste expedita et et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator groups --token \"Impedit sed.\"")
 }
 
 func operatorBurnUsage() {
@@ -369,7 +639,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator burn --token \"Sit voluptatibus illum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator burn --token \"Aut suscipit et voluptatem.\"")
 }
 
 // platformUsage displays the usage of the platform command and its subcommands.
@@ -401,7 +671,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform read --key \"Cupiditate cum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform read --key \"Quo quam autem non non vero.\"")
 }
 
 func platformWatchUsage() {
@@ -423,7 +693,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform watch --key \"Perspiciatis minus.\" --above 14157619049086010642 --wait-ms 5212795522843978692")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform watch --key \"Et dolor mollitia aspernatur incidunt aut consequatur.\" --above 1614928411678673545 --wait-ms 4256273924719024593")
 }
 
 func platformSwapUsage() {
@@ -443,7 +713,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform swap --body '{\n      \"ChangeID\": \"Ut sit ullam dignissimos nihil.\",\n      \"Expected\": 1512330733567353449,\n      \"Value\": \"Tempora velit beatae illum nesciunt deserunt.\"\n   }' --key \"Cum at nihil eveniet autem natus nostrum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform swap --body '{\n      \"ChangeID\": \"Accusantium ea enim corporis rem tempore in.\",\n      \"Expected\": 13874056272279739475,\n      \"Value\": \"Dignissimos maxime optio voluptate.\"\n   }' --key \"Et consequatur labore illum.\"")
 }
 
 func platformLeaseUsage() {
@@ -463,7 +733,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform lease --body '{\n      \"Holder\": \"Ut voluptas.\",\n      \"TermMs\": 7663971215470979708\n   }' --key \"Ut ullam molestiae.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "platform lease --body '{\n      \"Holder\": \"Modi nihil ut accusamus autem.\",\n      \"TermMs\": 1086006483378788681\n   }' --key \"Qui deleniti maiores nihil et.\"")
 }
 
 func platformHostsUsage() {
@@ -513,5 +783,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work run --body '{\n      \"Class\": \"Aut et dolorem expedita sunt nulla.\",\n      \"Database\": \"Nisi sed nam quam ut nihil.\",\n      \"Key\": \"Eum sequi nihil.\",\n      \"ReadOnly\": false,\n      \"SessionName\": \"Minus deleniti.\",\n      \"Statements\": [\n         {\n            \"Arguments\": [\n               \"Accusantium ea enim corporis rem tempore in.\",\n               \"Et consequatur labore illum.\"\n            ],\n            \"SQL\": \"Ipsum incidunt earum quas dignissimos maxime optio.\"\n         },\n         {\n            \"Arguments\": [\n               \"Accusantium ea enim corporis rem tempore in.\",\n               \"Et consequatur labore illum.\"\n            ],\n            \"SQL\": \"Ipsum incidunt earum quas dignissimos maxime optio.\"\n         }\n      ]\n   }' --session \"Ut fuga commodi quaerat incidunt.\" --caller \"Quia optio odio quisquam sit libero odio.\" --password \"Id non dolorem qui magni nobis et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work run --body '{\n      \"Class\": \"Ipsum ex provident.\",\n      \"Database\": \"Atque reiciendis voluptas.\",\n      \"Key\": \"Dolore velit sit.\",\n      \"ReadOnly\": false,\n      \"SessionName\": \"Dolores animi et qui et omnis sint.\",\n      \"Statements\": [\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         },\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         },\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         },\n         {\n            \"Arguments\": [\n               \"Architecto et minus fugit sunt maxime.\",\n               \"Quia occaecati eveniet et voluptas ut.\",\n               \"Unde ratione ea velit voluptatem consequatur quisquam.\",\n               \"Sequi necessitatibus vero officiis architecto est.\"\n            ],\n            \"SQL\": \"Id asperiores vel error.\"\n         }\n      ]\n   }' --session \"In pariatur reprehenderit facilis.\" --caller \"Ratione placeat.\" --password \"Sunt doloremque velit molestiae omnis voluptas.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -52,7 +52,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorConfigureBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Based\": 3104335164133954933,\n      \"ChangeID\": \"Architecto exercitationem.\",\n      \"Text\": \"Quod sapiente assumenda esse.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Based\": 18198988708785834815,\n      \"ChangeID\": \"Eaque aut voluptas ea corporis sed.\",\n      \"Text\": \"Consequatur velit eos id.\"\n   }'")
 		}
 	}
 	var token *string
--- a/gen/http/platform/client/cli.go
+++ b/gen/http/platform/client/cli.go
@@ -68,7 +68,7 @@
 	{
 		err = json.Unmarshal([]byte(platformSwapBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ChangeID\": \"Ut sit ullam dignissimos nihil.\",\n      \"Expected\": 1512330733567353449,\n      \"Value\": \"Tempora velit beatae illum nesciunt deserunt.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ChangeID\": \"Accusantium ea enim corporis rem tempore in.\",\n      \"Expected\": 13874056272279739475,\n      \"Value\": \"Dignissimos maxime optio voluptate.\"\n   }'")
 		}
 	}
 	var key string
@@ -93,7 +93,7 @@
 	{
 		err = json.Unmarshal([]byte(platformLeaseBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Holder\": \"Ut voluptas.\",\n      \"TermMs\": 7663971215470979708\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Holder\": \"Modi nihil ut accusamus autem.\",\n      \"TermMs\": 1086006483378788681\n   }'")
 		}
 	}
 	var key string
--- /dev/null
+++ b/internal/host/gateway/attempt.go
@@ -0,0 +1,329 @@
+package gateway
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/route"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
+)
+
+const (
+	// answerMargin is kept of a statement's time for its reply to travel.
+	answerMargin = 15 * time.Millisecond
+	// patienceShare is the part of a route's target after which a read that
+	// has no answer is tried elsewhere.
+	patienceShare = 0.6
+	// busyPause is the wait before a statement that was refused as busy is
+	// tried again where there is no other endpoint.
+	busyPause = 8 * time.Millisecond
+)
+
+// attempt is the run of one statement of a session, over as many tries as it
+// needs.
+type attempt struct {
+	gateway   *Gateway
+	session   *Session
+	statement statement.Statement
+	route     route.Route
+	version   uint64
+	// arrived is when the statement had come, and boot the same by the clock
+	// that counts suspended time.
+	arrived time.Time
+	boot    time.Duration
+	// deadline is when the client must have its reply.
+	deadline time.Time
+	// job is the request for an endpoint that was made last.
+	job work.Job
+	// tries counts endpoints that were tried.
+	tries int
+	// at is the endpoint of the last try, and asPrimary how it was chosen.
+	at        string
+	asPrimary bool
+	// done takes the reply.
+	done chan statement.Reply
+}
+
+// run runs a statement that only an endpoint can answer.
+func (s *Session) run(st statement.Statement) statement.Reply {
+	g := s.gateway
+	a := &attempt{
+		gateway: g, session: s, statement: st, arrived: g.timer.Now(), boot: g.clock.Boot(),
+		done: make(chan statement.Reply, 1),
+	}
+	if t := s.open; t != nil {
+		a.route, a.version = t.route, t.version
+	} else {
+		routes := g.routes()
+		r, ok := routes.Route(s.database)
+		if !ok {
+			return statement.Fail(statement.NoDatabase, "no route leads to database "+s.database)
+		}
+		a.route, a.version = r, routes.Version
+	}
+	a.deadline = a.arrived.Add(a.route.Timeout - answerMargin)
+	if t := s.open; t != nil && t.connection != nil {
+		g.table.Resume(t.endpoint.ID)
+		a.inTransaction()
+	} else {
+		a.submit("")
+	}
+	reply := <-a.done
+	g.observer.Answered(Answered{
+		Statement: st, Route: a.route, Version: a.version, Reply: reply, Endpoint: a.at, Primary: a.asPrimary,
+		Took: g.timer.Now().Sub(a.arrived), Tries: a.tries,
+	})
+	return reply
+}
+
+// submit asks the table for an endpoint.
+func (a *attempt) submit(avoid string) {
+	begun := a.boot
+	if t := a.session.open; t != nil {
+		begun = t.arrived
+	}
+	n := a.session.need(a.route, a.statement, begun)
+	n.Avoid = avoid
+	a.job = work.Job{
+		Need: n, Priority: a.route.Priority, Arrived: a.arrived, Deadline: a.deadline, Run: a.assigned,
+	}
+	a.gateway.table.Submit(&a.job)
+}
+
+// assigned runs on a worker once the table has an endpoint for the statement,
+// or the time to wait for one is over.
+func (a *attempt) assigned(w work.Assignment) {
+	if w.Refused {
+		a.refuse(w.Reason)
+		return
+	}
+	a.tries++
+	a.at, a.asPrimary = w.Endpoint.ID, w.Primary
+	c, ok := a.open(w)
+	if !ok {
+		return
+	}
+	if a.session.open != nil {
+		a.beginAt(w, c)
+		return
+	}
+	a.single(w, c)
+}
+
+// refuse tells the client that nothing was run.
+func (a *attempt) refuse(r work.Reason) {
+	code := statement.Busy
+	if r == work.NoProof && !a.statement.Writes() {
+		code = statement.Lagging
+	}
+	a.finish(a.session.fail(code, "waited for an endpoint: "+r.String()))
+}
+
+// finish hands the reply to the session.
+func (a *attempt) finish(r statement.Reply) { a.done <- r }
+
+// open returns the assignment's connection with the session's values in
+// force. Without one it has tried again or finished.
+func (a *attempt) open(w work.Assignment) (eelgrassladder.Connection, bool) {
+	g, c := a.gateway, w.Connection
+	if c == nil {
+		opened, reply, err := g.connect(w, a.deadline)
+		if opened == nil {
+			o := work.Outcome{Answered: err == nil, Refused: refused(err)}
+			o.Full = reply.Code == statement.Overload || reply.Code == statement.Busy
+			if reply.Code == statement.Misrouted {
+				o = work.Outcome{Refused: true}
+			}
+			g.table.Discard(w.Endpoint.ID, nil, o)
+			a.again(w, describe(reply, err), false)
+			return nil, false
+		}
+		c = opened
+	}
+	reply, err := c.Adopt(a.deadline, a.session.values, a.statement)
+	if err != nil || reply.Code != statement.OK {
+		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Answered: err == nil})
+		a.again(w, describe(reply, err), false)
+		return nil, false
+	}
+	return c, true
+}
+
+// single runs a statement outside of a transaction.
+func (a *attempt) single(w work.Assignment, c eelgrassladder.Connection) {
+	g := a.gateway
+	asked, began := g.clock.Boot(), g.timer.Now()
+	reply, err := c.Run(a.patience(began), a.statement, w.After)
+	took := g.timer.Now().Sub(began)
+	if err != nil {
+		a.unanswered(w, c, err, took)
+		return
+	}
+	o := work.Outcome{Answered: true, Applied: reply.Position}
+	if reply.Code == statement.OK {
+		o.Took = took
+		g.learn(w, a.route.Group, asked, reply, a.statement.Writes())
+	}
+	if reply.Code == statement.Lagging {
+		o.Lacked = w.After
+	}
+	g.table.Return(w.Endpoint.ID, c, o)
+	a.judge(w, reply)
+}
+
+// judge decides what the endpoint's answer means for the client.
+func (a *attempt) judge(w work.Assignment, reply statement.Reply) {
+	switch {
+	case reply.Code == statement.OK:
+		if a.statement.Writes() {
+			a.session.written = a.session.written.Later(reply.Position)
+		}
+		a.finish(reply)
+	case reply.Code.NotRun():
+		a.again(w, reply.Code.String(), false)
+	case !a.statement.Writes() && a.tries == 1 && reply.Code == statement.Failed:
+		a.again(w, reply.Code.String(), true)
+	default:
+		a.finish(reply)
+	}
+}
+
+// unanswered decides what follows when no whole answer came.
+func (a *attempt) unanswered(w work.Assignment, c eelgrassladder.Connection, err error, took time.Duration) {
+	g := a.gateway
+	late := timedOut(err)
+	if late {
+		g.drain(w, c, a.deadline)
+	} else {
+		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: refused(err)})
+	}
+	switch {
+	case !a.statement.Writes():
+		a.again(w, err.Error(), true)
+	case late:
+		a.lost(w, statement.TimedOut, err, took)
+	default:
+		a.lost(w, statement.InDoubt, err, took)
+	}
+}
+
+// lost tells the client that the outcome is not known.
+func (a *attempt) lost(w work.Assignment, c statement.Code, err error, took time.Duration) {
+	a.gateway.observer.Tried(Tried{
+		Statement: a.statement, Endpoint: w.Endpoint.ID, Reason: err.Error(), Sent: true, Took: took,
+	})
+	a.finish(statement.Fail(c, "the endpoint did not answer"))
+}
+
+// again tries another time, elsewhere if there is a choice. It is for
+// statements that have not run or only read.
+func (a *attempt) again(w work.Assignment, reason string, sent bool) {
+	now := a.gateway.timer.Now()
+	a.gateway.observer.Tried(Tried{
+		Statement: a.statement, Endpoint: w.Endpoint.ID, Reason: reason, Sent: sent, Took: now.Sub(a.arrived),
+	})
+	if !now.Add(busyPause).Before(a.deadline) {
+		a.finish(a.session.fail(statement.Busy, "no endpoint answered in time"))
+		return
+	}
+	if a.tries%3 != 0 {
+		a.submit(w.Endpoint.ID)
+		return
+	}
+	a.gateway.tasks.Detach("pause before a retry", func(ctx context.Context) {
+		pause := a.gateway.timer.Once(busyPause)
+		defer pause.Stop()
+		select {
+		case <-ctx.Done():
+		case <-pause.C():
+		}
+		a.submit(w.Endpoint.ID)
+	})
+}
+
+// patience is when a try is given up.
+func (a *attempt) patience(now time.Time) time.Time {
+	if a.statement.Writes() {
+		return a.deadline
+	}
+	d := now.Add(time.Duration(patienceShare * float64(a.route.Target)))
+	if d.After(a.deadline) {
+		return a.deadline
+	}
+	return d
+}
+
+// connect opens a connection to the endpoint of an assignment.
+func (g *Gateway) connect(w work.Assignment, deadline time.Time) (eelgrassladder.Connection, statement.Reply, error) {
+	ctx, cancel := context.WithDeadline(g.tasks.Context(), deadline)
+	defer cancel()
+	return g.connector.Connect(ctx, w.Endpoint)
+}
+
+// drain waits for an answer that comes too late, so that the connection can
+// be used again and the endpoint's work is not broken off.
+func (g *Gateway) drain(w work.Assignment, c eelgrassladder.Connection, deadline time.Time) {
+	g.tasks.Detach("late answer", func(context.Context) {
+		if err := c.Drain(deadline.Add(lateAnswer)); err != nil {
+			g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: refused(err)})
+			return
+		}
+		g.table.Return(w.Endpoint.ID, c, work.Outcome{Answered: true})
+	})
+}
+
+// lateAnswer is how long past a statement's deadline its answer is waited for.
+const lateAnswer = 500 * time.Millisecond
+
+// learn notes what an answer of the primary shows.
+func (g *Gateway) learn(w work.Assignment, group string, asked time.Duration, r statement.Reply, wrote bool) {
+	if !w.Primary || r.Position.IsZero() {
+		return
+	}
+	known, _ := g.routes().Group(group)
+	g.table.Change(group, func(l lead.Lead) lead.Lead {
+		return learned(l, w.Endpoint.ID, asked, r.Position, wrote && known.Synchronous > 0)
+	})
+}
+
+// learned is the lead after its endpoint has answered a request sent at
+// asked. An acknowledged write proves that no change of primary was under
+// way, because a change suspends the replicas that must acknowledge it.
+func learned(l lead.Lead, endpoint string, asked time.Duration, p position.Position, wrote bool) lead.Lead {
+	if l.Endpoint != endpoint {
+		return l
+	}
+	if l.Term == 0 {
+		l = l.WithTerm(p.Term)
+	}
+	if wrote && p.Term == l.Term {
+		l = l.WithProof(asked)
+	}
+	return l.WithSample(asked, p)
+}
+
+// refused reports whether an error proves that no process listens.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// timedOut reports whether an error is that of a passed deadline.
+func timedOut(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// describe says why a try failed.
+func describe(r statement.Reply, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return r.Code.String()
+}
--- /dev/null
+++ b/internal/host/gateway/gateway.go
@@ -0,0 +1,116 @@
+// Package gateway runs the statements of client sessions at the endpoints of
+// database groups. Front ends decode what clients send, call it, and encode
+// its replies.
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/worker"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/route"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
+)
+
+const (
+	// workers is how many statements run at one time at most; it is above
+	// what the endpoints' connections allow one proxy.
+	workers = 512
+	// sweepPeriod is how often waiting statements are looked at again.
+	sweepPeriod = 20 * time.Millisecond
+)
+
+// Gateway runs statements. Use New, then Start.
+type Gateway struct {
+	timer     eelgrassladder.Timer
+	clock     eelgrassladder.Clock
+	table     *work.Table
+	connector eelgrassladder.Connector
+	routes    func() route.Table
+	observer  Observer
+	tasks     *task.Group
+}
+
+// Observer is told of what happens to statements. Its methods must not block.
+type Observer interface {
+	// Answered is told of each answer to a client.
+	Answered(Answered)
+	// Tried is told of each try at an endpoint that did not end in an answer
+	// for the client.
+	Tried(Tried)
+}
+
+// Answered is the end of a client's statement. It is immutable.
+type Answered struct {
+	// Statement is what the client asked for.
+	Statement statement.Statement
+	// Route is the route that was in force.
+	Route route.Route
+	// Version is the version of the routes that was used.
+	Version uint64
+	// Reply is what the client is told.
+	Reply statement.Reply
+	// Endpoint is the ID of the endpoint that answered; empty for none.
+	Endpoint string
+	// Primary is true if the endpoint was used as the primary.
+	Primary bool
+	// Took is the time since the statement had come.
+	Took time.Duration
+	// Tries is how often an endpoint was tried.
+	Tries int
+}
+
+// Tried is one try at an endpoint that did not answer the client. It is
+// immutable.
+type Tried struct {
+	// Statement is what the client asked for.
+	Statement statement.Statement
+	// Endpoint is where it was tried.
+	Endpoint string
+	// Reason says what went wrong.
+	Reason string
+	// Sent is true if the statement may have run there.
+	Sent bool
+	// Took is the time of the try.
+	Took time.Duration
+}
+
+// New returns a gateway that takes jobs from the table.
+func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, dial eelgrassladder.Connector,
+	routes func() route.Table, o Observer, g *task.Group,
+) *Gateway {
+	return &Gateway{timer: t, clock: c, table: table, connector: dial, routes: routes, observer: o, tasks: g}
+}
+
+// Start runs the workers in the group until its context is cancelled.
+func (g *Gateway) Start() {
+	pool := worker.New(workers, g.table, func(_ context.Context, a work.Assignment) { a.Do() })
+	pool.Start(g.tasks)
+	g.tasks.Go("sweep", g.sweep)
+}
+
+// Open begins the session of a client, or says why there is none.
+func (g *Gateway) Open(database string) (*Session, statement.Reply) {
+	if _, ok := g.routes().Route(database); !ok {
+		return nil, statement.Fail(statement.NoDatabase, "no route leads to database "+database)
+	}
+	return &Session{gateway: g, database: database, prepared: map[string]statement.Shape{}}, statement.Reply{}
+}
+
+// sweep looks at waiting statements from time to time.
+func (g *Gateway) sweep(ctx context.Context) error {
+	ticks := g.timer.Subscribe(sweepPeriod)
+	defer ticks.Stop()
+	defer g.table.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C():
+			g.table.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/node/node.go
@@ -0,0 +1,150 @@
+// Package node joins the parts of one proxy process on the users' platform.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
+	"eelgrassladder.example/eelgrassladder/internal/host/proof"
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/host/watch"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+const (
+	// drainTime is how long a process that was told to stop goes on taking
+	// work: the platform's balancer sends new sessions until its second
+	// readiness probe in a row has failed, a second apart.
+	drainTime = 2300 * time.Millisecond
+	// leavePace is how often a leaving process looks whether it is done.
+	leavePace = 20 * time.Millisecond
+	// graceMargin is kept of the time before the process is killed.
+	graceMargin = 400 * time.Millisecond
+	// garbagePercent trades memory for processor time; the heap is small.
+	garbagePercent = 200
+)
+
+// Front serves clients.
+type Front interface {
+	Serve(ctx context.Context, l net.Listener) error
+	// Leave makes sessions end as soon as they are idle.
+	Leave()
+	// Connections returns the number of open connections.
+	Connections() int
+}
+
+// Parts are what the process needs of the platform.
+type Parts struct {
+	Store     eelgrassladder.KeyValue
+	Promoter  eelgrassladder.Promoter
+	Connector eelgrassladder.Connector
+	Registry  Registry
+	Clock     eelgrassladder.Clock
+	Observer  gateway.Observer
+	// Front returns the clients' front end of a gateway.
+	Front func(*gateway.Gateway, eelgrassladder.Timer, *task.Group) Front
+	// Readiness returns the handler of the readiness probe and of metrics.
+	Readiness func(ready func() bool) http.Handler
+}
+
+// Node is one proxy process. Use New, then Run.
+type Node struct {
+	settings settings.Node
+	parts    Parts
+	timer    *timer.Service
+	tasks    *task.Group
+	table    *work.Table
+	gateway  *gateway.Gateway
+	prober   *proof.Prober
+	front    Front
+	beliefs  *beliefs
+	// listed is true once the store was read for the first time.
+	listed atomic.Bool
+	// leaving is true once the process was told to stop.
+	leaving atomic.Bool
+}
+
+// New joins the parts of a process. Run starts them.
+func New(s settings.Node, p Parts) *Node {
+	n := &Node{settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs()}
+	n.table = work.New(n.timer, p.Clock, s.DataCentre)
+	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs.Routes, p.Observer, n.tasks)
+	n.prober = proof.New(n.timer, p.Clock, n.table, p.Connector, n.tasks, func(group string) []roster.Endpoint {
+		return n.beliefs.Roster().Group(group)
+	})
+	n.table.OnUnproven(n.prober.Want)
+	n.front = p.Front(n.gateway, n.timer, n.tasks)
+	return n
+}
+
+// Run runs the process until it has left after stopping has ended.
+func (n *Node) Run(stopping context.Context) error {
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 2)
+	clients, err := net.Listen("tcp4", n.settings.Callers)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	probes, err := net.Listen("tcp4", n.settings.Readiness)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	n.tasks.Go("timer", n.timer.Run)
+	n.gateway.Start()
+	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n}).Run)
+	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, clients) })
+	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, probes) })
+	n.tasks.Go("stop", func(ctx context.Context) error { return n.awaitStop(ctx, stopping) })
+	klog.InfoS("Proxy started", "Proxy", n.settings.Name, "DataCentre", n.settings.DataCentre)
+	err = n.tasks.Wait()
+	klog.InfoS("Proxy stopped", "Proxy", n.settings.Name)
+	return err
+}
+
+// Ready reports whether clients may be sent here.
+func (n *Node) Ready() bool {
+	return n.listed.Load() && !n.leaving.Load() && n.beliefs.Routes().Version > 0
+}
+
+// serveReadiness answers the readiness probe until ctx ends.
+func (n *Node) serveReadiness(ctx context.Context, l net.Listener) error {
+	server := &http.Server{Handler: n.parts.Readiness(n.Ready), ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
+
+// awaitStop leaves gracefully once stopping has ended.
+func (n *Node) awaitStop(ctx, stopping context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-stopping.Done():
+	}
+	n.leaving.Store(true)
+	klog.InfoS("Proxy is leaving", "Proxy", n.settings.Name, "Clients", n.front.Connections())
+	grace := n.settings.Grace()
+	end := n.timer.Now().Add(grace - graceMargin)
+	timer.Pause(ctx, n.timer, min(drainTime, grace/2))
+	n.front.Leave()
+	for n.front.Connections() > 0 && n.timer.Now().Before(end) {
+		timer.Pause(ctx, n.timer, leavePace)
+	}
+	n.tasks.Stop()
+	return nil
+}
--- /dev/null
+++ b/internal/host/watch/watch.go
@@ -0,0 +1,105 @@
+// Package watch follows the keys of the platform's store below a prefix.
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+)
+
+const (
+	// waitTime is how long one call waits for a change; the platform allows
+	// at most 30 s.
+	waitTime = 25 * time.Second
+	// firstPause and maxPause bound the wait after a failure.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+)
+
+// Sink takes what a Watcher has read. Its methods are called by one
+// goroutine and must not block.
+type Sink interface {
+	// Reset takes all items below the prefix; what is not among them is gone.
+	Reset(items []eelgrassladder.Item)
+	// Changed takes items that have changed.
+	Changed(items []eelgrassladder.Item)
+	// Lost says that the store does not answer, and Found that it does again.
+	Lost(err error)
+	Found()
+}
+
+// Watcher follows the keys below a prefix. Use New, then Run.
+type Watcher struct {
+	store  eelgrassladder.KeyValue
+	timer  eelgrassladder.Timer
+	prefix string
+	sink   Sink
+	// revision is where the next watch goes on; zero before the first read.
+	revision uint64
+	// failures counts failures since the last answer.
+	failures int
+}
+
+// New returns a watcher that tells the sink.
+func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, prefix string, sink Sink) *Watcher {
+	return &Watcher{store: store, timer: t, prefix: prefix, sink: sink}
+}
+
+// Run follows the keys until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := w.step(ctx)
+		if err == nil {
+			if w.failures > 0 {
+				w.sink.Found()
+			}
+			w.failures = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(err, eelgrassladder.ErrCompacted) {
+			klog.InfoS("Store has dropped the history that the watch needs; reading all keys", "Revision", w.revision)
+			w.revision = 0
+			continue
+		}
+		w.failures++
+		if w.failures == 1 {
+			w.sink.Lost(err)
+		}
+		timer.Pause(ctx, w.timer, min(firstPause<<min(w.failures-1, 6), maxPause))
+	}
+	return ctx.Err()
+}
+
+// step reads all keys, or waits for the next change.
+func (w *Watcher) step(ctx context.Context) error {
+	if w.revision == 0 {
+		items, revision, err := w.store.Range(ctx, w.prefix)
+		if err != nil {
+			return err
+		}
+		w.revision = revision
+		w.sink.Reset(items)
+		return nil
+	}
+	wait := waitTime
+	if w.failures > 0 {
+		wait = 0
+	}
+	items, revision, err := w.store.Watch(ctx, w.prefix, w.revision, wait)
+	if err != nil {
+		return err
+	}
+	w.revision = max(w.revision, revision)
+	if len(items) > 0 {
+		w.sink.Changed(items)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/policy/placement/placement.go
@@ -0,0 +1,170 @@
+// Package placement decides at which endpoint of a group a statement runs.
+package placement
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/route"
+)
+
+const (
+	// remotePenalty is the service time that an endpoint in another data
+	// centre must save to be preferred; bytes between data centres are dear.
+	remotePenalty = 12 * time.Millisecond
+	// primaryPenalty keeps reads that a replica can serve away from the
+	// primary, whose slots writes need.
+	primaryPenalty = 10 * time.Millisecond
+	// boundMargin is taken off a staleness bound.
+	boundMargin = 50 * time.Millisecond
+)
+
+// Need is what a statement or transaction asks of its endpoint. It is
+// immutable.
+type Need struct {
+	// Group is the name of the group.
+	Group string
+	// Write is true for what only the primary can run.
+	Write bool
+	// Consistency is what reads must see.
+	Consistency route.Consistency
+	// Staleness bounds the age of reads that are not Primary.
+	Staleness time.Duration
+	// Arrived is the boot time at which the statement, or the start of its
+	// transaction, had come. What reads must see is counted from there.
+	Arrived time.Duration
+	// Required is a position that reads must cover besides; may be zero.
+	Required position.Position
+	// Avoid is an endpoint that has just failed to serve the statement; it is
+	// taken only if no other can serve. May be empty.
+	Avoid string
+}
+
+// Place is what is known of an endpoint at one moment. It is immutable.
+type Place struct {
+	// ID is the endpoint's ID.
+	ID string
+	// Usable is false for an endpoint that is leaving or has failed.
+	Usable bool
+	// Local is true in the proxy's own data centre.
+	Local bool
+	// Free is true if a connection is idle or may be opened.
+	Free bool
+	// Slots is how many statements run there at one time; at least one.
+	Slots int
+	// Running is how many statements this proxy has there.
+	Running int
+	// Service is the forecast time of a statement there.
+	Service time.Duration
+	// Applied is the latest position that reads there were seen to cover.
+	Applied position.Position
+	// Behind is a position that it was lately seen to lack; zero for none.
+	Behind position.Position
+}
+
+// Choice is the outcome of Choose.
+type Choice struct {
+	// Place is the index of the chosen place; below zero if there is none.
+	Place int
+	// After is the position that the endpoint's log must hold; zero where
+	// that is certain.
+	After position.Position
+	// Unproven is true if the statement waits only for a proof of the lead
+	// or a position of the primary.
+	Unproven bool
+}
+
+// none is the choice when the statement must wait.
+var none = Choice{Place: -1}
+
+// Choose decides where the statement runs now.
+func Choose(n Need, l lead.Lead, places []Place) Choice {
+	if n.Write || n.Consistency == route.Primary {
+		return primary(n, l, places)
+	}
+	return cheapest(n, l, places)
+}
+
+// since is the time whose acknowledged commits a read must see.
+func since(n Need) time.Duration {
+	if n.Consistency == route.Primary {
+		return n.Arrived
+	}
+	return n.Arrived - n.Staleness + boundMargin
+}
+
+// primary chooses the primary, if it may be used. A write needs no proof: an
+// endpoint that no longer leads cannot acknowledge it.
+func primary(n Need, l lead.Lead, places []Place) Choice {
+	if !l.Open() {
+		return none
+	}
+	if !n.Write && !l.Valid(since(n)) {
+		return Choice{Place: -1, Unproven: true}
+	}
+	for i, p := range places {
+		if p.ID == l.Endpoint && p.Usable && p.Free {
+			return Choice{Place: i}
+		}
+	}
+	return none
+}
+
+// cheapest chooses the endpoint that is likely to answer first.
+func cheapest(n Need, l lead.Lead, places []Place) Choice {
+	bound, known := l.Bound(since(n))
+	after := bound.Later(n.Required)
+	current := l.Open() && l.Valid(since(n))
+	best, lowest := none, time.Duration(0)
+	best.Unproven = !known && !current
+	for i, p := range places {
+		leads := current && p.ID == l.Endpoint
+		if !p.Usable || !p.Free || (!leads && (!known || lacks(p, after))) {
+			continue
+		}
+		c := cost(n, p, leads)
+		if best.Place >= 0 && c >= lowest {
+			continue
+		}
+		best, lowest = Choice{Place: i, After: after}, c
+		if leads {
+			best.After = position.Position{}
+		}
+	}
+	return best
+}
+
+// lacks reports whether the place was lately seen to lack the position.
+func lacks(p Place, after position.Position) bool {
+	return !p.Behind.IsZero() && after.Covers(p.Behind)
+}
+
+// cost forecasts the time at an endpoint, with penalties for what else it
+// costs.
+func cost(n Need, p Place, leads bool) time.Duration {
+	c := p.Service * time.Duration(p.Running+p.Slots) / time.Duration(p.Slots)
+	if !p.Local {
+		c += remotePenalty
+	}
+	if leads {
+		c += primaryPenalty
+	}
+	if p.ID == n.Avoid {
+		c += time.Second
+	}
+	return c
+}
+
+// WantsProof reports whether the lead should be proven again soon, so that
+// reads like this one need not wait for it later.
+func (n Need) WantsProof(l lead.Lead, now time.Duration) bool {
+	switch {
+	case n.Write:
+		return false
+	case n.Consistency == route.Primary:
+		return now-l.Proven > lead.ProofLifetime/2
+	default:
+		return now-l.Newest() > n.Staleness/2
+	}
+}
--- a/internal/table/rank/rank.go
+++ b/internal/table/rank/rank.go
@@ -43,6 +43,8 @@
 	Connections
 	// Callers is the table of caller connections.
 	Callers
+	// Work is the table of statements that wait for an endpoint.
+	Work
 	// Burn is the table of good and bad counts.
 	Burn
 )
--- /dev/null
+++ b/internal/table/work/endpoint.go
@@ -0,0 +1,117 @@
+package work
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+const (
+	// serviceGuess is the forecast for an endpoint that has not answered yet.
+	serviceGuess = 15 * time.Millisecond
+	// serviceWeight is the part of a new measurement in the forecast.
+	serviceWeight = 0.1
+	// behindTime is how long an endpoint that lacked a position is passed by
+	// for reads that need it.
+	behindTime = 40 * time.Millisecond
+	// failureTime is how long an endpoint is passed by after a failure, and
+	// maxFailureTime after many.
+	failureTime    = 50 * time.Millisecond
+	maxFailureTime = time.Second
+	// overloadTime is how long no connection is opened after the endpoint
+	// refused one for having too many.
+	overloadTime = 200 * time.Millisecond
+)
+
+// endpoint is what the table holds of one endpoint. The table's lock guards
+// it.
+type endpoint struct {
+	// told is the endpoint as the platform last listed it.
+	told roster.Endpoint
+	// gone is true once the platform no longer lists it.
+	gone bool
+	// idle are open connections that nobody uses, the latest used last.
+	idle []eelgrassladder.Connection
+	// open counts connections, idle or not, and those being opened.
+	open int
+	// share is how many connections this proxy may hold; at least one.
+	share int
+	// running counts statements that are at the endpoint.
+	running int
+	// service is a smoothed time of a statement.
+	service time.Duration
+	// applied is the latest position that reads there were seen to cover.
+	applied position.Position
+	// behind is a position that it lacked until behindUntil.
+	behind      position.Position
+	behindUntil time.Time
+	// failures counts failures since the last answer.
+	failures int
+	// downUntil is when it is tried again after a failure.
+	downUntil time.Time
+	// fullUntil is when the next connection may be opened.
+	fullUntil time.Time
+	// heard is when the endpoint last answered anything; zero for never.
+	heard time.Time
+	// failedSince is when the first failure since then was.
+	failedSince time.Time
+	// refused is true if the last failure proves that the process is down.
+	refused bool
+}
+
+// place returns what placement may know of the endpoint.
+func (e *endpoint) place(now time.Time, dataCentre string) placement.Place {
+	p := placement.Place{
+		ID:      e.told.ID,
+		Usable:  !e.gone && !e.told.Leaving && !now.Before(e.downUntil),
+		Local:   e.told.DataCentre == dataCentre,
+		Free:    len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil)),
+		Slots:   max(e.told.Slots, 1),
+		Running: e.running,
+		Service: e.service,
+		Applied: e.applied,
+	}
+	if now.Before(e.behindUntil) && !e.applied.Covers(e.behind) {
+		p.Behind = e.behind
+	}
+	return p
+}
+
+// take returns an idle connection, or nil with room for a new one.
+func (e *endpoint) take() eelgrassladder.Connection {
+	n := len(e.idle)
+	if n == 0 {
+		e.open++
+		return nil
+	}
+	c := e.idle[n-1]
+	e.idle = e.idle[:n-1]
+	return c
+}
+
+// answered notes an answer.
+func (e *endpoint) answered(now time.Time) {
+	e.heard = now
+	e.failures = 0
+	e.refused = false
+	e.downUntil = time.Time{}
+}
+
+// failed notes that the endpoint did not answer.
+func (e *endpoint) failed(now time.Time, refused bool) {
+	if e.failures == 0 {
+		e.failedSince = now
+	}
+	e.failures++
+	e.refused = refused
+	wait := failureTime << min(e.failures-1, 5)
+	e.downUntil = now.Add(min(wait, maxFailureTime))
+}
+
+// measured puts the time of a statement into the forecast.
+func (e *endpoint) measured(took time.Duration) {
+	e.service += time.Duration(serviceWeight * float64(took-e.service))
+}
--- /dev/null
+++ b/internal/table/work/job.go
@@ -0,0 +1,76 @@
+package work
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+// Job is a statement that waits for an endpoint. Its fields do not change
+// after Submit.
+type Job struct {
+	// Need is what the statement asks of its endpoint.
+	Need placement.Need
+	// Priority is 0 for the most urgent work.
+	Priority int
+	// Arrived is when the proxy had the whole statement.
+	Arrived time.Time
+	// Deadline is when waiting for an endpoint is given up.
+	Deadline time.Time
+	// Run is called by a worker with what the table assigned.
+	Run func(Assignment)
+}
+
+// before reports whether j goes before k.
+func (j *Job) before(k *Job) bool {
+	if j.Priority != k.Priority {
+		return j.Priority < k.Priority
+	}
+	return j.Arrived.Before(k.Arrived)
+}
+
+// Assignment is what the table gives a job. It is immutable.
+type Assignment struct {
+	// Refused is true when the deadline passed; the other fields are then
+	// empty.
+	Refused bool
+	// Reason says why the job waited, for a refusal.
+	Reason Reason
+	// Endpoint is where the job shall run.
+	Endpoint roster.Endpoint
+	// After is the position that the endpoint's log must hold.
+	After position.Position
+	// Primary is true if the endpoint was chosen as the primary.
+	Primary bool
+	// Connection is idle and the job's until it is given back; nil if the job
+	// shall open one.
+	Connection eelgrassladder.Connection
+	// run is the job's function.
+	run func(Assignment)
+}
+
+// Do runs the job.
+func (a Assignment) Do() { a.run(a) }
+
+// Reason says why a job waits.
+type Reason int
+
+// The reasons.
+const (
+	// NoCapacity means that all connections of eligible endpoints are taken.
+	NoCapacity Reason = iota
+	// NoPrimary means that the primary is being replaced or unknown.
+	NoPrimary
+	// NoProof means that it is not certain what the primary has acknowledged.
+	NoProof
+	// NoEndpoint means that the group has no endpoint in use.
+	NoEndpoint
+)
+
+// String returns the name of the reason.
+func (r Reason) String() string {
+	return [...]string{"NoCapacity", "NoPrimary", "NoProof", "NoEndpoint"}[r]
+}
--- /dev/null
+++ b/internal/table/work/work.go
@@ -0,0 +1,261 @@
+// Package work is the table of statements that wait for an endpoint, of the
+// endpoints, and of the connections to them. Workers take from it what may
+// run.
+package work
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/table/rank"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+// Table holds waiting statements, endpoints and connections. Use New to make
+// one.
+type Table struct {
+	timer      eelgrassladder.Timer
+	clock      eelgrassladder.Clock
+	dataCentre string
+
+	// mutex guards the fields below.
+	mutex *rank.Mutex
+	// wake tells workers that ready is not empty.
+	wake *sync.Cond
+	// ready are assignments that no worker has taken yet.
+	ready []Assignment
+	// groups is keyed by the name of the group.
+	groups map[string]*group
+	// endpoints is keyed by ID. An endpoint that is gone stays until its last
+	// connection is closed.
+	endpoints map[string]*endpoint
+	// proxies is how many proxies share the endpoints' connections.
+	proxies int
+	// connections is how many connections an endpoint of a group takes.
+	connections func(group string) int
+	// unproven is told the name of a group whose lead must be proven.
+	unproven func(group string)
+}
+
+// group is what the table holds of a database group.
+type group struct {
+	// lead is what is known of the primary.
+	lead lead.Lead
+	// endpoints are those in use, ordered by ID.
+	endpoints []*endpoint
+	// waiting is ordered with the job that goes first at the front.
+	waiting []*Job
+}
+
+// New returns a table for a proxy in the data centre.
+func New(t eelgrassladder.Timer, c eelgrassladder.Clock, dataCentre string) *Table {
+	made := &Table{
+		timer: t, clock: c, dataCentre: dataCentre, mutex: rank.New(rank.Work), proxies: 1,
+		groups: map[string]*group{}, endpoints: map[string]*endpoint{},
+		connections: func(string) int { return 1 }, unproven: func(string) {},
+	}
+	made.wake = sync.NewCond(made.mutex)
+	return made
+}
+
+// OnUnproven sets the function that is told of a group whose lead must be
+// proven. It must not block. Call it before the table is used.
+func (t *Table) OnUnproven(f func(group string)) { t.unproven = f }
+
+// Take returns the next job that may run, or false when ctx has ended.
+func (t *Table) Take(ctx context.Context) (Assignment, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for len(t.ready) == 0 {
+		if ctx.Err() != nil {
+			return Assignment{}, false
+		}
+		t.wake.Wait()
+	}
+	a := t.ready[0]
+	t.ready = t.ready[1:]
+	return a, true
+}
+
+// Close wakes all workers, so that they see that their context has ended.
+func (t *Table) Close() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.wake.Broadcast()
+}
+
+// Submit adds a job.
+func (t *Table) Submit(j *Job) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	g := t.group(j.Need.Group)
+	if t.assign(g, j) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(g.waiting, j, func(a, b *Job) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	g.waiting = slices.Insert(g.waiting, at, j)
+}
+
+// Sweep refuses jobs whose deadline has passed and looks again at those that
+// wait. Call it from time to time.
+func (t *Table) Sweep() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.timer.Now()
+	for _, g := range t.groups {
+		g.waiting = slices.DeleteFunc(g.waiting, func(j *Job) bool {
+			if now.Before(j.Deadline) {
+				return false
+			}
+			t.push(Assignment{Refused: true, Reason: t.reason(g, j), run: j.Run})
+			return true
+		})
+		t.match(g)
+	}
+}
+
+// Lead returns what is known of a group's primary.
+func (t *Table) Lead(name string) lead.Lead {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.group(name).lead
+}
+
+// Change replaces what is known of a group's primary by what f makes of it,
+// and returns both. f must not block.
+func (t *Table) Change(name string, f func(lead.Lead) lead.Lead) (before, after lead.Lead) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	g := t.group(name)
+	before = g.lead
+	g.lead = f(before)
+	t.match(g)
+	return before, g.lead
+}
+
+// SetRoster brings the platform's list of endpoints into force.
+func (t *Table) SetRoster(r roster.Roster) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for id, e := range t.endpoints {
+		if _, ok := r.Endpoint(id); !ok {
+			e.gone = true
+			t.closeIdle(e, 0)
+			if e.open == 0 {
+				delete(t.endpoints, id)
+			}
+		}
+	}
+	for _, g := range t.groups {
+		g.endpoints = nil
+	}
+	for _, told := range r.All() {
+		e, ok := t.endpoints[told.ID]
+		if !ok {
+			e = &endpoint{service: serviceGuess, share: 1}
+			t.endpoints[told.ID] = e
+		}
+		if e.told.Born != told.Born {
+			t.closeIdle(e, 0)
+			e.applied, e.behind = position.Position{}, position.Position{}
+		}
+		e.told, e.gone = told, false
+		g := t.group(told.Group)
+		g.endpoints = append(g.endpoints, e)
+	}
+	t.divide()
+	t.matchAll()
+}
+
+// SetShares brings into force how many connections an endpoint of each group
+// takes and how many proxies share them.
+func (t *Table) SetShares(proxies int, connections func(group string) int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.proxies, t.connections = max(proxies, 1), connections
+	t.divide()
+	t.matchAll()
+}
+
+// divide sets the shares of all endpoints. Connections that the division
+// leaves over stay free for control.
+func (t *Table) divide() {
+	for _, e := range t.endpoints {
+		e.share = max(t.connections(e.told.Group)/t.proxies, 1)
+	}
+}
+
+// assign gives a job an endpoint if one is free.
+func (t *Table) assign(g *group, j *Job) bool {
+	now, boot := t.timer.Now(), t.clock.Boot()
+	places := make([]placement.Place, len(g.endpoints))
+	for i, e := range g.endpoints {
+		places[i] = e.place(now, t.dataCentre)
+	}
+	c := placement.Choose(j.Need, g.lead, places)
+	if c.Unproven || j.Need.WantsProof(g.lead, boot) {
+		t.unproven(j.Need.Group)
+	}
+	if c.Place < 0 {
+		return false
+	}
+	e := g.endpoints[c.Place]
+	e.running++
+	t.push(Assignment{
+		Endpoint: e.told, After: c.After, Connection: e.take(), run: j.Run,
+		Primary: e.told.ID == g.lead.Endpoint && c.After.IsZero(),
+	})
+	return true
+}
+
+// push hands an assignment to a worker.
+func (t *Table) push(a Assignment) {
+	t.ready = append(t.ready, a)
+	t.wake.Signal()
+}
+
+// match looks for waiting jobs of a group that may run now.
+func (t *Table) match(g *group) {
+	g.waiting = slices.DeleteFunc(g.waiting, func(j *Job) bool { return t.assign(g, j) })
+}
+
+// matchAll looks for waiting jobs of all groups that may run now.
+func (t *Table) matchAll() {
+	for _, g := range t.groups {
+		t.match(g)
+	}
+}
+
+// group returns a group, which is made if it is not there.
+func (t *Table) group(name string) *group {
+	g, ok := t.groups[name]
+	if !ok {
+		g = &group{}
+		t.groups[name] = g
+	}
+	return g
+}
+
+// reason says why a job waits.
+func (t *Table) reason(g *group, j *Job) Reason {
+	switch {
+	case len(g.endpoints) == 0:
+		return NoEndpoint
+	case j.Need.Write && !g.lead.Open():
+		return NoPrimary
+	case !g.lead.Valid(t.clock.Boot()):
+		return NoProof
+	default:
+		return NoCapacity
+	}
+}
--- /dev/null
+++ b/internal/trade/lead/lead.go
@@ -0,0 +1,146 @@
+// Package lead holds what a proxy knows of the primary of a database group:
+// which endpoint leads, how long that is certain, and how far its log had
+// come at which time.
+//
+// All times are readings of the clock that counts suspended time.
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+const (
+	// ProofLifetime is how long after a proof the primary may still answer
+	// reads that must be current. A change of primary waits as long before
+	// the next primary takes writes, so it adds to the write gap when the old
+	// primary is cut off rather than dead.
+	ProofLifetime = time.Second
+	// sampleSpacing is the least time between two kept samples.
+	sampleSpacing = 40 * time.Millisecond
+	// maxSamples bounds the memory of a group; with the spacing it covers
+	// more than the largest staleness of the users' routes (2.5 s).
+	maxSamples = 96
+)
+
+// sample is a position that the primary told.
+type sample struct {
+	// asked is when the request was sent whose answer told the position; the
+	// position covers all commits acknowledged before.
+	asked time.Duration
+	// position is the end of the primary's log.
+	position position.Position
+}
+
+// Lead is what is known of a group's primary. It is immutable.
+type Lead struct {
+	// Endpoint is the ID of the primary; empty when there is none.
+	Endpoint string
+	// Term is its term; zero when that is not known yet.
+	Term uint64
+	// Closed is true while the primary is being replaced; nothing new may be
+	// sent to it as the primary.
+	Closed bool
+	// Since is when the primary was opened or closed.
+	Since time.Duration
+	// Proven is the latest time at which the endpoint is known to have been
+	// the only primary; zero for never.
+	Proven time.Duration
+	// samples are ordered by time and never written after they were set.
+	samples []sample
+	// pending is a position that waits for a proof; zero for none.
+	pending sample
+}
+
+// WithPrimary returns the lead of an endpoint that is open for work. Samples
+// and proofs of another term are dropped.
+func (l Lead) WithPrimary(endpoint string, term uint64, now time.Duration) Lead {
+	if l.Endpoint == endpoint && l.Term == term && !l.Closed {
+		return l
+	}
+	return Lead{Endpoint: endpoint, Term: term, Since: now}
+}
+
+// WithTerm returns the lead with a term that was not known before.
+func (l Lead) WithTerm(term uint64) Lead {
+	l.Term = term
+	return l
+}
+
+// WithClosed returns the lead while its primary is being replaced.
+func (l Lead) WithClosed(now time.Duration) Lead {
+	if l.Closed {
+		return l
+	}
+	l.Closed, l.Since = true, now
+	return l
+}
+
+// WithProof returns the lead after the endpoint was seen to be the only
+// primary at some time not before asked.
+func (l Lead) WithProof(asked time.Duration) Lead {
+	l.Proven = max(l.Proven, asked)
+	if l.pending.asked > l.Newest() {
+		return l.WithSample(l.pending.asked, l.pending.position)
+	}
+	return l
+}
+
+// WithAnswer returns the lead with a position whose proof may come later: it
+// is kept if the lead is proven for asked within the lifetime of a proof.
+func (l Lead) WithAnswer(asked time.Duration, p position.Position) Lead {
+	l = l.WithSample(asked, p)
+	if l.Newest() != asked {
+		l.pending = sample{asked: asked, position: p}
+	}
+	return l
+}
+
+// WithSample returns the lead with a position that the primary told in the
+// answer to a request sent at asked. A position told without a valid proof
+// is of no use and is left out.
+func (l Lead) WithSample(asked time.Duration, p position.Position) Lead {
+	if !l.Valid(asked) || p.Term != l.Term {
+		return l
+	}
+	if n := len(l.samples); n > 0 && asked-l.samples[n-1].asked < sampleSpacing {
+		return l
+	}
+	kept := l.samples
+	if len(kept) >= maxSamples {
+		kept = kept[1:]
+	}
+	l.samples = append(slices.Clip(kept), sample{asked: asked, position: p})
+	return l
+}
+
+// Open reports whether new work may be sent to the primary.
+func (l Lead) Open() bool { return l.Endpoint != "" && !l.Closed }
+
+// Valid reports whether it is certain that the endpoint was the only primary
+// at the time.
+func (l Lead) Valid(at time.Duration) bool {
+	return l.Endpoint != "" && l.Proven > 0 && at-l.Proven < ProofLifetime
+}
+
+// Bound returns the oldest known position that covers all commits
+// acknowledged before since.
+func (l Lead) Bound(since time.Duration) (position.Position, bool) {
+	i, _ := slices.BinarySearchFunc(l.samples, since, func(s sample, t time.Duration) int {
+		return int(s.asked - t)
+	})
+	if i == len(l.samples) {
+		return position.Position{}, false
+	}
+	return l.samples[i].position, true
+}
+
+// Newest returns when the latest sample was asked for; zero for none.
+func (l Lead) Newest() time.Duration {
+	if n := len(l.samples); n > 0 {
+		return l.samples[n-1].asked
+	}
+	return 0
+}
