Replace primaries that fail or leave

Cause: nothing ordered a promotion; a failed or leaving primary stopped its group's writes for good.

Change: internal/policy/succession judges the evidence, internal/host/succession closes the group's record under a fencing token, suspends all replicas, has the longest log promoted and opens the record. Watches wait 1.2 s at a time.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -160,7 +160,7 @@
 func (a *attempt) single(w work.Assignment, c eelgrassladder.Connection) {
 	g := a.gateway
 	asked, began := g.clock.Boot(), g.timer.Now()
-	reply, err := c.Run(a.patience(began), a.statement, w.After)
+	reply, err := a.send(c, w.Endpoint.ID, a.patience(began), w.After, a.statement.Writes())
 	took := g.timer.Now().Sub(began)
 	if err != nil {
 		a.unanswered(w, c, err, took)
@@ -178,6 +178,20 @@
 	a.judge(w, reply)
 }
 
+// send runs the statement on a connection. A write is noted while its answer
+// is awaited.
+func (a *attempt) send(c eelgrassladder.Connection, id string, deadline time.Time, after position.Position,
+	writes bool,
+) (statement.Reply, error) {
+	if !writes {
+		return c.Run(deadline, a.statement, after)
+	}
+	sent := a.gateway.timer.Now()
+	a.gateway.table.WriteSent(id, sent)
+	defer a.gateway.table.WriteDone(id, sent)
+	return c.Run(deadline, a.statement, after)
+}
+
 // judge decides what the endpoint's answer means for the client.
 func (a *attempt) judge(w work.Assignment, reply statement.Reply) {
 	switch {
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -44,7 +44,8 @@
 	if a.statement.Writes() {
 		t.wrote = true
 	}
-	reply, err := c.Run(a.deadline, a.statement, position.Position{})
+	commits := a.statement.Kind == statement.Commit && t.wrote
+	reply, err := a.send(c, t.endpoint.ID, a.deadline, position.Position{}, commits)
 	took := g.timer.Now().Sub(began)
 	if err != nil {
 		a.broken(c, err)
@@ -53,14 +54,14 @@
 	o := work.Outcome{Answered: true, Applied: reply.Position}
 	if reply.Code == statement.OK {
 		o.Took = took
-		g.learn(w, t.route.Group, asked, reply, a.statement.Kind == statement.Commit && t.wrote)
+		g.learn(w, t.route.Group, asked, reply, commits)
 	}
 	if a.statement.Kind == statement.Commit {
 		a.committed(c, o, reply)
 		return
 	}
 	if reply.State != statement.InTransaction {
-		a.stopped(c, o, reply)
+		a.stopped(o, reply)
 		return
 	}
 	g.table.Keep(t.endpoint.ID, o)
@@ -84,7 +85,7 @@
 
 // stopped breaks the transaction after an answer that ended it at the
 // endpoint.
-func (a *attempt) stopped(c eelgrassladder.Connection, o work.Outcome, reply statement.Reply) {
+func (a *attempt) stopped(o work.Outcome, reply statement.Reply) {
 	t := a.session.open
 	a.gateway.table.Keep(t.endpoint.ID, o)
 	a.session.Expire()
@@ -92,7 +93,6 @@
 		reply = statement.Fail(statement.Aborted, "the endpoint ended the transaction")
 	}
 	a.finish(reply)
-	_ = c
 }
 
 // broken decides what the client is told when a statement of a transaction
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"sync"
 	"sync/atomic"
 
 	"k8s.io/klog/v2"
@@ -8,6 +10,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
+	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
 // Registry decodes what the platform keeps in its store.
@@ -26,11 +29,20 @@
 type beliefs struct {
 	routes atomic.Pointer[route.Table]
 	roster atomic.Pointer[roster.Roster]
+
+	// mutex guards the fields below. It is a leaf.
+	mutex sync.Mutex
+	// tenures is keyed by group. It is replaced, never changed.
+	tenures map[string]tenure.Tenure
+	// duty is the revision of the key of duty; zero if there is none.
+	duty uint64
+	// changed is told of each group whose record has changed.
+	changed func(group string)
 }
 
 // newBeliefs returns beliefs without routes and endpoints.
 func newBeliefs() *beliefs {
-	b := &beliefs{}
+	b := &beliefs{changed: func(string) {}}
 	b.routes.Store(&route.Table{})
 	b.roster.Store(&roster.Roster{})
 	return b
@@ -56,3 +68,45 @@
 		}
 	}
 }
+
+// Groups returns the names of the groups that routes lead to.
+func (b *beliefs) Groups() map[string]bool { return b.Routes().Groups() }
+
+// Tenure returns the record of a group.
+func (b *beliefs) Tenure(group string) tenure.Tenure {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tenures[group]
+}
+
+// Duty returns the revision of the key of duty.
+func (b *beliefs) Duty() uint64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.duty
+}
+
+// Learn takes a record and a revision of the key of duty, unless they are
+// older than what is known.
+func (b *beliefs) Learn(t tenure.Tenure, duty uint64) {
+	if b.keep(t, duty) {
+		b.changed(t.Group)
+	}
+}
+
+// keep stores what Learn was given and reports whether the record is new.
+func (b *beliefs) keep(t tenure.Tenure, duty uint64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.duty = max(b.duty, duty)
+	if t.Revision <= b.tenures[t.Group].Revision {
+		return false
+	}
+	tenures := maps.Clone(b.tenures)
+	if tenures == nil {
+		tenures = map[string]tenure.Tenure{}
+	}
+	tenures[t.Group] = t
+	b.tenures = tenures
+	return true
+}
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -9,6 +9,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
+	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
 // follower brings what the store says into force. It is used by the watcher's
@@ -49,6 +50,8 @@
 	switch {
 	case i.Key == configuration && !i.Gone:
 		f.takeRoutes(i)
+	case i.Key == tenure.DutyKey:
+		f.node.beliefs.Learn(tenure.Tenure{}, i.Revision)
 	case strings.HasPrefix(i.Key, endpoints):
 		if i.Gone {
 			id := strings.TrimPrefix(i.Key, endpoints)
@@ -63,6 +66,10 @@
 		klog.InfoS("Endpoint listed", "Endpoint", e.ID, "Group", e.Group, "Leaving", e.Leaving,
 			"Primary", e.Primary, "DataCentre", e.DataCentre, "Revision", i.Revision)
 		return r.With(e)
+	default:
+		if group, ok := tenure.Group(i.Key); ok && !i.Gone {
+			f.takeTenure(group, i)
+		}
 	}
 	return r
 }
@@ -98,20 +105,44 @@
 func (f *follower) force(r roster.Roster) {
 	f.node.beliefs.roster.Store(&r)
 	f.node.table.SetRoster(r)
-	now := f.node.parts.Clock.Boot()
-	groups := map[string]string{}
-	for _, e := range r.All() {
+	for group := range f.node.beliefs.Groups() {
+		f.node.lead(group)
+	}
+}
+
+// takeTenure takes the record of a group.
+func (f *follower) takeTenure(group string, i eelgrassladder.Item) {
+	t, err := tenure.Parse(group, i.Value, i.Revision)
+	if err != nil {
+		klog.ErrorS(err, "Record of a primary cannot be read", "Key", i.Key, "Revision", i.Revision)
+		return
+	}
+	f.node.beliefs.Learn(t, 0)
+}
+
+// lead brings into force who leads a group: the record says so, and before
+// the first record the endpoints themselves do.
+func (n *Node) lead(group string) {
+	t, now := n.beliefs.Tenure(group), n.parts.Clock.Boot()
+	claimant := ""
+	for _, e := range n.beliefs.Roster().Group(group) {
 		if e.Primary {
-			groups[e.Group] = e.ID
+			claimant = e.ID
 		}
 	}
-	for group, id := range groups {
-		f.node.table.Change(group, func(l lead.Lead) lead.Lead {
-			if l.Endpoint == id {
-				return l
-			}
-			klog.InfoS("Primary known", "Group", group, "Endpoint", id, "Before", l.Endpoint)
-			return l.WithPrimary(id, 0, now)
-		})
+	before, after := n.table.Change(group, func(l lead.Lead) lead.Lead {
+		switch {
+		case t.Closed:
+			return l.WithClosed(now)
+		case t.Revision > 0:
+			return l.WithPrimary(t.Endpoint, t.Term, now)
+		case claimant != "" && claimant != l.Endpoint:
+			return l.WithPrimary(claimant, 0, now)
+		}
+		return l
+	})
+	if before.Endpoint != after.Endpoint || before.Closed != after.Closed {
+		klog.InfoS("Primary changed", "Group", group, "Endpoint", after.Endpoint, "Term", after.Term,
+			"Closed", after.Closed, "Before", before.Endpoint, "Revision", t.Revision, "Holder", t.Holder)
 	}
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -16,6 +16,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/proof"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/host/succession"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/host/watch"
@@ -68,6 +69,7 @@
 	table    *work.Table
 	gateway  *gateway.Gateway
 	prober   *proof.Prober
+	keeper   *succession.Keeper
 	front    Front
 	beliefs  *beliefs
 	// listed is true once the store was read for the first time.
@@ -84,6 +86,8 @@
 	n.prober = proof.New(n.timer, p.Clock, n.table, p.Connector, n.tasks, func(group string) []roster.Endpoint {
 		return n.beliefs.Roster().Group(group)
 	})
+	n.beliefs.changed = n.lead
+	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, p.Connector, p.Store, p.Promoter, n.beliefs, n.tasks)
 	n.table.OnUnproven(n.prober.Want)
 	n.front = p.Front(n.gateway, n.timer, n.tasks)
 	return n
@@ -104,6 +108,7 @@
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
 	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n}).Run)
+	n.tasks.Go("primaries", n.keeper.Run)
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, clients) })
 	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, probes) })
 	n.tasks.Go("stop", func(ctx context.Context) error { return n.awaitStop(ctx, stopping) })
--- /dev/null
+++ b/internal/host/succession/change.go
@@ -0,0 +1,304 @@
+package succession
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
+)
+
+const (
+	// holdTime is how long a holder may act on its token. It is less than the
+	// time after which another proxy takes an abandoned change over.
+	holdTime = 2500 * time.Millisecond
+	// quiesceTime lets work in flight at a primary end before a planned
+	// change stops it.
+	quiesceTime = 100 * time.Millisecond
+	// orderTime bounds one order to an endpoint.
+	orderTime = 300 * time.Millisecond
+	// pollTime is the pause between questions whether a member leads yet.
+	pollTime = 40 * time.Millisecond
+	// promoteTime is how long a member may take to lead; it takes 300 to
+	// 600 ms.
+	promoteTime = 1500 * time.Millisecond
+	// openPause is the wait before the record is opened once more.
+	openPause = 60 * time.Millisecond
+)
+
+// change is one change of primary.
+type change struct {
+	keeper *Keeper
+	group  string
+	reason policy.Reason
+	// dead is true if the old primary's process is known to be down.
+	dead bool
+	// old is the primary that is replaced; its ID may be empty.
+	old roster.Endpoint
+	// record is the closed record that this change has written.
+	record tenure.Tenure
+	// began is when the change took its token.
+	began time.Duration
+}
+
+// change replaces the primary of a group.
+func (k *Keeper) change(ctx context.Context, group string, reason policy.Reason, e policy.Evidence) {
+	l := k.table.Lead(group)
+	if (l.Closed && reason != policy.Abandoned) || ctx.Err() != nil {
+		return
+	}
+	c := &change{keeper: k, group: group, reason: reason, dead: e.Refused && e.Failures >= 2}
+	c.old, _ = k.beliefs.Roster().Endpoint(l.Endpoint)
+	c.old.ID = l.Endpoint
+	if err := c.close(ctx, l); err != nil {
+		klog.InfoS("Change of primary not begun", "Group", group, "Reason", reason.String(), "Error", err.Error())
+		return
+	}
+	klog.InfoS("Change of primary begun", "Group", group, "Reason", reason.String(), "Primary", l.Endpoint,
+		"Term", l.Term, "Token", c.record.Revision, "SilentMs", e.Silent.Milliseconds(), "Failures", e.Failures,
+		"Refused", e.Refused, "StalledMs", e.Stalled.Milliseconds())
+	for ctx.Err() == nil && k.clock.Boot()-c.began < holdTime {
+		next, term, err := c.promote(ctx)
+		if err == nil {
+			c.open(ctx, next, term)
+			return
+		}
+		klog.InfoS("Change of primary goes on", "Group", group, "Token", c.record.Revision, "Error", err.Error())
+		timer.Pause(ctx, k.timer, pollTime)
+	}
+	klog.InfoS("Change of primary given up", "Group", group, "Token", c.record.Revision)
+}
+
+// close takes the token and closes the group's record for all proxies.
+func (c *change) close(ctx context.Context, l lead.Lead) error {
+	k := c.keeper
+	before, duty := k.beliefs.Tenure(c.group), k.beliefs.Duty()
+	record := tenure.Tenure{Group: c.group, Endpoint: l.Endpoint, Term: max(l.Term, before.Term)}.WithClosed(k.name)
+	c.began = k.clock.Boot()
+	revision, err := k.store.Apply(ctx,
+		[]eelgrassladder.Expectation{
+			{Key: tenure.Key(c.group), Revision: before.Revision}, {Key: tenure.DutyKey, Revision: duty},
+		},
+		[]eelgrassladder.Put{
+			{Key: tenure.Key(c.group), Value: record.Bytes()}, {Key: tenure.DutyKey, Value: []byte(k.name)},
+		}, nil)
+	if err != nil {
+		return err
+	}
+	c.record = record.WithRevision(revision)
+	k.beliefs.Learn(c.record, revision)
+	return nil
+}
+
+// promote suspends the replicas, has the best one promoted and waits until
+// it leads. It returns that member and its term.
+func (c *change) promote(ctx context.Context) (string, uint64, error) {
+	k := c.keeper
+	if c.reason == policy.Leaving {
+		timer.Pause(ctx, k.timer, quiesceTime)
+	}
+	others := c.others()
+	term, leading, err := c.newest(ctx, others)
+	if err != nil {
+		return "", 0, err
+	}
+	if leading != "" {
+		return leading, term, c.settle(ctx, k.clock.Boot())
+	}
+	candidates, err := c.suspend(ctx, others, term+1)
+	if err != nil {
+		return "", 0, err
+	}
+	suspended := k.clock.Boot()
+	next, ok := policy.Elect(candidates)
+	if !ok {
+		return "", 0, errors.New("no replica answers")
+	}
+	if k.clock.Boot()-c.began > holdTime {
+		return "", 0, errors.New("the token is too old")
+	}
+	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
+		"Candidates", len(candidates), "Token", c.record.Revision)
+	if err := k.promoter.Promote(ctx, c.group, next.ID, c.record.Revision); err != nil {
+		klog.InfoS("Promotion without an answer", "Group", c.group, "Endpoint", next.ID, "Error", err.Error())
+	}
+	led, err := c.awaitLead(ctx, next.ID, term)
+	if err != nil {
+		return "", 0, err
+	}
+	return next.ID, led, c.settle(ctx, suspended)
+}
+
+// others returns the members of the group besides the old primary.
+func (c *change) others() []roster.Endpoint {
+	var others []roster.Endpoint
+	for _, e := range c.keeper.beliefs.Roster().Group(c.group) {
+		if e.ID != c.old.ID {
+			others = append(others, e)
+		}
+	}
+	return others
+}
+
+// answer is what one member told.
+type answer struct {
+	endpoint roster.Endpoint
+	status   roster.Status
+	err      error
+}
+
+// each asks all endpoints at once.
+func (c *change) each(ctx context.Context, all []roster.Endpoint, ask func(*control) (roster.Status, error)) []answer {
+	answers := make([]answer, len(all))
+	var mutex sync.Mutex
+	g := task.New(ctx)
+	for i, e := range all {
+		g.Go("order to an endpoint", func(ctx context.Context) error {
+			a := answer{endpoint: e}
+			var connection *control
+			if connection, a.err = c.keeper.dial(ctx, e); a.err == nil {
+				a.status, a.err = ask(connection)
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers[i] = a
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return answers
+}
+
+// newest returns the newest term that the members know, and the one that
+// already leads a term above the old primary's.
+func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, string, error) {
+	term, leading := c.record.Term, ""
+	answers := c.each(ctx, others, func(n *control) (roster.Status, error) {
+		s, reply, err := n.connection.Status(c.keeper.timer.Now().Add(orderTime))
+		n.release(err)
+		if err == nil && reply.Code != 0 {
+			err = errors.Errorf("no status: %v", reply.Code)
+		}
+		return s, err
+	})
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		if a.status.Primary && a.status.Term > c.record.Term && c.record.Term > 0 {
+			leading = a.endpoint.ID
+		}
+		term = max(term, a.status.Term, a.status.Suspended)
+	}
+	if len(answers) == 0 {
+		return 0, "", errors.New("the group has no replica")
+	}
+	return term, leading, nil
+}
+
+// suspend stops all replicas from receiving. All of them must answer: one
+// that goes on could acknowledge writes of the old primary.
+func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) ([]policy.Candidate, error) {
+	answers := c.each(ctx, others, func(n *control) (roster.Status, error) {
+		s, reply, err := n.connection.Suspend(c.keeper.timer.Now().Add(orderTime), term)
+		n.release(err)
+		if err == nil && reply.Code != 0 {
+			err = errors.Errorf("not suspended: %v %s", reply.Code, reply.Detail)
+		}
+		return s, err
+	})
+	candidates := make([]policy.Candidate, 0, len(answers))
+	for _, a := range answers {
+		if a.err != nil {
+			return nil, errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
+		}
+		candidates = append(candidates, policy.Candidate{
+			ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving,
+		})
+	}
+	return candidates, nil
+}
+
+// awaitLead asks a member until it leads a term above the old one.
+func (c *change) awaitLead(ctx context.Context, id string, old uint64) (uint64, error) {
+	k := c.keeper
+	end := k.clock.Boot() + promoteTime
+	for k.clock.Boot() < end && ctx.Err() == nil {
+		timer.Pause(ctx, k.timer, pollTime)
+		e, ok := k.beliefs.Roster().Endpoint(id)
+		if !ok {
+			return 0, errors.Errorf("endpoint %s is gone", id)
+		}
+		answers := c.each(ctx, []roster.Endpoint{e}, func(n *control) (roster.Status, error) {
+			s, _, err := n.connection.Status(k.timer.Now().Add(orderTime))
+			n.release(err)
+			return s, err
+		})
+		if a := answers[0]; a.err == nil && a.status.Primary && a.status.Term > c.record.Term {
+			return a.status.Term, nil
+		}
+	}
+	return 0, errors.Errorf("endpoint %s does not lead after term %d", id, old)
+}
+
+// settle waits until no proxy can still hold the old primary for the current
+// one. That is at once if its process is down.
+func (c *change) settle(ctx context.Context, suspended time.Duration) error {
+	if c.dead {
+		return nil
+	}
+	if rest := suspended + lead.ProofLifetime - c.keeper.clock.Boot(); rest > 0 {
+		timer.Pause(ctx, c.keeper.timer, rest)
+	}
+	return ctx.Err()
+}
+
+// open opens the record for the new primary, and tells the old one.
+func (c *change) open(ctx context.Context, id string, term uint64) {
+	k := c.keeper
+	record := c.record.WithPrimary(id, term)
+	for ctx.Err() == nil {
+		now := k.beliefs.Tenure(c.group)
+		if now.Revision > c.record.Revision {
+			break
+		}
+		revision, err := k.store.Apply(ctx,
+			[]eelgrassladder.Expectation{{Key: tenure.Key(c.group), Revision: c.record.Revision}},
+			[]eelgrassladder.Put{{Key: tenure.Key(c.group), Value: record.Bytes()}}, nil)
+		if err == nil {
+			k.beliefs.Learn(record.WithRevision(revision), 0)
+			klog.InfoS("Change of primary done", "Group", c.group, "Primary", id, "Term", term,
+				"Reason", c.reason.String(), "TookMs", (k.clock.Boot() - c.began).Milliseconds())
+			break
+		}
+		klog.InfoS("Record not opened yet", "Group", c.group, "Error", err.Error())
+		timer.Pause(ctx, k.timer, openPause)
+	}
+	c.demote(ctx, term)
+}
+
+// demote makes the old primary a replica, if it can be reached.
+func (c *change) demote(ctx context.Context, term uint64) {
+	if c.old.Address == "" || c.dead {
+		return
+	}
+	answers := c.each(ctx, []roster.Endpoint{c.old}, func(n *control) (roster.Status, error) {
+		s, reply, err := n.connection.Demote(c.keeper.timer.Now().Add(orderTime), term)
+		n.release(err)
+		klog.InfoS("Old primary told to follow", "Group", c.group, "Endpoint", c.old.ID, "Code", reply.Code.String(),
+			"Status", s, "Position", reply.Position.String())
+		return s, err
+	})
+	if err := answers[0].err; err != nil {
+		klog.InfoS("Old primary not told", "Group", c.group, "Endpoint", c.old.ID, "Error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/host/succession/keeper.go
@@ -0,0 +1,216 @@
+// Package succession watches the primaries of all groups and replaces those
+// that fail or leave.
+//
+// A change of primary closes the group's record in the store, suspends all
+// replicas, so that the old primary can acknowledge nothing more, has the
+// replica with the longest log promoted, and opens the record for it once no
+// proxy can still hold the old primary for the current one.
+package succession
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
+)
+
+const (
+	// tick is how often the primaries are looked at.
+	tick = 50 * time.Millisecond
+	// probeTime bounds one question to a silent primary.
+	probeTime = 200 * time.Millisecond
+	// jitter spreads the proxies that see the same sign; the others then hear
+	// of the change that the first has begun.
+	jitter = 25 * time.Millisecond
+)
+
+// Beliefs are what the process takes to be in force.
+type Beliefs interface {
+	// Roster returns the endpoints in use.
+	Roster() roster.Roster
+	// Groups returns the names of the groups that routes lead to.
+	Groups() map[string]bool
+	// Tenure returns the record of a group, as the store last told it.
+	Tenure(group string) tenure.Tenure
+	// Duty returns the revision of the key of duty, as the store last told it.
+	Duty() uint64
+	// Learn takes a record and the revision of the key of duty that the
+	// process itself has written.
+	Learn(t tenure.Tenure, duty uint64)
+}
+
+// Keeper watches and replaces primaries. Use New, then Run.
+type Keeper struct {
+	name      string
+	timer     eelgrassladder.Timer
+	clock     eelgrassladder.Clock
+	table     *work.Table
+	connector eelgrassladder.Connector
+	store     eelgrassladder.KeyValue
+	promoter  eelgrassladder.Promoter
+	beliefs   Beliefs
+	tasks     *task.Group
+
+	// mutex guards the fields below. It is a leaf.
+	mutex sync.Mutex
+	// watched is keyed by group.
+	watched map[string]*watched
+}
+
+// watched is what the keeper remembers of a group.
+type watched struct {
+	// busy is true while a question or a change is under way.
+	busy bool
+	// failed is when the primary last left a question of the keeper without
+	// an answer.
+	failed time.Time
+	// primary is the primary that the times below are about.
+	primary string
+	// began is when the keeper first saw it.
+	began time.Time
+	// unlisted is since when the platform's list lacks it; zero if it does not.
+	unlisted time.Time
+	// orphaned is since when the group has no primary; zero if it has one.
+	orphaned time.Time
+}
+
+// New returns a keeper for the proxy with the name.
+func New(name string, t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table,
+	dial eelgrassladder.Connector, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, b Beliefs, g *task.Group,
+) *Keeper {
+	return &Keeper{
+		name: name, timer: t, clock: c, table: table, connector: dial, store: store, promoter: p, beliefs: b, tasks: g,
+		watched: map[string]*watched{},
+	}
+}
+
+// Run watches the primaries until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticks := k.timer.Subscribe(tick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C():
+			for group := range k.beliefs.Groups() {
+				k.look(group)
+			}
+		}
+	}
+}
+
+// look judges one group.
+func (k *Keeper) look(group string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w, ok := k.watched[group]
+	if !ok {
+		w = &watched{}
+		k.watched[group] = w
+	}
+	if w.busy {
+		return
+	}
+	e := k.evidence(group, w)
+	if reason := policy.Judge(e); reason != policy.None {
+		w.busy = true
+		k.tasks.Detach("change of primary", func(ctx context.Context) {
+			defer k.rest(w)
+			timer.Pause(ctx, k.timer, rand.N(jitter))
+			k.change(ctx, group, reason, e)
+		})
+		return
+	}
+	if policy.Asks(e) {
+		w.busy = true
+		k.tasks.Detach("question to a primary", func(ctx context.Context) {
+			defer k.rest(w)
+			k.probe(ctx, group, w)
+		})
+	}
+}
+
+// rest lets the group be looked at again.
+func (k *Keeper) rest(w *watched) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w.busy = false
+}
+
+// evidence collects what is known of a group's primary. The caller holds the
+// mutex.
+func (k *Keeper) evidence(group string, w *watched) policy.Evidence {
+	now, l, r := k.timer.Now(), k.table.Lead(group), k.beliefs.Roster()
+	if w.primary != l.Endpoint {
+		*w = watched{primary: l.Endpoint, began: now}
+	}
+	e := policy.Evidence{Known: l.Endpoint != "", Closed: l.Closed, Since: k.clock.Boot() - l.Since}
+	for _, one := range r.Group(group) {
+		if one.ID != l.Endpoint && !one.Leaving {
+			e.Successors++
+		}
+	}
+	if !e.Known {
+		if w.orphaned.IsZero() {
+			w.orphaned = now
+		}
+		e.Since = now.Sub(w.orphaned)
+		return e
+	}
+	w.orphaned = time.Time{}
+	told, listed := r.Endpoint(l.Endpoint)
+	e.Listed, e.Leaving = listed, listed && told.Leaving
+	if listed {
+		w.unlisted = time.Time{}
+	} else if w.unlisted.IsZero() {
+		w.unlisted = now
+	}
+	if !listed {
+		e.Unlisted = now.Sub(w.unlisted)
+		e.Failures = 1
+	}
+	h := k.table.Health(l.Endpoint)
+	e.Failures = max(e.Failures, h.Failures)
+	e.Refused = h.Refused
+	heard := h.Heard
+	if heard.Before(w.began) {
+		heard = w.began
+	}
+	e.Silent = now.Sub(heard)
+	e.Probed = !w.failed.IsZero() && w.failed.After(heard)
+	if !h.Waiting.IsZero() {
+		e.Stalled = now.Sub(h.Waiting)
+	}
+	return e
+}
+
+// probe asks a silent primary for its status on a connection of its own.
+func (k *Keeper) probe(ctx context.Context, group string, w *watched) {
+	l := k.table.Lead(group)
+	told, ok := k.beliefs.Roster().Endpoint(l.Endpoint)
+	if !ok {
+		return
+	}
+	c, err := k.dial(ctx, told)
+	if err == nil {
+		_, _, err = c.connection.Status(k.timer.Now().Add(probeTime))
+		c.release(err)
+	}
+	if err != nil {
+		klog.InfoS("Primary did not answer", "Group", group, "Endpoint", told.ID, "Reason", err.Error())
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
+		w.failed = k.timer.Now()
+	}
+}
--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// waitTime is how long one call waits for a change; the platform allows
-	// at most 30 s.
-	waitTime = 25 * time.Second
+	// waitTime is how long one call waits for a change. A watch that waits may
+	// miss changes while the store drops its history; the next call shows
+	// them. The platform wants a configuration in force within 3 s.
+	waitTime = 1200 * time.Millisecond
 	// firstPause and maxPause bound the wait after a failure.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
--- /dev/null
+++ b/internal/policy/succession/succession.go
@@ -0,0 +1,159 @@
+// Package succession decides when the primary of a database group is
+// replaced, and by whom. It does no I/O.
+package succession
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+const (
+	// suspicion is the silence after which an unanswered primary is asked.
+	suspicion = 150 * time.Millisecond
+	// quiet is the silence after which a primary without traffic is asked.
+	quiet = 500 * time.Millisecond
+	// downSilence is how long a primary must be silent while its host refuses
+	// connections, so that one broken connection is not taken for a crash.
+	downSilence = 100 * time.Millisecond
+	// darkSilence is how long a primary may be silent without any sign.
+	darkSilence = 450 * time.Millisecond
+	// stallTime is how long a commit may wait for a replica.
+	stallTime = 500 * time.Millisecond
+	// abandonedTime is how long a change of primary may take before another
+	// proxy takes it over. A holder gives up well before.
+	abandonedTime = 4 * time.Second
+	// goneTime is how long the store's list may lack a primary; entries that
+	// lapsed with the store are back within 2 s.
+	goneTime = 2500 * time.Millisecond
+	// orphanTime is how long a group may be without any primary.
+	orphanTime = time.Second
+)
+
+// Reason says why a primary is replaced.
+type Reason int
+
+// The reasons.
+const (
+	// None means that the primary stays.
+	None Reason = iota
+	// Down means that its host refuses connections.
+	Down
+	// Dark means that it does not answer.
+	Dark
+	// Leaving means that the platform takes it away.
+	Leaving
+	// Gone means that the platform no longer lists it.
+	Gone
+	// Stalled means that its commits are not acknowledged.
+	Stalled
+	// Orphaned means that nobody leads.
+	Orphaned
+	// Abandoned means that a proxy began a change and did not end it.
+	Abandoned
+)
+
+// String returns the name of the reason.
+func (r Reason) String() string {
+	return [...]string{"None", "Down", "Dark", "Leaving", "Gone", "Stalled", "Orphaned", "Abandoned"}[r]
+}
+
+// Evidence is what one proxy knows of a group's primary. It is immutable.
+type Evidence struct {
+	// Known is false if no endpoint is known to lead.
+	Known bool
+	// Since is how long the present state has lasted.
+	Since time.Duration
+	// Closed is true while a proxy replaces the primary.
+	Closed bool
+	// Listed is false if the platform's list lacks the primary, for Unlisted.
+	Listed   bool
+	Unlisted time.Duration
+	// Leaving is true if the platform takes the primary away.
+	Leaving bool
+	// Silent is the time since the primary last answered anything.
+	Silent time.Duration
+	// Failures counts tries without an answer since then.
+	Failures int
+	// Refused is true if the last failure was a refused connection.
+	Refused bool
+	// Probed is true if a question of the last moments went unanswered.
+	Probed bool
+	// Stalled is how long the oldest commit has waited for its answer.
+	Stalled time.Duration
+	// Successors is how many other endpoints could lead.
+	Successors int
+}
+
+// Judge decides whether the primary is replaced.
+func Judge(e Evidence) Reason {
+	switch {
+	case e.Successors == 0:
+		return None
+	case e.Closed:
+		return when(e.Since > abandonedTime, Abandoned)
+	case !e.Known:
+		return when(e.Since > orphanTime, Orphaned)
+	case e.Leaving:
+		return Leaving
+	case e.Refused && e.Failures >= 2 && e.Silent > downSilence:
+		return Down
+	case e.Probed && e.Failures >= 2 && e.Silent > darkSilence:
+		return Dark
+	case !e.Listed && e.Unlisted > goneTime && e.Failures > 0:
+		return Gone
+	case e.Stalled > stallTime:
+		return Stalled
+	}
+	return None
+}
+
+// Asks reports whether the primary shall be asked for its status now.
+func Asks(e Evidence) bool {
+	if !e.Known || e.Closed {
+		return false
+	}
+	return e.Silent > quiet || (e.Failures > 0 && (e.Silent > suspicion || e.Refused))
+}
+
+// when returns the reason if the condition holds.
+func when(holds bool, r Reason) Reason {
+	if holds {
+		return r
+	}
+	return None
+}
+
+// Candidate is an endpoint that was suspended for a change of primary.
+type Candidate struct {
+	// ID is the endpoint's ID.
+	ID string
+	// Received is the end of its log.
+	Received position.Position
+	// Leaving is true if the platform takes it away.
+	Leaving bool
+}
+
+// Elect returns the candidate that leads next: the one whose log holds the
+// most, and of two equal logs the one that stays.
+func Elect(all []Candidate) (Candidate, bool) {
+	if len(all) == 0 {
+		return Candidate{}, false
+	}
+	best := all[0]
+	for _, c := range all[1:] {
+		if better(c, best) {
+			best = c
+		}
+	}
+	return best, true
+}
+
+// better reports whether c leads rather than d.
+func better(c, d Candidate) bool {
+	if c.Received != d.Received {
+		return c.Received.Term > d.Received.Term ||
+			(c.Received.Term == d.Received.Term && c.Received.Log > d.Received.Log)
+	}
+	return d.Leaving && !c.Leaving
+}
--- a/internal/table/work/connections.go
+++ b/internal/table/work/connections.go
@@ -140,3 +140,12 @@
 	e.running++
 	return e.take(), true
 }
+
+// Note notes what a use of an endpoint outside of the table has shown.
+func (t *Table) Note(id string, o Outcome) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if e, ok := t.endpoints[id]; ok {
+		t.observe(e, o)
+	}
+}
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -56,8 +56,8 @@
 	fullUntil time.Time
 	// heard is when the endpoint last answered anything; zero for never.
 	heard time.Time
-	// failedSince is when the first failure since then was.
-	failedSince time.Time
+	// writes holds when each write without an answer was sent.
+	writes []time.Time
 	// refused is true if the last failure proves that the process is down.
 	refused bool
 }
@@ -102,9 +102,6 @@
 
 // failed notes that the endpoint did not answer.
 func (e *endpoint) failed(now time.Time, refused bool) {
-	if e.failures == 0 {
-		e.failedSince = now
-	}
 	e.failures++
 	e.refused = refused
 	wait := failureTime << min(e.failures-1, 5)
--- /dev/null
+++ b/internal/table/work/health.go
@@ -0,0 +1,56 @@
+package work
+
+import (
+	"slices"
+	"time"
+)
+
+// Health is what the use of an endpoint has shown of it. It is immutable.
+type Health struct {
+	// Heard is when it last answered anything; zero for never.
+	Heard time.Time
+	// Failures counts tries without an answer since then.
+	Failures int
+	// Refused is true if the last failure proves that no process listens.
+	Refused bool
+	// Waiting is when the oldest write without an answer was sent; zero if
+	// there is none.
+	Waiting time.Time
+}
+
+// Health returns what is known of an endpoint.
+func (t *Table) Health(id string) Health {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e, ok := t.endpoints[id]
+	if !ok {
+		return Health{}
+	}
+	h := Health{Heard: e.heard, Failures: e.failures, Refused: e.refused}
+	if len(e.writes) > 0 {
+		h.Waiting = slices.MinFunc(e.writes, time.Time.Compare)
+	}
+	return h
+}
+
+// WriteSent notes that a write was sent to an endpoint.
+func (t *Table) WriteSent(id string, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if e, ok := t.endpoints[id]; ok {
+		e.writes = append(e.writes, at)
+	}
+}
+
+// WriteDone notes that the write that was sent then has ended.
+func (t *Table) WriteDone(id string, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e, ok := t.endpoints[id]
+	if !ok {
+		return
+	}
+	if i := slices.Index(e.writes, at); i >= 0 {
+		e.writes = slices.Delete(e.writes, i, i+1)
+	}
+}
--- a/internal/trade/lead/lead.go
+++ b/internal/trade/lead/lead.go
@@ -57,7 +57,8 @@
 // WithPrimary returns the lead of an endpoint that is open for work. Samples
 // and proofs of another term are dropped.
 func (l Lead) WithPrimary(endpoint string, term uint64, now time.Duration) Lead {
-	if l.Endpoint == endpoint && l.Term == term && !l.Closed {
+	if l.Endpoint == endpoint && !l.Closed && (l.Term == term || l.Term == 0) {
+		l.Term = term
 		return l
 	}
 	return Lead{Endpoint: endpoint, Term: term, Since: now}
--- /dev/null
+++ b/internal/trade/tenure/tenure.go
@@ -0,0 +1,79 @@
+// Package tenure holds the record of who leads a database group. The records
+// lie in the platform's store; a group without one has had no change of
+// primary yet.
+package tenure
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// prefix is where the records lie in the store.
+	prefix = "eelgrassladder/primaries/"
+	// DutyKey is the key whose revision is the fencing token of promotions.
+	DutyKey = "eelgrassladder/duty"
+)
+
+// Tenure is the record of a group. It is immutable.
+type Tenure struct {
+	// Group is the name of the group; it is part of the key.
+	Group string `json:"-"`
+	// Revision is the store's revision of the record; zero for a group
+	// without one.
+	Revision uint64 `json:"-"`
+	// Endpoint is the ID of the primary, or of the one being replaced; empty
+	// if none was known.
+	Endpoint string
+	// Term is the term of the primary.
+	Term uint64
+	// Closed is true while the primary is being replaced.
+	Closed bool
+	// Holder is the proxy that wrote the record.
+	Holder string
+}
+
+// Key returns the key of a group's record.
+func Key(group string) string { return prefix + group }
+
+// Group returns the group whose record has the key.
+func Group(key string) (string, bool) { return strings.CutPrefix(key, prefix) }
+
+// Parse reads a record.
+func Parse(group string, value []byte, revision uint64) (Tenure, error) {
+	t := Tenure{}
+	if err := json.Unmarshal(value, &t); err != nil {
+		return t, errors.Wrapf(err, "record of group %q", group)
+	}
+	t.Group, t.Revision = group, revision
+	return t, nil
+}
+
+// Bytes returns the record as it lies in the store.
+func (t Tenure) Bytes() []byte {
+	b, err := json.Marshal(t)
+	if err != nil {
+		panic(err) // a struct of plain fields always has a JSON form
+	}
+	return b
+}
+
+// WithClosed returns the record while the holder replaces the primary.
+func (t Tenure) WithClosed(holder string) Tenure {
+	t.Closed, t.Holder = true, holder
+	return t
+}
+
+// WithPrimary returns the record of a new primary.
+func (t Tenure) WithPrimary(endpoint string, term uint64) Tenure {
+	t.Endpoint, t.Term, t.Closed = endpoint, term, false
+	return t
+}
+
+// WithRevision returns the record under a revision of the store.
+func (t Tenure) WithRevision(revision uint64) Tenure {
+	t.Revision = revision
+	return t
+}
