Divide connections among registered proxies; check the lead at send and answer

What a read must see is counted from when the endpoint reads it.

Change: proxies register under a lease and share connections; an assignment is void once it is older than the margin of the staleness bound, and an answer of the primary counts only if it surely led then.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
@@ -34,10 +35,8 @@
 	statement statement.Statement
 	route     route.Route
 	version   uint64
-	// arrived is when the statement had come, and boot the same by the clock
-	// that counts suspended time.
+	// arrived is when the statement had come.
 	arrived time.Time
-	boot    time.Duration
 	// deadline is when the client must have its reply.
 	deadline time.Time
 	// job is the request for an endpoint that was made last.
@@ -55,7 +54,7 @@
 func (s *Session) run(st statement.Statement) statement.Reply {
 	g := s.gateway
 	a := &attempt{
-		gateway: g, session: s, statement: st, arrived: g.timer.Now(), boot: g.clock.Boot(),
+		gateway: g, session: s, statement: st, arrived: g.timer.Now(),
 		done: make(chan statement.Reply, 1),
 	}
 	if t := s.open; t != nil {
@@ -85,11 +84,7 @@
 
 // submit asks the table for an endpoint.
 func (a *attempt) submit(avoid string) {
-	begun := a.boot
-	if t := a.session.open; t != nil {
-		begun = t.arrived
-	}
-	n := a.session.need(a.route, a.statement, begun)
+	n := a.session.need(a.route, a.statement)
 	n.Avoid = avoid
 	a.job = work.Job{
 		Need: n, Priority: a.route.Priority, Arrived: a.arrived, Deadline: a.deadline, Run: a.assigned,
@@ -110,6 +105,11 @@
 	if !ok {
 		return
 	}
+	if !a.fresh(w) {
+		a.gateway.table.Return(w.Endpoint.ID, c, work.Outcome{Answered: true})
+		a.again(w, "the choice of the endpoint is too old", false)
+		return
+	}
 	if a.session.open != nil {
 		a.beginAt(w, c)
 		return
@@ -117,6 +117,26 @@
 	a.single(w, c)
 }
 
+// fresh reports whether the choice of the endpoint still holds. Whatever is
+// sent under it must have reached the endpoint before it does not.
+func (a *attempt) fresh(w work.Assignment) bool {
+	return !a.job.Need.Proven() || a.gateway.clock.Boot()-w.Chosen <= placement.TravelTime
+}
+
+// current reports whether an answer of the primary was given while it surely
+// was the only one. A replica proves by its position what it has.
+func (a *attempt) current(w work.Assignment) bool {
+	if !w.Primary || !a.job.Need.Proven() {
+		return true
+	}
+	now := a.gateway.clock.Boot()
+	if a.route.Consistency != route.Primary {
+		now -= a.route.Staleness
+	}
+	l := a.gateway.table.Lead(a.route.Group)
+	return l.Endpoint == w.Endpoint.ID && l.Term == w.Term && l.Valid(now)
+}
+
 // refuse tells the client that nothing was run.
 func (a *attempt) refuse(r work.Reason) {
 	code := statement.Busy
@@ -175,6 +195,10 @@
 		o.Lacked = w.After
 	}
 	g.table.Return(w.Endpoint.ID, c, o)
+	if reply.Code == statement.OK && !a.current(w) {
+		a.again(w, "the primary may have been replaced before it answered", true)
+		return
+	}
 	a.judge(w, reply)
 }
 
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -37,8 +37,6 @@
 	version uint64
 	// readOnly is true if the client asked for it.
 	readOnly bool
-	// arrived is the boot time of its start.
-	arrived time.Duration
 	// endpoint is where it runs; empty until its first statement has run.
 	endpoint roster.Endpoint
 	// connection is the transaction's until it ends; nil before the first
@@ -143,7 +141,7 @@
 		return statement.Fail(statement.NoDatabase, "no route leads to database "+s.database)
 	}
 	s.open = &transaction{
-		route: r, version: routes.Version, readOnly: st.Kind == statement.BeginRead, arrived: s.gateway.clock.Boot(),
+		route: r, version: routes.Version, readOnly: st.Kind == statement.BeginRead,
 	}
 	return statement.Reply{}
 }
@@ -190,12 +188,12 @@
 }
 
 // need is what a statement outside of a connection asks of its endpoint.
-func (s *Session) need(r route.Route, st statement.Statement, arrived time.Duration) placement.Need {
+func (s *Session) need(r route.Route, st statement.Statement) placement.Need {
 	n := placement.Need{
-		Group: r.Group, Write: st.Writes(), Consistency: r.Consistency, Staleness: r.Staleness, Arrived: arrived,
+		Group: r.Group, Write: st.Writes(), Consistency: r.Consistency, Staleness: r.Staleness,
 	}
 	if s.open != nil {
-		n.Write = !s.open.readOnly
+		n.Write, n.Reads = !s.open.readOnly, true
 	}
 	if r.Consistency == route.ReadYourWrites {
 		n.Required = s.written
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -25,6 +25,11 @@
 		a.again(w, describe(reply, err), false)
 		return
 	}
+	if !a.current(w) {
+		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Answered: true})
+		a.again(w, "the primary may have been replaced before the transaction began", false)
+		return
+	}
 	t.endpoint, t.connection, t.primary = w.Endpoint, c, w.Primary
 	a.inTransaction()
 }
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -16,11 +16,14 @@
 // goroutine alone.
 type follower struct {
 	node *Node
+	// proxies holds the addresses of registered proxies by name.
+	proxies map[string]string
 }
 
 // Reset takes all keys of the store.
 func (f *follower) Reset(items []eelgrassladder.Item) {
 	r := roster.New()
+	f.proxies = map[string]string{}
 	for _, i := range items {
 		r = f.take(r, i)
 	}
@@ -50,6 +53,8 @@
 	switch {
 	case i.Key == configuration && !i.Gone:
 		f.takeRoutes(i)
+	case strings.HasPrefix(i.Key, proxyPrefix):
+		f.takeProxy(i)
 	case i.Key == tenure.DutyKey:
 		f.node.beliefs.Learn(tenure.Tenure{}, i.Revision)
 	case strings.HasPrefix(i.Key, endpoints):
@@ -81,15 +86,31 @@
 		klog.ErrorS(err, "Configuration cannot be read", "Revision", i.Revision)
 		return
 	}
-	if f.node.beliefs.setRoutes(t) {
-		f.share()
+	f.node.beliefs.setRoutes(t)
+}
+
+// takeProxy notes a proxy that has registered or left.
+func (f *follower) takeProxy(i eelgrassladder.Item) {
+	name := strings.TrimPrefix(i.Key, proxyPrefix)
+	if i.Gone {
+		delete(f.proxies, name)
+	} else {
+		f.proxies[name] = string(i.Value)
+	}
+	klog.InfoS("Proxy registered or gone", "Proxy", name, "Gone", i.Gone, "Proxies", len(f.proxies))
+	if name == f.node.settings.Name {
+		f.node.registered.Store(!i.Gone)
 	}
 }
 
 // share divides the endpoints' connections among the proxies.
 func (f *follower) share() {
 	routes := f.node.beliefs.Routes
-	f.node.table.SetShares(1, func(group string) int { return connections(routes(), group) })
+	proxies := len(f.proxies)
+	if !f.node.registered.Load() {
+		proxies++
+	}
+	f.node.table.SetShares(proxies, func(group string) int { return connections(routes(), group) })
 }
 
 // connections is how many connections an endpoint of the group takes.
@@ -105,6 +126,7 @@
 func (f *follower) force(r roster.Roster) {
 	f.node.beliefs.roster.Store(&r)
 	f.node.table.SetRoster(r)
+	f.share()
 	for group := range f.node.beliefs.Groups() {
 		f.node.lead(group)
 	}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -74,6 +74,8 @@
 	beliefs  *beliefs
 	// listed is true once the store was read for the first time.
 	listed atomic.Bool
+	// registered is true while the store lists this proxy.
+	registered atomic.Bool
 	// leaving is true once the process was told to stop.
 	leaving atomic.Bool
 }
@@ -107,8 +109,9 @@
 	}
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
-	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n}).Run)
+	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n, proxies: map[string]string{}}).Run)
 	n.tasks.Go("primaries", n.keeper.Run)
+	n.tasks.Go("registration", n.register)
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, clients) })
 	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, probes) })
 	n.tasks.Go("stop", func(ctx context.Context) error { return n.awaitStop(ctx, stopping) })
@@ -147,6 +150,7 @@
 	end := n.timer.Now().Add(grace - graceMargin)
 	timer.Pause(ctx, n.timer, min(drainTime, grace/2))
 	n.front.Leave()
+	n.deregister(ctx)
 	for n.front.Connections() > 0 && n.timer.Now().Before(end) {
 		timer.Pause(ctx, n.timer, leavePace)
 	}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -16,8 +16,12 @@
 	// primaryPenalty keeps reads that a replica can serve away from the
 	// primary, whose slots writes need.
 	primaryPenalty = 10 * time.Millisecond
-	// boundMargin is taken off a staleness bound.
-	boundMargin = 50 * time.Millisecond
+	// boundMargin is taken off a staleness bound. It covers the way from the
+	// choice of an endpoint to the first byte that the endpoint reads.
+	boundMargin = 120 * time.Millisecond
+	// TravelTime is how long after the choice of an endpoint a read may be
+	// sent; what reads must see is counted from when the endpoint reads them.
+	TravelTime = boundMargin / 2
 )
 
 // Need is what a statement or transaction asks of its endpoint. It is
@@ -27,13 +31,12 @@
 	Group string
 	// Write is true for what only the primary can run.
 	Write bool
+	// Reads is true if what is written is read as well, as in a transaction.
+	Reads bool
 	// Consistency is what reads must see.
 	Consistency route.Consistency
 	// Staleness bounds the age of reads that are not Primary.
 	Staleness time.Duration
-	// Arrived is the boot time at which the statement, or the start of its
-	// transaction, had come. What reads must see is counted from there.
-	Arrived time.Duration
 	// Required is a position that reads must cover besides; may be zero.
 	Required position.Position
 	// Avoid is an endpoint that has just failed to serve the statement; it is
@@ -79,28 +82,32 @@
 var none = Choice{Place: -1}
 
 // Choose decides where the statement runs now.
-func Choose(n Need, l lead.Lead, places []Place) Choice {
+func Choose(n Need, l lead.Lead, places []Place, now time.Duration) Choice {
 	if n.Write || n.Consistency == route.Primary {
-		return primary(n, l, places)
+		return primary(n, l, places, now)
 	}
-	return cheapest(n, l, places)
+	return cheapest(n, l, places, now)
 }
 
 // since is the time whose acknowledged commits a read must see.
-func since(n Need) time.Duration {
+func since(n Need, now time.Duration) time.Duration {
 	if n.Consistency == route.Primary {
-		return n.Arrived
+		return now
 	}
-	return n.Arrived - n.Staleness + boundMargin
+	return now - n.Staleness + boundMargin
 }
 
-// primary chooses the primary, if it may be used. A write needs no proof: an
-// endpoint that no longer leads cannot acknowledge it.
-func primary(n Need, l lead.Lead, places []Place) Choice {
+// Proven reports whether the primary must be proven to be the only one. A
+// write alone needs no proof: an endpoint that no longer leads cannot
+// acknowledge it.
+func (n Need) Proven() bool { return !n.Write || n.Reads }
+
+// primary chooses the primary, if it may be used.
+func primary(n Need, l lead.Lead, places []Place, now time.Duration) Choice {
 	if !l.Open() {
 		return none
 	}
-	if !n.Write && !l.Valid(since(n)) {
+	if n.Proven() && !l.Valid(since(n, now)) {
 		return Choice{Place: -1, Unproven: true}
 	}
 	for i, p := range places {
@@ -112,10 +119,10 @@
 }
 
 // cheapest chooses the endpoint that is likely to answer first.
-func cheapest(n Need, l lead.Lead, places []Place) Choice {
-	bound, known := l.Bound(since(n))
+func cheapest(n Need, l lead.Lead, places []Place, now time.Duration) Choice {
+	bound, known := l.Bound(since(n, now))
 	after := bound.Later(n.Required)
-	current := l.Open() && l.Valid(since(n))
+	current := l.Open() && l.Valid(since(n, now))
 	best, lowest := none, time.Duration(0)
 	best.Unproven = !known && !current
 	for i, p := range places {
@@ -160,9 +167,9 @@
 // reads like this one need not wait for it later.
 func (n Need) WantsProof(l lead.Lead, now time.Duration) bool {
 	switch {
-	case n.Write:
+	case !n.Proven():
 		return false
-	case n.Consistency == route.Primary:
+	case n.Write || n.Consistency == route.Primary:
 		return now-l.Proven > lead.ProofLifetime/2
 	default:
 		return now-l.Newest() > n.Staleness/2
--- a/internal/table/work/job.go
+++ b/internal/table/work/job.go
@@ -45,6 +45,10 @@
 	After position.Position
 	// Primary is true if the endpoint was chosen as the primary.
 	Primary bool
+	// Term is the term of the group's lead; zero if it is not known.
+	Term uint64
+	// Chosen is the boot time at which the endpoint was chosen.
+	Chosen time.Duration
 	// Connection is idle and the job's until it is given back; nil if the job
 	// shall open one.
 	Connection eelgrassladder.Connection
--- a/internal/table/work/work.go
+++ b/internal/table/work/work.go
@@ -202,7 +202,7 @@
 	for i, e := range g.endpoints {
 		places[i] = e.place(now, t.dataCentre)
 	}
-	c := placement.Choose(j.Need, g.lead, places)
+	c := placement.Choose(j.Need, g.lead, places, boot)
 	if c.Unproven || j.Need.WantsProof(g.lead, boot) {
 		t.unproven(j.Need.Group)
 	}
@@ -213,7 +213,7 @@
 	e.running++
 	t.push(Assignment{
 		Endpoint: e.told, After: c.After, Connection: e.take(), run: j.Run,
-		Primary: e.told.ID == g.lead.Endpoint && c.After.IsZero(),
+		Primary: e.told.ID == g.lead.Endpoint && c.After.IsZero(), Term: g.lead.Term, Chosen: boot,
 	})
 	return true
 }
