Check a change of primary before it stops anything

Change: every member listed in the last 12 s must be suspended; all of them must answer before the record is closed; commits count as stalled only if no later one was acknowledged and no replica has received them.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -212,8 +212,9 @@
 	}
 	sent := a.gateway.timer.Now()
 	a.gateway.table.WriteSent(id, sent)
-	defer a.gateway.table.WriteDone(id, sent)
-	return c.Run(deadline, a.statement, after)
+	reply, err := c.Run(deadline, a.statement, after)
+	a.gateway.table.WriteDone(id, sent, err == nil)
+	return reply, err
 }
 
 // judge decides what the endpoint's answer means for the client.
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -14,6 +14,7 @@
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
@@ -59,7 +60,11 @@
 	c := &change{keeper: k, group: group, reason: reason, dead: e.Refused && e.Failures >= 2}
 	c.old, _ = k.beliefs.Roster().Endpoint(l.Endpoint)
 	c.old.ID = l.Endpoint
-	if err := c.close(ctx, l); err != nil {
+	err := c.check(ctx)
+	if err == nil {
+		err = c.close(ctx, l)
+	}
+	if err != nil {
 		klog.InfoS("Change of primary not begun", "Group", group, "Reason", reason.String(), "Error", err.Error())
 		return
 	}
@@ -78,6 +83,47 @@
 	klog.InfoS("Change of primary given up", "Group", group, "Token", c.record.Revision)
 }
 
+// check makes sure that the change can succeed before anything is stopped for
+// it: all replicas answer and, for a primary whose commits are late, none of
+// them has what it has.
+func (c *change) check(ctx context.Context) error {
+	replicas := c.keeper.replicas(c.group, c.old.ID)
+	if len(replicas) == 0 {
+		return errors.New("the group has no replica")
+	}
+	asked := replicas
+	if c.reason == policy.Stalled {
+		asked = append([]roster.Endpoint{c.old}, replicas...)
+	}
+	answers := c.statuses(ctx, asked)
+	for _, a := range answers {
+		if a.err != nil && a.endpoint.ID != c.old.ID {
+			return errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
+		}
+	}
+	if c.reason != policy.Stalled || answers[0].err != nil {
+		return nil
+	}
+	for _, a := range answers[1:] {
+		if a.status.Received.Covers(answers[0].status.Received) && a.status.Suspended == 0 {
+			return errors.New("a replica has received all commits")
+		}
+	}
+	return nil
+}
+
+// statuses asks all endpoints for their status.
+func (c *change) statuses(ctx context.Context, all []roster.Endpoint) []answer {
+	return c.each(ctx, all, func(n *control) (roster.Status, error) {
+		s, reply, err := n.connection.Status(c.keeper.timer.Now().Add(orderTime))
+		n.release(err)
+		if err == nil && reply.Code != statement.OK {
+			err = errors.Errorf("no status: %v", reply.Code)
+		}
+		return s, err
+	})
+}
+
 // close takes the token and closes the group's record for all proxies.
 func (c *change) close(ctx context.Context, l lead.Lead) error {
 	k := c.keeper
@@ -106,7 +152,7 @@
 	if c.reason == policy.Leaving {
 		timer.Pause(ctx, k.timer, quiesceTime)
 	}
-	others := c.others()
+	others := k.replicas(c.group, c.old.ID)
 	term, leading, err := c.newest(ctx, others)
 	if err != nil {
 		return "", 0, err
@@ -138,17 +184,6 @@
 	return next.ID, led, c.settle(ctx, suspended)
 }
 
-// others returns the members of the group besides the old primary.
-func (c *change) others() []roster.Endpoint {
-	var others []roster.Endpoint
-	for _, e := range c.keeper.beliefs.Roster().Group(c.group) {
-		if e.ID != c.old.ID {
-			others = append(others, e)
-		}
-	}
-	return others
-}
-
 // answer is what one member told.
 type answer struct {
 	endpoint roster.Endpoint
@@ -182,14 +217,7 @@
 // already leads a term above the old primary's.
 func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, string, error) {
 	term, leading := c.record.Term, ""
-	answers := c.each(ctx, others, func(n *control) (roster.Status, error) {
-		s, reply, err := n.connection.Status(c.keeper.timer.Now().Add(orderTime))
-		n.release(err)
-		if err == nil && reply.Code != 0 {
-			err = errors.Errorf("no status: %v", reply.Code)
-		}
-		return s, err
-	})
+	answers := c.statuses(ctx, others)
 	for _, a := range answers {
 		if a.err != nil {
 			continue
@@ -211,7 +239,7 @@
 	answers := c.each(ctx, others, func(n *control) (roster.Status, error) {
 		s, reply, err := n.connection.Suspend(c.keeper.timer.Now().Add(orderTime), term)
 		n.release(err)
-		if err == nil && reply.Code != 0 {
+		if err == nil && reply.Code != statement.OK {
 			err = errors.Errorf("not suspended: %v %s", reply.Code, reply.Detail)
 		}
 		return s, err
@@ -238,11 +266,7 @@
 		if !ok {
 			return 0, errors.Errorf("endpoint %s is gone", id)
 		}
-		answers := c.each(ctx, []roster.Endpoint{e}, func(n *control) (roster.Status, error) {
-			s, _, err := n.connection.Status(k.timer.Now().Add(orderTime))
-			n.release(err)
-			return s, err
-		})
+		answers := c.statuses(ctx, []roster.Endpoint{e})
 		if a := answers[0]; a.err == nil && a.status.Primary && a.status.Term > c.record.Term {
 			return a.status.Term, nil
 		}
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -29,6 +29,10 @@
 	tick = 50 * time.Millisecond
 	// probeTime bounds one question to a silent primary.
 	probeTime = 200 * time.Millisecond
+	// memberTime is how long a member that is no longer listed counts as one
+	// that may come back with its log. An entry lapses after three heartbeats
+	// of 1.2 s, and crashed members are back within some seconds.
+	memberTime = 12 * time.Second
 	// jitter spreads the proxies that see the same sign; the others then hear
 	// of the change that the first has begun.
 	jitter = 25 * time.Millisecond
@@ -80,10 +84,18 @@
 	began time.Time
 	// unlisted is since when the platform's list lacks it; zero if it does not.
 	unlisted time.Time
+	// members holds when each member was last listed.
+	members map[string]sighting
 	// orphaned is since when the group has no primary; zero if it has one.
 	orphaned time.Time
 }
 
+// sighting is a member as the platform last listed it.
+type sighting struct {
+	endpoint roster.Endpoint
+	at       time.Time
+}
+
 // New returns a keeper for the proxy with the name.
 func New(name string, t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table,
 	dial eelgrassladder.Connector, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, b Beliefs, g *task.Group,
@@ -153,8 +165,9 @@
 func (k *Keeper) evidence(group string, w *watched) policy.Evidence {
 	now, l, r := k.timer.Now(), k.table.Lead(group), k.beliefs.Roster()
 	if w.primary != l.Endpoint {
-		*w = watched{primary: l.Endpoint, began: now}
+		*w = watched{primary: l.Endpoint, began: now, members: w.members}
 	}
+	w.see(r.Group(group), now)
 	e := policy.Evidence{Known: l.Endpoint != "", Closed: l.Closed, Since: k.clock.Boot() - l.Since}
 	for _, one := range r.Group(group) {
 		if one.ID != l.Endpoint && !one.Leaving {
@@ -195,6 +208,41 @@
 	return e
 }
 
+// see notes the members that are listed and forgets those that are gone for
+// good.
+func (w *watched) see(listed []roster.Endpoint, now time.Time) {
+	if w.members == nil {
+		w.members = map[string]sighting{}
+	}
+	for _, e := range listed {
+		w.members[e.ID] = sighting{endpoint: e, at: now}
+	}
+	for id, s := range w.members {
+		if now.Sub(s.at) > memberTime {
+			delete(w.members, id)
+		}
+	}
+}
+
+// replicas returns the members of a group besides its primary, those included
+// that were listed a moment ago: they may hold commits that no other replica
+// holds, and may still acknowledge more.
+func (k *Keeper) replicas(group, primary string) []roster.Endpoint {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w, ok := k.watched[group]
+	if !ok {
+		return nil
+	}
+	all := make([]roster.Endpoint, 0, len(w.members))
+	for id, s := range w.members {
+		if id != primary {
+			all = append(all, s.endpoint)
+		}
+	}
+	return all
+}
+
 // probe asks a silent primary for its status on a connection of its own.
 func (k *Keeper) probe(ctx context.Context, group string, w *watched) {
 	l := k.table.Lead(group)
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -58,6 +58,8 @@
 	heard time.Time
 	// writes holds when each write without an answer was sent.
 	writes []time.Time
+	// acknowledged is when the latest answered write was sent.
+	acknowledged time.Time
 	// refused is true if the last failure proves that the process is down.
 	refused bool
 }
--- a/internal/table/work/health.go
+++ b/internal/table/work/health.go
@@ -13,8 +13,8 @@
 	Failures int
 	// Refused is true if the last failure proves that no process listens.
 	Refused bool
-	// Waiting is when the oldest write without an answer was sent; zero if
-	// there is none.
+	// Waiting is when the oldest write without an answer was sent, of those
+	// sent after the last write that was answered; zero if there is none.
 	Waiting time.Time
 }
 
@@ -27,8 +27,10 @@
 		return Health{}
 	}
 	h := Health{Heard: e.heard, Failures: e.failures, Refused: e.refused}
-	if len(e.writes) > 0 {
-		h.Waiting = slices.MinFunc(e.writes, time.Time.Compare)
+	for _, sent := range e.writes {
+		if sent.After(e.acknowledged) && (h.Waiting.IsZero() || sent.Before(h.Waiting)) {
+			h.Waiting = sent
+		}
 	}
 	return h
 }
@@ -42,14 +44,18 @@
 	}
 }
 
-// WriteDone notes that the write that was sent then has ended.
-func (t *Table) WriteDone(id string, at time.Time) {
+// WriteDone notes that the write that was sent then has ended, with or
+// without an answer.
+func (t *Table) WriteDone(id string, at time.Time, answered bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e, ok := t.endpoints[id]
 	if !ok {
 		return
 	}
+	if answered && at.After(e.acknowledged) {
+		e.acknowledged = at
+	}
 	if i := slices.Index(e.writes, at); i >= 0 {
 		e.writes = slices.Delete(e.writes, i, i+1)
 	}
