Let one proxy hold the duty for all groups; bound early second tries

Change: the duty is a record with a holder that others wait for; second tries of reads come from a budget, and later where only the primary can serve; proofs and positions are renewed later; a lagging replica is passed by for longer each time.

--- a/connection.go
+++ b/connection.go
@@ -37,9 +37,8 @@
 	Suspend(deadline time.Time, term uint64) (roster.Status, statement.Reply, error)
 	// Demote makes a primary of a lower term a replica.
 	Demote(deadline time.Time, term uint64) (roster.Status, statement.Reply, error)
-	// Drain waits for the rest of an answer that Run gave up waiting for and
-	// drops it. Without an error the connection can be used again.
-	Drain(deadline time.Time) error
+	// Await goes on waiting for the answer that Run gave up waiting for.
+	Await(deadline time.Time) (statement.Reply, error)
 	// Close ends the connection; an open transaction is rolled back.
 	Close()
 }
--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -22,6 +22,9 @@
 	// patienceShare is the part of a route's target after which a read that
 	// has no answer is tried elsewhere.
 	patienceShare = 0.6
+	// onlyShare is the part of a route's timeout after which a read that only
+	// the primary can serve is tried again; sooner would add to its load.
+	onlyShare = 0.5
 	// busyPause is the wait before a statement that was refused as busy is
 	// tried again where there is no other endpoint.
 	busyPause = 8 * time.Millisecond
@@ -181,6 +184,9 @@
 	g := a.gateway
 	asked, began := g.clock.Boot(), g.timer.Now()
 	reply, err := a.send(c, w.Endpoint.ID, a.patience(began), w.After, a.statement.Writes())
+	if timedOut(err) && !a.statement.Writes() && !g.budget.Spend(g.timer.Now()) {
+		reply, err = c.Await(a.deadline)
+	}
 	took := g.timer.Now().Sub(began)
 	if err != nil {
 		a.unanswered(w, c, err, took)
@@ -221,6 +227,7 @@
 func (a *attempt) judge(w work.Assignment, reply statement.Reply) {
 	switch {
 	case reply.Code == statement.OK:
+		a.gateway.budget.Succeeded(a.gateway.timer.Now())
 		if a.statement.Writes() {
 			a.session.written = a.session.written.Later(reply.Position)
 		}
@@ -293,6 +300,9 @@
 		return a.deadline
 	}
 	d := now.Add(time.Duration(patienceShare * float64(a.route.Target)))
+	if a.job.Need.Consistency == route.Primary {
+		d = now.Add(time.Duration(onlyShare * float64(a.route.Timeout)))
+	}
 	if d.After(a.deadline) {
 		return a.deadline
 	}
@@ -310,7 +320,7 @@
 // be used again and the endpoint's work is not broken off.
 func (g *Gateway) drain(w work.Assignment, c eelgrassladder.Connection, deadline time.Time) {
 	g.tasks.Detach("late answer", func(context.Context) {
-		if err := c.Drain(deadline.Add(lateAnswer)); err != nil {
+		if _, err := c.Await(deadline.Add(lateAnswer)); err != nil {
 			g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: refused(err)})
 			return
 		}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/worker"
+	"eelgrassladder.example/eelgrassladder/internal/policy/retry"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
@@ -32,6 +33,8 @@
 	routes    func() route.Table
 	observer  Observer
 	tasks     *task.Group
+	// budget bounds second tries of reads whose first is still under way.
+	budget *retry.Budget
 }
 
 // Observer is told of what happens to statements. Its methods must not block.
@@ -82,7 +85,10 @@
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, dial eelgrassladder.Connector,
 	routes func() route.Table, o Observer, g *task.Group,
 ) *Gateway {
-	return &Gateway{timer: t, clock: c, table: table, connector: dial, routes: routes, observer: o, tasks: g}
+	return &Gateway{
+		timer: t, clock: c, table: table, connector: dial, routes: routes, observer: o, tasks: g,
+		budget: retry.NewBudget(t.Now()),
+	}
 }
 
 // Start runs the workers in the group until its context is cancelled.
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -34,8 +34,8 @@
 	mutex sync.Mutex
 	// tenures is keyed by group. It is replaced, never changed.
 	tenures map[string]tenure.Tenure
-	// duty is the revision of the key of duty; zero if there is none.
-	duty uint64
+	// duty is the newest that is known.
+	duty tenure.Duty
 	// changed is told of each group whose record has changed.
 	changed func(group string)
 }
@@ -79,26 +79,33 @@
 	return b.tenures[group]
 }
 
-// Duty returns the revision of the key of duty.
-func (b *beliefs) Duty() uint64 {
+// Duty returns who may order promotions, as far as is known.
+func (b *beliefs) Duty() tenure.Duty {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return b.duty
 }
 
-// Learn takes a record and a revision of the key of duty, unless they are
-// older than what is known.
-func (b *beliefs) Learn(t tenure.Tenure, duty uint64) {
-	if b.keep(t, duty) {
+// LearnDuty takes a duty unless it is older than what is known.
+func (b *beliefs) LearnDuty(d tenure.Duty) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if d.Revision > b.duty.Revision {
+		b.duty = d
+	}
+}
+
+// LearnTenure takes a record unless it is older than what is known.
+func (b *beliefs) LearnTenure(t tenure.Tenure) {
+	if b.keep(t) {
 		b.changed(t.Group)
 	}
 }
 
-// keep stores what Learn was given and reports whether the record is new.
-func (b *beliefs) keep(t tenure.Tenure, duty uint64) bool {
+// keep stores a record and reports whether it is new.
+func (b *beliefs) keep(t tenure.Tenure) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.duty = max(b.duty, duty)
 	if t.Revision <= b.tenures[t.Group].Revision {
 		return false
 	}
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -56,7 +56,7 @@
 	case strings.HasPrefix(i.Key, proxyPrefix):
 		f.takeProxy(i)
 	case i.Key == tenure.DutyKey:
-		f.node.beliefs.Learn(tenure.Tenure{}, i.Revision)
+		f.takeDuty(i)
 	case strings.HasPrefix(i.Key, endpoints):
 		if i.Gone {
 			id := strings.TrimPrefix(i.Key, endpoints)
@@ -139,7 +139,16 @@
 		klog.ErrorS(err, "Record of a primary cannot be read", "Key", i.Key, "Revision", i.Revision)
 		return
 	}
-	f.node.beliefs.Learn(t, 0)
+	f.node.beliefs.LearnTenure(t)
+}
+
+// takeDuty takes who may order promotions.
+func (f *follower) takeDuty(i eelgrassladder.Item) {
+	d, err := tenure.ParseDuty(i.Value, i.Revision)
+	if err != nil {
+		klog.ErrorS(err, "Duty cannot be read", "Revision", i.Revision)
+	}
+	f.node.beliefs.LearnDuty(d.WithRevision(i.Revision, f.node.parts.Clock.Boot()))
 }
 
 // lead brings into force who leads a group: the record says so, and before
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -22,7 +22,7 @@
 	// pause is the least time between two rounds for one group.
 	pause = 25 * time.Millisecond
 	// freshSample is the age up to which a position needs no renewal.
-	freshSample = 250 * time.Millisecond
+	freshSample = 600 * time.Millisecond
 )
 
 // Prober asks endpoints. Use New to make one.
@@ -87,7 +87,7 @@
 		p.askPrimary(ctx, group, l, all)
 	}
 	l = p.table.Lead(group)
-	if l.Term != 0 && p.clock.Boot()-l.Proven > lead.ProofLifetime/2 {
+	if l.Term != 0 && l.Aging(p.clock.Boot()) {
 		p.askReplica(ctx, group, l, all, turn)
 	}
 }
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -71,6 +71,7 @@
 	klog.InfoS("Change of primary begun", "Group", group, "Reason", reason.String(), "Primary", l.Endpoint,
 		"Term", l.Term, "Token", c.record.Revision, "SilentMs", e.Silent.Milliseconds(), "Failures", e.Failures,
 		"Refused", e.Refused, "StalledMs", e.Stalled.Milliseconds())
+	defer k.finished()
 	for ctx.Err() == nil && k.clock.Boot()-c.began < holdTime {
 		next, term, err := c.promote(ctx)
 		if err == nil {
@@ -81,6 +82,35 @@
 		timer.Pause(ctx, k.timer, pollTime)
 	}
 	klog.InfoS("Change of primary given up", "Group", group, "Token", c.record.Revision)
+	c.release(ctx)
+}
+
+// finished notes the end of a change.
+func (k *Keeper) finished() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.changing--
+}
+
+// alone reports whether no other change of this proxy is under way.
+func (k *Keeper) alone() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.changing <= 1
+}
+
+// release gives the duty back, so that another proxy need not wait for it.
+func (c *change) release(ctx context.Context) {
+	k := c.keeper
+	d := k.beliefs.Duty()
+	if d.Holder != k.name || !k.alone() {
+		return
+	}
+	_, err := k.store.Apply(ctx, []eelgrassladder.Expectation{{Key: tenure.DutyKey, Revision: d.Revision}},
+		[]eelgrassladder.Put{{Key: tenure.DutyKey, Value: d.WithHolder(k.name, false).Bytes()}}, nil)
+	if err != nil {
+		klog.InfoS("Duty not given back", "Error", err.Error())
+	}
 }
 
 // check makes sure that the change can succeed before anything is stopped for
@@ -128,20 +158,28 @@
 func (c *change) close(ctx context.Context, l lead.Lead) error {
 	k := c.keeper
 	before, duty := k.beliefs.Tenure(c.group), k.beliefs.Duty()
+	if !policy.Takes(k.name, duty.Holder, duty.Busy, k.clock.Boot()-duty.Seen) {
+		return errors.Errorf("proxy %s holds the duty", duty.Holder)
+	}
+	taken := duty.WithHolder(k.name, true)
 	record := tenure.Tenure{Group: c.group, Endpoint: l.Endpoint, Term: max(l.Term, before.Term)}.WithClosed(k.name)
 	c.began = k.clock.Boot()
 	revision, err := k.store.Apply(ctx,
 		[]eelgrassladder.Expectation{
-			{Key: tenure.Key(c.group), Revision: before.Revision}, {Key: tenure.DutyKey, Revision: duty},
+			{Key: tenure.Key(c.group), Revision: before.Revision}, {Key: tenure.DutyKey, Revision: duty.Revision},
 		},
 		[]eelgrassladder.Put{
-			{Key: tenure.Key(c.group), Value: record.Bytes()}, {Key: tenure.DutyKey, Value: []byte(k.name)},
+			{Key: tenure.Key(c.group), Value: record.Bytes()}, {Key: tenure.DutyKey, Value: taken.Bytes()},
 		}, nil)
 	if err != nil {
 		return err
 	}
 	c.record = record.WithRevision(revision)
-	k.beliefs.Learn(c.record, revision)
+	k.mutex.Lock()
+	k.changing++
+	k.mutex.Unlock()
+	k.beliefs.LearnDuty(taken.WithRevision(revision, c.began))
+	k.beliefs.LearnTenure(c.record)
 	return nil
 }
 
@@ -169,12 +207,13 @@
 	if !ok {
 		return "", 0, errors.New("no replica answers")
 	}
-	if k.clock.Boot()-c.began > holdTime {
-		return "", 0, errors.New("the token is too old")
+	duty := k.beliefs.Duty()
+	if k.clock.Boot()-c.began > holdTime || duty.Holder != k.name {
+		return "", 0, errors.Errorf("proxy %s holds the duty", duty.Holder)
 	}
 	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
 		"Candidates", len(candidates), "Token", c.record.Revision)
-	if err := k.promoter.Promote(ctx, c.group, next.ID, c.record.Revision); err != nil {
+	if err := k.promoter.Promote(ctx, c.group, next.ID, duty.Revision); err != nil {
 		klog.InfoS("Promotion without an answer", "Group", c.group, "Endpoint", next.ID, "Error", err.Error())
 	}
 	led, err := c.awaitLead(ctx, next.ID, term)
@@ -295,11 +334,20 @@
 		if now.Revision > c.record.Revision {
 			break
 		}
-		revision, err := k.store.Apply(ctx,
-			[]eelgrassladder.Expectation{{Key: tenure.Key(c.group), Revision: c.record.Revision}},
-			[]eelgrassladder.Put{{Key: tenure.Key(c.group), Value: record.Bytes()}}, nil)
+		expected := []eelgrassladder.Expectation{{Key: tenure.Key(c.group), Revision: c.record.Revision}}
+		puts := []eelgrassladder.Put{{Key: tenure.Key(c.group), Value: record.Bytes()}}
+		duty := k.beliefs.Duty()
+		if duty.Holder == k.name && duty.Busy && k.alone() {
+			duty = duty.WithHolder(k.name, false)
+			expected = append(expected, eelgrassladder.Expectation{Key: tenure.DutyKey, Revision: duty.Revision})
+			puts = append(puts, eelgrassladder.Put{Key: tenure.DutyKey, Value: duty.Bytes()})
+		}
+		revision, err := k.store.Apply(ctx, expected, puts, nil)
 		if err == nil {
-			k.beliefs.Learn(record.WithRevision(revision), 0)
+			k.beliefs.LearnTenure(record.WithRevision(revision))
+			if len(puts) > 1 {
+				k.beliefs.LearnDuty(duty.WithRevision(revision, k.clock.Boot()))
+			}
 			klog.InfoS("Change of primary done", "Group", c.group, "Primary", id, "Term", term,
 				"Reason", c.reason.String(), "TookMs", (k.clock.Boot() - c.began).Milliseconds())
 			break
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -46,11 +46,11 @@
 	Groups() map[string]bool
 	// Tenure returns the record of a group, as the store last told it.
 	Tenure(group string) tenure.Tenure
-	// Duty returns the revision of the key of duty, as the store last told it.
-	Duty() uint64
-	// Learn takes a record and the revision of the key of duty that the
-	// process itself has written.
-	Learn(t tenure.Tenure, duty uint64)
+	// Duty returns who may order promotions, as the store last told it.
+	Duty() tenure.Duty
+	// LearnTenure and LearnDuty take what the process itself has written.
+	LearnTenure(t tenure.Tenure)
+	LearnDuty(d tenure.Duty)
 }
 
 // Keeper watches and replaces primaries. Use New, then Run.
@@ -69,6 +69,8 @@
 	mutex sync.Mutex
 	// watched is keyed by group.
 	watched map[string]*watched
+	// changing counts the changes that this proxy has under way.
+	changing int
 }
 
 // watched is what the keeper remembers of a group.
@@ -169,6 +171,7 @@
 	}
 	w.see(r.Group(group), now)
 	e := policy.Evidence{Known: l.Endpoint != "", Closed: l.Closed, Since: k.clock.Boot() - l.Since}
+	e.Own = l.Closed && k.beliefs.Tenure(group).Holder == k.name
 	for _, one := range r.Group(group) {
 		if one.ID != l.Endpoint && !one.Leaving {
 			e.Successors++
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -170,7 +170,7 @@
 	case !n.Proven():
 		return false
 	case n.Write || n.Consistency == route.Primary:
-		return now-l.Proven > lead.ProofLifetime/2
+		return l.Aging(now)
 	default:
 		return now-l.Newest() > n.Staleness/2
 	}
--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -23,6 +23,9 @@
 	// abandonedTime is how long a change of primary may take before another
 	// proxy takes it over. A holder gives up well before.
 	abandonedTime = 4 * time.Second
+	// dutyTime is how long a proxy may hold the duty without a sign before
+	// another takes it.
+	dutyTime = 4 * time.Second
 	// goneTime is how long the store's list may lack a primary; entries that
 	// lapsed with the store are back within 2 s.
 	goneTime = 2500 * time.Millisecond
@@ -66,6 +69,9 @@
 	Since time.Duration
 	// Closed is true while a proxy replaces the primary.
 	Closed bool
+	// Own is true if this proxy itself closed the record and has no change
+	// under way: the answer to its call was lost, or it has started anew.
+	Own bool
 	// Listed is false if the platform's list lacks the primary, for Unlisted.
 	Listed   bool
 	Unlisted time.Duration
@@ -91,7 +97,7 @@
 	case e.Successors == 0:
 		return None
 	case e.Closed:
-		return when(e.Since > abandonedTime, Abandoned)
+		return when(e.Own || e.Since > abandonedTime, Abandoned)
 	case !e.Known:
 		return when(e.Since > orphanTime, Orphaned)
 	case e.Leaving:
@@ -116,6 +122,13 @@
 	return e.Silent > quiet || (e.Failures > 0 && (e.Silent > suspicion || e.Refused))
 }
 
+// Takes reports whether a proxy may take the duty to order promotions, which
+// the holder has shown to have at the given age. One proxy holds it at a time,
+// for all groups.
+func Takes(self, holder string, busy bool, age time.Duration) bool {
+	return !busy || holder == self || holder == "" || age > dutyTime
+}
+
 // when returns the reason if the condition holds.
 func when(holds bool, r Reason) Reason {
 	if holds {
--- a/internal/table/work/connections.go
+++ b/internal/table/work/connections.go
@@ -98,12 +98,14 @@
 	}
 	if o.Took > 0 {
 		e.measured(o.Took)
+		e.lacks = 0
 	}
 	if !o.Applied.IsZero() {
 		e.applied = o.Applied
 	}
 	if !o.Lacked.IsZero() {
-		e.behind, e.behindUntil = o.Lacked, now.Add(behindTime)
+		e.behind, e.behindUntil = o.Lacked, now.Add(min(behindTime<<min(e.lacks, 5), maxBehindTime))
+		e.lacks++
 	}
 }
 
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -15,8 +15,10 @@
 	// serviceWeight is the part of a new measurement in the forecast.
 	serviceWeight = 0.1
 	// behindTime is how long an endpoint that lacked a position is passed by
-	// for reads that need it.
-	behindTime = 40 * time.Millisecond
+	// for reads that need it; it doubles with each further lack, up to
+	// maxBehindTime.
+	behindTime    = 25 * time.Millisecond
+	maxBehindTime = 400 * time.Millisecond
 	// failureTime is how long an endpoint is passed by after a failure, and
 	// maxFailureTime after many.
 	failureTime    = 50 * time.Millisecond
@@ -48,6 +50,8 @@
 	// behind is a position that it lacked until behindUntil.
 	behind      position.Position
 	behindUntil time.Time
+	// lacks counts answers that it lacked a position, since it last had one.
+	lacks int
 	// failures counts failures since the last answer.
 	failures int
 	// downUntil is when it is tried again after a failure.
--- a/internal/trade/lead/lead.go
+++ b/internal/trade/lead/lead.go
@@ -18,6 +18,9 @@
 	// the next primary takes writes, so it adds to the write gap when the old
 	// primary is cut off rather than dead.
 	ProofLifetime = time.Second
+	// renewAge is the age from which a proof is renewed: a question to a
+	// replica takes some milliseconds, or a quarter of a second if it fails.
+	renewAge = ProofLifetime * 7 / 10
 	// sampleSpacing is the least time between two kept samples.
 	sampleSpacing = 40 * time.Millisecond
 	// maxSamples bounds the memory of a group; with the spacing it covers
@@ -126,6 +129,9 @@
 	return l.Endpoint != "" && l.Proven > 0 && at-l.Proven < ProofLifetime
 }
 
+// Aging reports whether the proof should be renewed before it ends.
+func (l Lead) Aging(now time.Duration) bool { return now-l.Proven > renewAge }
+
 // Bound returns the oldest known position that covers all commits
 // acknowledged before since.
 func (l Lead) Bound(since time.Duration) (position.Position, bool) {
