Limit statements at an endpoint by its time, and shed what would be late

Change: the limit of statements at an endpoint falls while their time is above twice its base; a statement that would wait longer than half of its target is refused at once; the earliest target goes first within a priority.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -90,7 +90,8 @@
 	n := a.session.need(a.route, a.statement)
 	n.Avoid = avoid
 	a.job = work.Job{
-		Need: n, Priority: a.route.Priority, Arrived: a.arrived, Deadline: a.deadline, Run: a.assigned,
+		Need: n, Priority: a.route.Priority, Arrived: a.arrived, Timeout: a.route.Timeout - answerMargin,
+		Target: a.route.Target, Offered: a.tries > 0, Run: a.assigned,
 	}
 	a.gateway.table.Submit(&a.job)
 }
@@ -192,7 +193,7 @@
 		a.unanswered(w, c, err, took)
 		return
 	}
-	o := work.Outcome{Answered: true, Applied: reply.Position}
+	o := work.Outcome{Answered: true, Applied: reply.Position, Crowded: reply.Code == statement.Busy}
 	if reply.Code == statement.OK {
 		o.Took = took
 		g.learn(w, a.route.Group, asked, reply, a.statement.Writes())
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -13,7 +13,7 @@
 	g, t := a.gateway, a.session.open
 	reply, err := c.Begin(a.deadline, t.readOnly, w.After)
 	if err != nil || reply.Code != statement.OK {
-		o := work.Outcome{Answered: err == nil, Refused: refused(err)}
+		o := work.Outcome{Answered: err == nil, Refused: refused(err), Crowded: reply.Code == statement.Busy}
 		if reply.Code == statement.Lagging {
 			o.Lacked = w.After
 		}
@@ -56,7 +56,7 @@
 		a.broken(c, err)
 		return
 	}
-	o := work.Outcome{Answered: true, Applied: reply.Position}
+	o := work.Outcome{Answered: true, Applied: reply.Position, Crowded: reply.Code == statement.Busy}
 	if reply.Code == statement.OK {
 		o.Took = took
 		g.learn(w, t.route.Group, asked, reply, commits)
--- /dev/null
+++ b/internal/policy/patience/patience.go
@@ -0,0 +1,58 @@
+// Package patience decides how long a statement waits in the proxy for an
+// endpoint before it is refused. A refusal promises that nothing ran, so the
+// client can try again at once; one that comes late leaves it no time.
+package patience
+
+import "time"
+
+const (
+	// busyShare is the part of its target that a statement waits for capacity.
+	// What waits longer would be answered late and take the place of others.
+	busyShare = 0.5
+	// changeTime is how long a change of primary takes once it has begun: a
+	// promotion of 300 to 600 ms, and the lifetime of a proof.
+	changeTime = 1250 * time.Millisecond
+	// changeShare is the part of its time that a statement waits for a change
+	// of primary that takes longer than usual.
+	changeShare = 0.42
+	// runShare is the part of its time that a statement needs to run.
+	runShare = 0.15
+	// quickShare is the part of its target that a statement waits where
+	// nothing is known to end the wait.
+	quickShare = 0.25
+)
+
+// Wait is what is known of a statement that waits. It is immutable.
+type Wait struct {
+	// Waited is how long it has waited.
+	Waited time.Duration
+	// Timeout is the time that it has in all.
+	Timeout time.Duration
+	// Target is when it should be answered.
+	Target time.Duration
+	// Offered is true if an endpoint was already tried.
+	Offered bool
+}
+
+// Capacity reports whether a statement that waits for a free endpoint is
+// refused; ahead is the forecast time until it has one.
+func Capacity(w Wait, ahead time.Duration) bool {
+	return w.Waited+ahead > share(w.Target, busyShare)
+}
+
+// Change reports whether a statement that needs the primary is refused while
+// the primary is being replaced; lasted is how long the change has taken.
+func Change(w Wait, lasted time.Duration) bool {
+	left := w.Timeout - w.Waited - share(w.Timeout, runShare)
+	if lasted > changeTime {
+		return w.Waited > share(w.Timeout, changeShare)
+	}
+	return changeTime-lasted > left
+}
+
+// Unknown reports whether a statement is refused where nothing is known to
+// end the wait.
+func Unknown(w Wait) bool { return w.Waited > share(w.Target, quickShare) }
+
+// share returns a part of a duration.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
--- a/internal/table/work/connections.go
+++ b/internal/table/work/connections.go
@@ -17,6 +17,8 @@
 	Applied position.Position
 	// Lacked is a position that it did not have; zero for none.
 	Lacked position.Position
+	// Crowded is true if it refused a statement because it was busy.
+	Crowded bool
 	// Full is true if it refused a connection for having too many.
 	Full bool
 	// Refused is true if the connection failed in a way that proves that the
@@ -96,6 +98,9 @@
 			t.closeIdle(e, 0)
 		}
 	}
+	if o.Crowded {
+		e.crowded()
+	}
 	if o.Took > 0 {
 		e.measured(o.Took)
 		e.lacks = 0
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -18,7 +18,17 @@
 	// for reads that need it; it doubles with each further lack, up to
 	// maxBehindTime.
 	behindTime    = 25 * time.Millisecond
-	maxBehindTime = 400 * time.Millisecond
+	maxBehindTime = time.Second
+	// limitCut and limitStep change the limit of an endpoint after it was
+	// busy and after each answer, as congestion control does.
+	limitCut  = 0.7
+	limitStep = 0.05
+	// queuedFactor is how far above its base the time of a statement may be
+	// before less is sent to the endpoint.
+	queuedFactor = 2
+	// baseDrift lets the base rise by this part with each answer, so that it
+	// follows work that has become slower in itself.
+	baseDrift = 2000
 	// failureTime is how long an endpoint is passed by after a failure, and
 	// maxFailureTime after many.
 	failureTime    = 50 * time.Millisecond
@@ -41,10 +51,15 @@
 	open int
 	// share is how many connections this proxy may hold; at least one.
 	share int
+	// limit is how many statements this proxy sends there at one time; it
+	// falls when the endpoint is busy and rises up to share. At least one.
+	limit float64
 	// running counts statements that are at the endpoint.
 	running int
-	// service is a smoothed time of a statement.
+	// service is a smoothed time of a statement, and base its smallest value
+	// of late; the endpoint queues when service is far above base.
 	service time.Duration
+	base    time.Duration
 	// applied is the latest position that reads there were seen to cover.
 	applied position.Position
 	// behind is a position that it lacked until behindUntil.
@@ -74,7 +89,7 @@
 		ID:      e.told.ID,
 		Usable:  !e.gone && !e.told.Leaving && !now.Before(e.downUntil),
 		Local:   e.told.DataCentre == dataCentre,
-		Free:    len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil)),
+		Free:    e.running < int(e.limit) && (len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil))),
 		Slots:   max(e.told.Slots, 1),
 		Running: e.running,
 		Service: e.service,
@@ -114,7 +129,16 @@
 	e.downUntil = now.Add(min(wait, maxFailureTime))
 }
 
+// crowded lowers the limit after the endpoint was busy.
+func (e *endpoint) crowded() { e.limit = max(e.limit*limitCut, 1) }
+
 // measured puts the time of a statement into the forecast.
 func (e *endpoint) measured(took time.Duration) {
 	e.service += time.Duration(serviceWeight * float64(took-e.service))
+	e.base = min(e.base+e.base/baseDrift, e.service)
+	if e.service > queuedFactor*e.base {
+		e.limit = max(e.limit-limitStep, 1)
+		return
+	}
+	e.limit = min(e.limit+limitStep, float64(e.share))
 }
--- a/internal/table/work/job.go
+++ b/internal/table/work/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/patience"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
@@ -18,24 +19,34 @@
 	Priority int
 	// Arrived is when the proxy had the whole statement.
 	Arrived time.Time
-	// Deadline is when waiting for an endpoint is given up.
-	Deadline time.Time
+	// Timeout is the time that the statement has in all.
+	Timeout time.Duration
+	// Target is the time in which it should be answered.
+	Target time.Duration
+	// Offered is true if an endpoint was already tried.
+	Offered bool
 	// Run is called by a worker with what the table assigned.
 	Run func(Assignment)
 }
 
-// before reports whether j goes before k.
+// before reports whether j goes before k: the more urgent one, or the one
+// whose target ends first.
 func (j *Job) before(k *Job) bool {
 	if j.Priority != k.Priority {
 		return j.Priority < k.Priority
 	}
-	return j.Arrived.Before(k.Arrived)
+	return j.Arrived.Add(j.Target).Before(k.Arrived.Add(k.Target))
+}
+
+// wait is what patience may know of the job.
+func (j *Job) wait(now time.Time) patience.Wait {
+	return patience.Wait{Waited: now.Sub(j.Arrived), Timeout: j.Timeout, Target: j.Target, Offered: j.Offered}
 }
 
 // Assignment is what the table gives a job. It is immutable.
 type Assignment struct {
-	// Refused is true when the deadline passed; the other fields are then
-	// empty.
+	// Refused is true when waiting is of no use; of the other fields only
+	// Reason is then set.
 	Refused bool
 	// Reason says why the job waited, for a refusal.
 	Reason Reason
--- a/internal/table/work/work.go
+++ b/internal/table/work/work.go
@@ -7,13 +7,16 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/policy/patience"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/table/rank"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 )
 
 // Table holds waiting statements, endpoints and connections. Use New to make
@@ -97,6 +100,10 @@
 	if t.assign(g, j) {
 		return
 	}
+	if t.hopeless(g, j, t.timer.Now()) {
+		t.push(Assignment{Refused: true, Reason: t.reason(g, j), run: j.Run})
+		return
+	}
 	at, _ := slices.BinarySearchFunc(g.waiting, j, func(a, b *Job) int {
 		if a.before(b) {
 			return -1
@@ -106,24 +113,60 @@
 	g.waiting = slices.Insert(g.waiting, at, j)
 }
 
-// Sweep refuses jobs whose deadline has passed and looks again at those that
-// wait. Call it from time to time.
+// Sweep looks again at jobs that wait, and refuses those whose wait is of no
+// use. Call it from time to time.
 func (t *Table) Sweep() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.timer.Now()
 	for _, g := range t.groups {
+		if len(g.waiting) == 0 {
+			continue
+		}
+		t.match(g)
 		g.waiting = slices.DeleteFunc(g.waiting, func(j *Job) bool {
-			if now.Before(j.Deadline) {
+			if !t.hopeless(g, j, now) {
 				return false
 			}
 			t.push(Assignment{Refused: true, Reason: t.reason(g, j), run: j.Run})
 			return true
 		})
-		t.match(g)
 	}
 }
 
+// hopeless reports whether a job that waits is refused.
+func (t *Table) hopeless(g *group, j *Job, now time.Time) bool {
+	w := j.wait(now)
+	switch t.reason(g, j) {
+	case NoPrimary:
+		if g.lead.Closed {
+			return patience.Change(w, t.clock.Boot()-g.lead.Since)
+		}
+		return patience.Unknown(w)
+	case NoCapacity:
+		return patience.Capacity(w, t.ahead(g, j))
+	default:
+		return patience.Capacity(w, 0)
+	}
+}
+
+// ahead forecasts the time until a job that waits has an endpoint.
+func (t *Table) ahead(g *group, j *Job) time.Duration {
+	before, slots, service := 0, 0, time.Duration(0)
+	for _, k := range g.waiting {
+		if k != j && k.before(j) && k.Need.Write == j.Need.Write {
+			before++
+		}
+	}
+	for _, e := range g.endpoints {
+		if !j.Need.Write || e.told.ID == g.lead.Endpoint {
+			slots += int(e.limit)
+			service = max(service, e.service)
+		}
+	}
+	return time.Duration(before) * service / time.Duration(max(slots, 1))
+}
+
 // Lead returns what is known of a group's primary.
 func (t *Table) Lead(name string) lead.Lead {
 	t.mutex.Lock()
@@ -162,7 +205,7 @@
 	for _, told := range r.All() {
 		e, ok := t.endpoints[told.ID]
 		if !ok {
-			e = &endpoint{service: serviceGuess, share: 1}
+			e = &endpoint{service: serviceGuess, base: serviceGuess, share: 1, limit: 1}
 			t.endpoints[told.ID] = e
 		}
 		if e.told.Born != told.Born {
@@ -191,7 +234,10 @@
 // leaves over stay free for control.
 func (t *Table) divide() {
 	for _, e := range t.endpoints {
-		e.share = max(t.connections(e.told.Group)/t.proxies, 1)
+		share := max(t.connections(e.told.Group)/t.proxies, 1)
+		if share != e.share {
+			e.share, e.limit = share, float64(share)
+		}
 	}
 }
 
@@ -251,9 +297,9 @@
 	switch {
 	case len(g.endpoints) == 0:
 		return NoEndpoint
-	case j.Need.Write && !g.lead.Open():
+	case (j.Need.Write || j.Need.Consistency == route.Primary) && !g.lead.Open():
 		return NoPrimary
-	case !g.lead.Valid(t.clock.Boot()):
+	case j.Need.Proven() && !g.lead.Valid(t.clock.Boot()):
 		return NoProof
 	default:
 		return NoCapacity
