--- a/internal/table/work/connections.go
+++ b/internal/table/work/connections.go
@@ -41,7 +41,7 @@
 	if e.gone || e.open > e.share {
 		t.drop(e, c)
 	} else {
-		e.idle = append(e.idle, c)
+		e.idle = append(e.idle, spare{connection: c, since: t.timer.Now()})
 	}
 	t.match(t.group(e.told.Group))
 }
@@ -125,10 +125,19 @@
 	}
 }
 
+// trim closes connections that were not used for long.
+func (t *Table) trim(now time.Time) {
+	for _, e := range t.endpoints {
+		if len(e.idle) > keptSpares && now.Sub(e.idle[0].since) > spareTime {
+			t.closeIdle(e, len(e.idle)-1)
+		}
+	}
+}
+
 // closeIdle closes idle connections until only keep are left.
 func (t *Table) closeIdle(e *endpoint, keep int) {
 	for len(e.idle) > keep {
-		c := e.idle[0]
+		c := e.idle[0].connection
 		e.idle = e.idle[1:]
 		t.drop(e, c)
 	}
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -33,6 +33,11 @@
 	// maxFailureTime after many.
 	failureTime    = 50 * time.Millisecond
 	maxFailureTime = time.Second
+	// spareTime is how long a connection may be unused before it is closed,
+	// and keptSpares how many are kept all the same. When all proxies lose
+	// power, their connections fill the endpoints' limit for 3 s more.
+	spareTime  = time.Second
+	keptSpares = 1
 	// overloadTime is how long no connection is opened after the endpoint
 	// refused one for having too many.
 	overloadTime = 200 * time.Millisecond
@@ -46,7 +51,7 @@
 	// gone is true once the platform no longer lists it.
 	gone bool
 	// idle are open connections that nobody uses, the latest used last.
-	idle []eelgrassladder.Connection
+	idle []spare
 	// open counts connections, idle or not, and those being opened.
 	open int
 	// share is how many connections this proxy may hold; at least one.
@@ -108,11 +113,18 @@
 		e.open++
 		return nil
 	}
-	c := e.idle[n-1]
+	c := e.idle[n-1].connection
 	e.idle = e.idle[:n-1]
 	return c
 }
 
+// spare is an open connection that nobody uses.
+type spare struct {
+	connection eelgrassladder.Connection
+	// since is when it was last used.
+	since time.Time
+}
+
 // answered notes an answer.
 func (e *endpoint) answered(now time.Time) {
 	e.heard = now
--- a/internal/table/work/work.go
+++ b/internal/table/work/work.go
@@ -113,12 +113,13 @@
 	g.waiting = slices.Insert(g.waiting, at, j)
 }
 
-// Sweep looks again at jobs that wait, and refuses those whose wait is of no
-// use. Call it from time to time.
+// Sweep looks again at jobs that wait, refuses those whose wait is of no use,
+// and closes connections that are not used. Call it from time to time.
 func (t *Table) Sweep() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.timer.Now()
+	t.trim(now)
 	for _, g := range t.groups {
 		if len(g.waiting) == 0 {
 			continue
