Let proxies exchange proofs, records of primaries and configurations

Change: every 300 ms a proxy exchanges a beat with the next one over drpc; an answer's ages count from when its request was sent.

--- /dev/null
+++ b/internal/host/gossip/gossip.go
@@ -0,0 +1,174 @@
+// Package gossip exchanges with other proxies what each knows, so that a
+// proxy that the store turns away, or that cannot reach some endpoints, still
+// learns of configurations, changes of primary and proofs.
+package gossip
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/beat"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+)
+
+const (
+	// period is how often a beat is sent, to one proxy after the other.
+	period = 300 * time.Millisecond
+	// limit bounds one exchange.
+	limit = 600 * time.Millisecond
+)
+
+// Exchanger sends a beat to the proxy at an address and returns its answer.
+type Exchanger interface {
+	Exchange(ctx context.Context, address string, b beat.Beat) (beat.Beat, error)
+	// Keep drops the connections to all other addresses.
+	Keep(addresses map[string]bool)
+}
+
+// Beliefs are what the process takes to be in force.
+type Beliefs interface {
+	// Groups returns the names of the groups that routes lead to.
+	Groups() map[string]bool
+	// Proxies returns the addresses of the other proxies by name.
+	Proxies() map[string]string
+	// Beat returns what is told to others, besides primaries; the text of
+	// the configuration is left out if the receiver has that version.
+	Beat(theirs uint64) beat.Beat
+	// Heard takes what another proxy has told, besides primaries.
+	Heard(b beat.Beat)
+}
+
+// Gossip exchanges beats. Use New, then Run.
+type Gossip struct {
+	timer   eelgrassladder.Timer
+	clock   eelgrassladder.Clock
+	table   *work.Table
+	peers   Exchanger
+	beliefs Beliefs
+
+	// mutex guards the fields below. It is a leaf.
+	mutex sync.Mutex
+	// versions holds the version that each proxy last told.
+	versions map[string]uint64
+	// turn counts beats, so that proxies take turns.
+	turn int
+}
+
+// New returns a gossip among the proxies that are registered.
+func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, x Exchanger, b Beliefs) *Gossip {
+	return &Gossip{timer: t, clock: c, table: table, peers: x, beliefs: b, versions: map[string]uint64{}}
+}
+
+// Run sends beats until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	ticks := g.timer.Subscribe(period)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C():
+			g.beat(ctx)
+		}
+	}
+}
+
+// Answer returns the beat that answers b.
+func (g *Gossip) Answer(b beat.Beat) beat.Beat {
+	g.beliefs.Heard(b)
+	g.note(b)
+	answer := g.beliefs.Beat(b.Version)
+	answer.Sights = g.sights()
+	return answer
+}
+
+// beat exchanges one beat with the next proxy.
+func (g *Gossip) beat(ctx context.Context) {
+	name, address, theirs := g.next()
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	sent := g.clock.Boot()
+	answer, err := g.peers.Exchange(ctx, address, g.beliefs.Beat(theirs))
+	if err != nil {
+		klog.V(1).InfoS("Beat without an answer", "Proxy", name, "Address", address, "Error", err.Error())
+		return
+	}
+	g.note(answer)
+	g.beliefs.Heard(answer)
+	g.see(answer, sent)
+}
+
+// next returns the proxy whose turn it is, and the version that it last told.
+func (g *Gossip) next() (name, address string, version uint64) {
+	proxies := g.beliefs.Proxies()
+	if len(proxies) == 0 {
+		return "", "", 0
+	}
+	names, addresses := sorted(proxies)
+	g.peers.Keep(addresses)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.turn++
+	name = names[g.turn%len(names)]
+	return name, proxies[name], g.versions[name]
+}
+
+// note remembers the version of the sender.
+func (g *Gossip) note(b beat.Beat) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.versions[b.Sender] = b.Version
+}
+
+// sights returns what this proxy knows of primaries that it has proven.
+func (g *Gossip) sights() []beat.Sight {
+	now := g.clock.Boot()
+	var all []beat.Sight
+	for group := range g.beliefs.Groups() {
+		l := g.table.Lead(group)
+		if !l.Open() || !l.Valid(now) {
+			continue
+		}
+		s := beat.Sight{Group: group, Endpoint: l.Endpoint, Term: l.Term, Proven: now - l.Proven}
+		if asked, p, ok := l.Last(); ok {
+			s.Asked, s.Position = now-asked, p
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// see takes what an answer to a beat sent at some time tells of primaries.
+// The ages in it were counted after that time, so that what they are taken
+// off from it is on the safe side.
+func (g *Gossip) see(b beat.Beat, sent time.Duration) {
+	for _, s := range b.Sights {
+		if s.Proven < 0 || s.Asked < 0 || s.Term == 0 {
+			continue
+		}
+		g.table.Change(s.Group, func(l lead.Lead) lead.Lead {
+			if l.Endpoint != s.Endpoint || !l.Open() {
+				return l
+			}
+			if l.Term == 0 {
+				l = l.WithTerm(s.Term)
+			}
+			if l.Term != s.Term {
+				return l
+			}
+			l = l.WithProof(sent - s.Proven)
+			if s.Position.IsZero() {
+				return l
+			}
+			return l.WithSample(sent-s.Asked, s.Position)
+		})
+	}
+}
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/trade/beat"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
@@ -34,15 +35,23 @@
 	mutex sync.Mutex
 	// tenures is keyed by group. It is replaced, never changed.
 	tenures map[string]tenure.Tenure
+	// proxies holds the addresses of the other registered proxies by name. It
+	// is replaced, never changed.
+	proxies map[string]string
+	// configuration is the item that the routes in force were decoded from.
+	configuration eelgrassladder.Item
 	// duty is the newest that is known.
 	duty tenure.Duty
 	// changed is told of each group whose record has changed.
 	changed func(group string)
+	// name is that of this proxy, and registry decodes what others tell.
+	name     string
+	registry Registry
 }
 
 // newBeliefs returns beliefs without routes and endpoints.
-func newBeliefs() *beliefs {
-	b := &beliefs{changed: func(string) {}}
+func newBeliefs(name string, r Registry) *beliefs {
+	b := &beliefs{changed: func(string) {}, name: name, registry: r}
 	b.routes.Store(&route.Table{})
 	b.roster.Store(&roster.Roster{})
 	return b
@@ -54,18 +63,66 @@
 // Roster returns the endpoints in use.
 func (b *beliefs) Roster() roster.Roster { return *b.roster.Load() }
 
-// setRoutes brings routes into force unless they are older than those that
-// are, and reports whether it did.
-func (b *beliefs) setRoutes(t route.Table) bool {
-	for {
-		old := b.routes.Load()
-		if t.Version <= old.Version {
-			return false
-		}
-		if b.routes.CompareAndSwap(old, &t) {
-			klog.InfoS("Routes in force", "Version", t.Version, "Before", old.Version)
-			return true
+// takeRoutes brings a configuration into force unless it is older than the
+// one that is.
+func (b *beliefs) takeRoutes(i eelgrassladder.Item, source string) {
+	t, err := b.registry.Routes(i)
+	if err != nil {
+		klog.ErrorS(err, "Configuration cannot be read", "Revision", i.Revision, "Source", source)
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	old := b.routes.Load()
+	if t.Version <= old.Version {
+		return
+	}
+	b.routes.Store(&t)
+	b.configuration = i
+	klog.InfoS("Routes in force", "Version", t.Version, "Before", old.Version, "Source", source)
+}
+
+// setProxies replaces the addresses of the other proxies.
+func (b *beliefs) setProxies(proxies map[string]string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.proxies = proxies
+}
+
+// Proxies returns the addresses of the other proxies by name.
+func (b *beliefs) Proxies() map[string]string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.proxies
+}
+
+// Beat returns what is told to other proxies.
+func (b *beliefs) Beat(theirs uint64) beat.Beat {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	made := beat.Beat{Sender: b.name, Version: b.routes.Load().Version}
+	if theirs < made.Version {
+		made = made.WithConfiguration(b.configuration.Value, b.configuration.Revision)
+	}
+	for _, t := range b.tenures {
+		made.Records = append(made.Records, beat.Record{Group: t.Group, Revision: t.Revision, Value: t.Bytes()})
+	}
+	return made
+}
+
+// Heard takes what another proxy has told.
+func (b *beliefs) Heard(h beat.Beat) {
+	if len(h.Configuration) > 0 {
+		key, _ := b.registry.Keys()
+		b.takeRoutes(eelgrassladder.Item{Key: key, Value: h.Configuration, Revision: h.Revision}, h.Sender)
+	}
+	for _, r := range h.Records {
+		t, err := tenure.Parse(r.Group, r.Value, r.Revision)
+		if err != nil {
+			klog.ErrorS(err, "Record from another proxy cannot be read", "Proxy", h.Sender)
+			continue
 		}
+		b.LearnTenure(t)
 	}
 }
 
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"strings"
 
 	"k8s.io/klog/v2"
@@ -52,7 +53,7 @@
 	configuration, endpoints := n.parts.Registry.Keys()
 	switch {
 	case i.Key == configuration && !i.Gone:
-		f.takeRoutes(i)
+		n.beliefs.takeRoutes(i, "store")
 	case strings.HasPrefix(i.Key, proxyPrefix):
 		f.takeProxy(i)
 	case i.Key == tenure.DutyKey:
@@ -79,16 +80,6 @@
 	return r
 }
 
-// takeRoutes brings the operators' configuration into force.
-func (f *follower) takeRoutes(i eelgrassladder.Item) {
-	t, err := f.node.parts.Registry.Routes(i)
-	if err != nil {
-		klog.ErrorS(err, "Configuration cannot be read", "Revision", i.Revision)
-		return
-	}
-	f.node.beliefs.setRoutes(t)
-}
-
 // takeProxy notes a proxy that has registered or left.
 func (f *follower) takeProxy(i eelgrassladder.Item) {
 	name := strings.TrimPrefix(i.Key, proxyPrefix)
@@ -101,6 +92,9 @@
 	if name == f.node.settings.Name {
 		f.node.registered.Store(!i.Gone)
 	}
+	others := maps.Clone(f.proxies)
+	delete(others, f.node.settings.Name)
+	f.node.beliefs.setProxies(others)
 }
 
 // share divides the endpoints' connections among the proxies.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -14,12 +14,14 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
+	"eelgrassladder.example/eelgrassladder/internal/host/gossip"
 	"eelgrassladder.example/eelgrassladder/internal/host/proof"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
 	"eelgrassladder.example/eelgrassladder/internal/host/succession"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/host/watch"
+	"eelgrassladder.example/eelgrassladder/internal/peer/sibling"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 )
@@ -69,6 +71,7 @@
 	table    *work.Table
 	gateway  *gateway.Gateway
 	prober   *proof.Prober
+	gossip   *gossip.Gossip
 	keeper   *succession.Keeper
 	front    Front
 	beliefs  *beliefs
@@ -82,7 +85,7 @@
 
 // New joins the parts of a process. Run starts them.
 func New(s settings.Node, p Parts) *Node {
-	n := &Node{settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs()}
+	n := &Node{settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry)}
 	n.table = work.New(n.timer, p.Clock, s.DataCentre)
 	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs.Routes, p.Observer, n.tasks)
 	n.prober = proof.New(n.timer, p.Clock, n.table, p.Connector, n.tasks, func(group string) []roster.Endpoint {
@@ -90,6 +93,7 @@
 	})
 	n.beliefs.changed = n.lead
 	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, p.Connector, p.Store, p.Promoter, n.beliefs, n.tasks)
+	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
 	n.front = p.Front(n.gateway, n.timer, n.tasks)
 	return n
@@ -107,6 +111,14 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	siblings, err := net.Listen("tcp4", n.settings.Sibling)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	n.tasks.Go("siblings", func(ctx context.Context) error {
+		return sibling.NewServer(n.gossip.Answer).Serve(ctx, siblings)
+	})
+	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
 	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n, proxies: map[string]string{}}).Run)
--- a/internal/trade/lead/lead.go
+++ b/internal/trade/lead/lead.go
@@ -144,6 +144,15 @@
 	return l.samples[i].position, true
 }
 
+// Last returns the latest sample and when it was asked for.
+func (l Lead) Last() (time.Duration, position.Position, bool) {
+	if len(l.samples) == 0 {
+		return 0, position.Position{}, false
+	}
+	s := l.samples[len(l.samples)-1]
+	return s.asked, s.position, true
+}
+
 // Newest returns when the latest sample was asked for; zero for none.
 func (l Lead) Newest() time.Duration {
 	if n := len(l.samples); n > 0 {
