Begin a change of primary only under the record that was judged

Ruled out: a late watch alone; the record had come by gossip between the judgement and the call.

Change: a change holds only under the revision that was judged; a member that already leads ends it; a record that the store does not take yet goes to the others by gossip. A watch waits longer with more proxies.

--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -35,6 +35,9 @@
 	mutex sync.Mutex
 	// tenures is keyed by group. It is replaced, never changed.
 	tenures map[string]tenure.Tenure
+	// opened holds primaries that lead although the store still has the closed
+	// record of the revision. It is replaced, never changed.
+	opened map[string]tenure.Tenure
 	// proxies holds the addresses of the other registered proxies by name. It
 	// is replaced, never changed.
 	proxies map[string]string
@@ -106,6 +109,10 @@
 	}
 	for _, t := range b.tenures {
 		made.Records = append(made.Records, beat.Record{Group: t.Group, Revision: t.Revision, Value: t.Bytes()})
+		if o := b.opened[t.Group]; t.Closed && o.Revision == t.Revision {
+			made.Records = append(made.Records,
+				beat.Record{Group: t.Group, Revision: t.Revision, Value: o.Bytes(), Unwritten: true})
+		}
 	}
 	return made
 }
@@ -118,14 +125,48 @@
 	}
 	for _, r := range h.Records {
 		t, err := tenure.Parse(r.Group, r.Value, r.Revision)
-		if err != nil {
+		switch {
+		case err != nil:
 			klog.ErrorS(err, "Record from another proxy cannot be read", "Proxy", h.Sender)
-			continue
+		case r.Unwritten:
+			b.LearnOpened(t)
+		default:
+			b.LearnTenure(t)
 		}
-		b.LearnTenure(t)
 	}
 }
 
+// LearnOpened takes a primary that leads although the store still has the
+// closed record of the revision.
+func (b *beliefs) LearnOpened(t tenure.Tenure) {
+	b.mutex.Lock()
+	known := b.opened[t.Group].Revision >= t.Revision
+	if !known {
+		opened := maps.Clone(b.opened)
+		if opened == nil {
+			opened = map[string]tenure.Tenure{}
+		}
+		opened[t.Group] = t
+		b.opened = opened
+	}
+	b.mutex.Unlock()
+	if !known {
+		b.changed(t.Group)
+	}
+}
+
+// Lead returns the record of a group, with the primary that leads already
+// where the store has not taken its record yet.
+func (b *beliefs) Lead(group string) tenure.Tenure {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	t := b.tenures[group]
+	if o := b.opened[group]; t.Closed && o.Revision == t.Revision {
+		return o
+	}
+	return t
+}
+
 // Groups returns the names of the groups that routes lead to.
 func (b *beliefs) Groups() map[string]bool { return b.Routes().Groups() }
 
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -148,7 +148,7 @@
 // lead brings into force who leads a group: the record says so, and before
 // the first record the endpoints themselves do.
 func (n *Node) lead(group string) {
-	t, now := n.beliefs.Tenure(group), n.parts.Clock.Boot()
+	t, now := n.beliefs.Lead(group), n.parts.Clock.Boot()
 	claimant := ""
 	for _, e := range n.beliefs.Roster().Group(group) {
 		if e.Primary {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -121,7 +121,8 @@
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
-	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n, proxies: map[string]string{}}).Run)
+	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n, proxies: map[string]string{}},
+		func() int { return len(n.beliefs.Proxies()) + 1 }).Run)
 	n.tasks.Go("primaries", n.keeper.Run)
 	n.tasks.Go("registration", n.register)
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, clients) })
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -51,10 +51,12 @@
 	began time.Duration
 }
 
-// change replaces the primary of a group.
-func (k *Keeper) change(ctx context.Context, group string, reason policy.Reason, e policy.Evidence) {
+// change replaces the primary of a group that was judged under a revision of
+// its record.
+func (k *Keeper) change(ctx context.Context, group string, judged uint64, reason policy.Reason, e policy.Evidence) {
 	l := k.table.Lead(group)
-	if (l.Closed && reason != policy.Abandoned) || ctx.Err() != nil {
+	before := k.beliefs.Tenure(group)
+	if before.Revision != judged || l.Closed != (reason == policy.Abandoned) || ctx.Err() != nil {
 		return
 	}
 	c := &change{keeper: k, group: group, reason: reason, dead: e.Refused && e.Failures >= 2}
@@ -62,7 +64,7 @@
 	c.old.ID = l.Endpoint
 	err := c.check(ctx)
 	if err == nil {
-		err = c.close(ctx, l)
+		err = c.close(ctx, l, before)
 	}
 	if err != nil {
 		klog.InfoS("Change of primary not begun", "Group", group, "Reason", reason.String(), "Error", err.Error())
@@ -155,9 +157,9 @@
 }
 
 // close takes the token and closes the group's record for all proxies.
-func (c *change) close(ctx context.Context, l lead.Lead) error {
+func (c *change) close(ctx context.Context, l lead.Lead, before tenure.Tenure) error {
 	k := c.keeper
-	before, duty := k.beliefs.Tenure(c.group), k.beliefs.Duty()
+	duty := k.beliefs.Duty()
 	if !policy.Takes(k.name, duty.Holder, duty.Busy, k.clock.Boot()-duty.Seen) {
 		return errors.Errorf("proxy %s holds the duty", duty.Holder)
 	}
@@ -252,8 +254,8 @@
 	return answers
 }
 
-// newest returns the newest term that the members know, and the one that
-// already leads a term above the old primary's.
+// newest returns the newest term that the members know, and the one besides
+// the old primary that already leads.
 func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, string, error) {
 	term, leading := c.record.Term, ""
 	answers := c.statuses(ctx, others)
@@ -261,7 +263,7 @@
 		if a.err != nil {
 			continue
 		}
-		if a.status.Primary && a.status.Term > c.record.Term && c.record.Term > 0 {
+		if a.status.Primary && a.status.Term >= c.record.Term {
 			leading = a.endpoint.ID
 		}
 		term = max(term, a.status.Term, a.status.Suspended)
@@ -329,6 +331,7 @@
 func (c *change) open(ctx context.Context, id string, term uint64) {
 	k := c.keeper
 	record := c.record.WithPrimary(id, term)
+	k.beliefs.LearnOpened(record)
 	for ctx.Err() == nil {
 		now := k.beliefs.Tenure(c.group)
 		if now.Revision > c.record.Revision {
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -48,6 +48,9 @@
 	Tenure(group string) tenure.Tenure
 	// Duty returns who may order promotions, as the store last told it.
 	Duty() tenure.Duty
+	// LearnOpened takes a primary that leads although the store has not taken
+	// its record yet; the revision is that of the closed record.
+	LearnOpened(t tenure.Tenure)
 	// LearnTenure and LearnDuty take what the process itself has written.
 	LearnTenure(t tenure.Tenure)
 	LearnDuty(d tenure.Duty)
@@ -139,10 +142,11 @@
 	e := k.evidence(group, w)
 	if reason := policy.Judge(e); reason != policy.None {
 		w.busy = true
+		judged := k.beliefs.Tenure(group)
 		k.tasks.Detach("change of primary", func(ctx context.Context) {
 			defer k.rest(w)
 			timer.Pause(ctx, k.timer, rand.N(jitter))
-			k.change(ctx, group, reason, e)
+			k.change(ctx, group, judged.Revision, reason, e)
 		})
 		return
 	}
--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -13,10 +13,15 @@
 )
 
 const (
-	// waitTime is how long one call waits for a change. A watch that waits may
-	// miss changes while the store drops its history; the next call shows
-	// them. The platform wants a configuration in force within 3 s.
-	waitTime = 1200 * time.Millisecond
+	// minWait and maxWait bound how long one call waits for a change. A watch
+	// that waits may miss changes while the store drops its history; the next
+	// call shows them. The platform wants a configuration in force within 3 s,
+	// and lets a call wait for 30 s.
+	minWait = 1200 * time.Millisecond
+	maxWait = 25 * time.Second
+	// waitPerProxy spreads the calls: with more proxies each waits longer, and
+	// what one of them sees goes to the others by gossip.
+	waitPerProxy = 240 * time.Millisecond
 	// firstPause and maxPause bound the wait after a failure.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -40,15 +45,18 @@
 	timer  eelgrassladder.Timer
 	prefix string
 	sink   Sink
+	// proxies returns how many proxies watch.
+	proxies func() int
 	// revision is where the next watch goes on; zero before the first read.
 	revision uint64
 	// failures counts failures since the last answer.
 	failures int
 }
 
-// New returns a watcher that tells the sink.
-func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, prefix string, sink Sink) *Watcher {
-	return &Watcher{store: store, timer: t, prefix: prefix, sink: sink}
+// New returns a watcher that tells the sink, one of so many that tell each
+// other.
+func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, prefix string, sink Sink, proxies func() int) *Watcher {
+	return &Watcher{store: store, timer: t, prefix: prefix, sink: sink, proxies: proxies}
 }
 
 // Run follows the keys until ctx ends.
@@ -90,7 +98,7 @@
 		w.sink.Reset(items)
 		return nil
 	}
-	wait := waitTime
+	wait := min(max(minWait, waitPerProxy*time.Duration(w.proxies())), maxWait)
 	if w.failures > 0 {
 		wait = 0
 	}
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -23,7 +23,9 @@
 		})
 	}
 	for _, r := range b.Records {
-		m.Records = append(m.Records, &peer.Record{Group: r.Group, Revision: r.Revision, Value: r.Value})
+		m.Records = append(m.Records, &peer.Record{
+			Group: r.Group, Revision: r.Revision, Value: r.Value, Unwritten: r.Unwritten,
+		})
 	}
 	return m
 }
@@ -43,7 +45,9 @@
 		})
 	}
 	for _, r := range m.GetRecords() {
-		b.Records = append(b.Records, beat.Record{Group: r.GetGroup(), Revision: r.GetRevision(), Value: r.GetValue()})
+		b.Records = append(b.Records, beat.Record{
+			Group: r.GetGroup(), Revision: r.GetRevision(), Value: r.GetValue(), Unwritten: r.GetUnwritten(),
+		})
 	}
 	return b
 }
--- a/internal/trade/beat/beat.go
+++ b/internal/trade/beat/beat.go
@@ -44,8 +44,11 @@
 	Group string
 	// Revision is the store's revision of the record.
 	Revision uint64
-	// Value is the record as the store holds it.
+	// Value is the record as the store holds it, or will hold it.
 	Value []byte
+	// Unwritten is true if the store still has the closed record of the
+	// revision, and Value is the one that opens the group again.
+	Unwritten bool
 }
 
 // WithConfiguration returns the beat with the text of its version.
