Test the adapter against a stand-in of the platform

Change: internal/lab/keyvalue, member and estate speak the platform's published protocols on loopback, with faults; platform/adapter runs real proxies against them: statements, transactions, crashes, silence, lagging and deaf replicas, leaving members, outages and lost answers of the store, dropped history, limits of connections, stopping proxies, hostile clients.

Found by them: a statement that waited when the process ended never returned, so a stopping proxy hung until it was killed, and it took new sessions until its end; both are mended. The range of all keys was refused by the generated server as a missing prefix.

--- a/cmd/eelgrassladder/node.go
+++ b/cmd/eelgrassladder/node.go
@@ -1,28 +1,18 @@
 package main
 
 import (
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
-	"eelgrassladder.example/eelgrassladder"
-	"eelgrassladder.example/eelgrassladder/internal/host/clock"
 	"eelgrassladder.example/eelgrassladder/internal/host/command"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 	"eelgrassladder.example/eelgrassladder/internal/host/node"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
-	"eelgrassladder.example/eelgrassladder/internal/host/task"
-	"eelgrassladder.example/eelgrassladder/platform/caller"
-	"eelgrassladder.example/eelgrassladder/platform/duty"
-	"eelgrassladder.example/eelgrassladder/platform/endpoint"
-	"eelgrassladder.example/eelgrassladder/platform/readiness"
-	"eelgrassladder.example/eelgrassladder/platform/registry"
-	"eelgrassladder.example/eelgrassladder/platform/store"
+	"eelgrassladder.example/eelgrassladder/platform/adapter"
 )
 
 // settingsVariable names the file of settings where no flag does.
@@ -52,22 +42,9 @@
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	stopping, cancel := command.Interrupted()
 	defer cancel()
-	return node.New(s, platformParts(s)).Run(stopping)
-}
-
-// platformParts returns the adapter of the users' platform.
-func platformParts(s settings.Node) node.Parts {
-	measures := prometheus.NewRegistry()
-	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "eelgrassladder_platform_calls_total", Help: "Calls to the platform.",
-	}, []string{"Method", "Result"})
-	measures.MustRegister(calls)
-	return node.Parts{
-		Store: store.New(s.Store, calls), Promoter: duty.New(s.Promotion, s.Name), Connector: endpoint.NewConnector(),
-		Registry: registry.Registry{}, Clock: clock.Host{}, Observer: gateway.NewLog(),
-		Front: func(g *gateway.Gateway, t eelgrassladder.Timer, tasks *task.Group) node.Front {
-			return caller.New(g, t, tasks, s.Descriptors)
-		},
-		Readiness: func(ready func() bool) http.Handler { return readiness.Handler(ready, measures) },
+	process, err := node.New(s, adapter.Parts(s, gateway.NewLog()))
+	if err != nil {
+		return err
 	}
+	return process.Run(stopping)
 }
--- a/design/keyvalue.go
+++ b/design/keyvalue.go
@@ -42,9 +42,8 @@
 	Method("range", func() {
 		Description("Lists the keys below a prefix, a page at a time.")
 		Payload(func() {
-			Attribute("path-prefix", String)
+			Attribute("path-prefix", String, func() { Default("") })
 			Attribute("after", String, "Key that the page begins after.")
-			Required("path-prefix")
 		})
 		Result(func() {
 			Attribute("items", ArrayOf(keyValueItem))
@@ -61,10 +60,10 @@
 	Method("watch", func() {
 		Description("Waits for changes below a prefix after a revision.")
 		Payload(func() {
-			Attribute("path-prefix", String)
+			Attribute("path-prefix", String, func() { Default("") })
 			Attribute("after", UInt64)
 			Attribute("wait-ms", UInt32)
-			Required("path-prefix", "after", "wait-ms")
+			Required("after", "wait-ms")
 		})
 		Result(func() {
 			Attribute("events", ArrayOf(keyValueItem))
--- a/gen/http/cli/eelgrassladder/cli.go
+++ b/gen/http/cli/eelgrassladder/cli.go
@@ -58,11 +58,11 @@
 		kvFlags = flag.NewFlagSet("kv", flag.ContinueOnError)
 
 		kvRangeFlags          = flag.NewFlagSet("range", flag.ExitOnError)
-		kvRangePathPrefixFlag = kvRangeFlags.String("path-prefix", "REQUIRED", "")
+		kvRangePathPrefixFlag = kvRangeFlags.String("path-prefix", "", "")
 		kvRangeAfterFlag      = kvRangeFlags.String("after", "", "")
 
 		kvWatchFlags          = flag.NewFlagSet("watch", flag.ExitOnError)
-		kvWatchPathPrefixFlag = kvWatchFlags.String("path-prefix", "REQUIRED", "")
+		kvWatchPathPrefixFlag = kvWatchFlags.String("path-prefix", "", "")
 		kvWatchAfterFlag      = kvWatchFlags.String("after", "REQUIRED", "")
 		kvWatchWaitMsFlag     = kvWatchFlags.String("wait-ms", "REQUIRED", "")
 
--- a/gen/http/kv/client/cli.go
+++ b/gen/http/kv/client/cli.go
@@ -21,7 +21,9 @@
 func BuildRangePayload(kvRangePathPrefix string, kvRangeAfter string) (*kv.RangePayload, error) {
 	var pathPrefix string
 	{
-		pathPrefix = kvRangePathPrefix
+		if kvRangePathPrefix != "" {
+			pathPrefix = kvRangePathPrefix
+		}
 	}
 	var after *string
 	{
@@ -42,7 +44,9 @@
 	var err error
 	var pathPrefix string
 	{
-		pathPrefix = kvWatchPathPrefix
+		if kvWatchPathPrefix != "" {
+			pathPrefix = kvWatchPathPrefix
+		}
 	}
 	var after uint64
 	{
--- a/gen/http/kv/server/encode_decode.go
+++ b/gen/http/kv/server/encode_decode.go
@@ -39,20 +39,16 @@
 		var (
 			pathPrefix string
 			after      *string
-			err        error
 		)
 		qp := r.URL.Query()
-		pathPrefix = qp.Get("path-prefix")
-		if pathPrefix == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("path-prefix", "query string"))
+		pathPrefixRaw := qp.Get("path-prefix")
+		if pathPrefixRaw != "" {
+			pathPrefix = pathPrefixRaw
 		}
 		afterRaw := qp.Get("after")
 		if afterRaw != "" {
 			after = &afterRaw
 		}
-		if err != nil {
-			return payload, err
-		}
 		payload = NewRangePayload(pathPrefix, after)
 
 		return payload, nil
@@ -112,9 +108,9 @@
 			err        error
 		)
 		qp := r.URL.Query()
-		pathPrefix = qp.Get("path-prefix")
-		if pathPrefix == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("path-prefix", "query string"))
+		pathPrefixRaw := qp.Get("path-prefix")
+		if pathPrefixRaw != "" {
+			pathPrefix = pathPrefixRaw
 		}
 		{
 			afterRaw := qp.Get("after")
--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -77,7 +77,7 @@
 	} else {
 		a.submit("")
 	}
-	reply := <-a.done
+	reply := a.await()
 	g.observer.Answered(Answered{
 		Statement: st, Route: a.route, Version: a.version, Reply: reply, Endpoint: a.at, Primary: a.asPrimary,
 		Took: g.timer.Now().Sub(a.arrived), Tries: a.tries,
@@ -85,6 +85,17 @@
 	return reply
 }
 
+// await returns the reply. When the process ends first, what became of the
+// statement is not known.
+func (a *attempt) await() statement.Reply {
+	select {
+	case reply := <-a.done:
+		return reply
+	case <-a.gateway.tasks.Context().Done():
+		return statement.Fail(statement.InDoubt, "the proxy stops")
+	}
+}
+
 // submit asks the table for an endpoint.
 func (a *attempt) submit(avoid string) {
 	n := a.session.need(a.route, a.statement)
--- /dev/null
+++ b/internal/host/node/listeners.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"net"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+)
+
+// listeners are the listeners of a process.
+type listeners struct {
+	callers   net.Listener
+	readiness net.Listener
+	siblings  net.Listener
+}
+
+// listen opens all listeners, or none.
+func listen(s settings.Node) (listeners, error) {
+	var l listeners
+	for _, one := range []struct {
+		address string
+		target  *net.Listener
+	}{{s.Callers, &l.callers}, {s.Readiness, &l.readiness}, {s.Sibling, &l.siblings}} {
+		opened, err := net.Listen("tcp4", one.address)
+		if err != nil {
+			l.close()
+			return listeners{}, errors.WithStack(err)
+		}
+		*one.target = opened
+	}
+	return l, nil
+}
+
+// close closes the listeners that are open.
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.readiness, l.siblings} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -42,7 +42,8 @@
 // Front serves clients.
 type Front interface {
 	Serve(ctx context.Context, l net.Listener) error
-	// Leave makes sessions end as soon as they are idle.
+	// Leave takes no new clients and makes sessions end as soon as they are
+	// idle.
 	Leave()
 	// Connections returns the number of open connections.
 	Connections() int
@@ -65,16 +66,18 @@
 // Node is one proxy process. Use New, then Run.
 type Node struct {
 	settings settings.Node
-	parts    Parts
-	timer    *timer.Service
-	tasks    *task.Group
-	table    *work.Table
-	gateway  *gateway.Gateway
-	prober   *proof.Prober
-	gossip   *gossip.Gossip
-	keeper   *succession.Keeper
-	front    Front
-	beliefs  *beliefs
+	// listeners are open before Run, so that no client finds a closed door.
+	listeners listeners
+	parts     Parts
+	timer     *timer.Service
+	tasks     *task.Group
+	table     *work.Table
+	gateway   *gateway.Gateway
+	prober    *proof.Prober
+	gossip    *gossip.Gossip
+	keeper    *succession.Keeper
+	front     Front
+	beliefs   *beliefs
 	// listed is true once the store was read for the first time.
 	listed atomic.Bool
 	// registered is true while the store lists this proxy.
@@ -83,9 +86,13 @@
 	leaving atomic.Bool
 }
 
-// New joins the parts of a process. Run starts them.
-func New(s settings.Node, p Parts) *Node {
-	n := &Node{settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry)}
+// New opens the listeners of a process and joins its parts. Run starts them.
+func New(s settings.Node, p Parts) (*Node, error) {
+	opened, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{listeners: opened, settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry)}
 	n.table = work.New(n.timer, p.Clock, s.DataCentre)
 	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs.Routes, p.Observer, n.tasks)
 	n.prober = proof.New(n.timer, p.Clock, n.table, p.Connector, n.tasks, func(group string) []roster.Endpoint {
@@ -96,27 +103,18 @@
 	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
 	n.front = p.Front(n.gateway, n.timer, n.tasks)
-	return n
+	return n, nil
 }
 
+// Callers returns the address that clients connect to.
+func (n *Node) Callers() string { return n.listeners.callers.Addr().String() }
+
 // Run runs the process until it has left after stopping has ended.
 func (n *Node) Run(stopping context.Context) error {
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 2)
-	clients, err := net.Listen("tcp4", n.settings.Callers)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	probes, err := net.Listen("tcp4", n.settings.Readiness)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	siblings, err := net.Listen("tcp4", n.settings.Sibling)
-	if err != nil {
-		return errors.WithStack(err)
-	}
 	n.tasks.Go("siblings", func(ctx context.Context) error {
-		return sibling.NewServer(n.gossip.Answer).Serve(ctx, siblings)
+		return sibling.NewServer(n.gossip.Answer).Serve(ctx, n.listeners.siblings)
 	})
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
@@ -125,11 +123,11 @@
 		func() int { return len(n.beliefs.Proxies()) + 1 }).Run)
 	n.tasks.Go("primaries", n.keeper.Run)
 	n.tasks.Go("registration", n.register)
-	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, clients) })
-	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, probes) })
+	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, n.listeners.callers) })
+	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, n.listeners.readiness) })
 	n.tasks.Go("stop", func(ctx context.Context) error { return n.awaitStop(ctx, stopping) })
 	klog.InfoS("Proxy started", "Proxy", n.settings.Name, "DataCentre", n.settings.DataCentre)
-	err = n.tasks.Wait()
+	err := n.tasks.Wait()
 	klog.InfoS("Proxy stopped", "Proxy", n.settings.Name)
 	return err
 }
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	_, err = n.parts.Store.Apply(ctx, nil, []eelgrassladder.Put{
-		{Key: proxyPrefix + n.settings.Name, Value: []byte(n.settings.Sibling), Lease: made},
+		{Key: proxyPrefix + n.settings.Name, Value: []byte(n.listeners.siblings.Addr().String()), Lease: made},
 	}, nil)
 	if err == nil {
 		*lease = made
--- /dev/null
+++ b/internal/lab/estate/estate.go
@@ -0,0 +1,206 @@
+// Package estate joins the stand-ins of the users' platform with proxies of
+// the real code, all in one process on loopback.
+package estate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/gen/cloud"
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/keyvalue"
+	"eelgrassladder.example/eelgrassladder/internal/lab/member"
+)
+
+// The keys of the platform's store.
+const (
+	configurationKey = "op/config"
+	endpointPrefix   = "servers/"
+)
+
+// Plan says what an estate holds. It is immutable.
+type Plan struct {
+	// Groups is how many groups of three members there are; each is named
+	// group-N and has the databases primary-N, bounded-N and own-N.
+	Groups int
+	// Slots and Connections are those of each member.
+	Slots       int
+	Connections int
+	// Work is how long a statement takes at a member.
+	Work time.Duration
+	// PromoteTime is how long a promotion takes.
+	PromoteTime time.Duration
+}
+
+// DefaultPlan is a small estate with quick members.
+func DefaultPlan() Plan {
+	return Plan{Groups: 1, Slots: 2, Connections: 16, Work: time.Millisecond, PromoteTime: 100 * time.Millisecond}
+}
+
+// Estate is the platform with its groups. Use New to make one.
+type Estate struct {
+	// Store is the platform's store, and Address where it listens.
+	Store   *keyvalue.Store
+	Address string
+	// Promotion is where promotions are taken.
+	Promotion string
+	// Groups are the database groups.
+	Groups []*member.Group
+
+	plan  Plan
+	tasks *task.Group
+	// mutex guards the fields below. It is a leaf.
+	mutex    sync.Mutex
+	version  uint64
+	sequence int
+}
+
+// New starts a platform with the groups of the plan.
+func New(g *task.Group, p Plan) (*Estate, error) {
+	e := &Estate{Store: keyvalue.New(), plan: p, tasks: g}
+	store, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	promotion, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	e.Address, e.Promotion = store.Addr().String(), promotion.Addr().String()
+	e.Store.Serve(g, store)
+	keyvalue.Promotions(e.promote).Serve(g, promotion)
+	for i := range p.Groups {
+		if err := e.addGroup(i); err != nil {
+			return nil, err
+		}
+	}
+	e.Configure(nil)
+	return e, nil
+}
+
+// addGroup starts a group of three members that register in the store.
+func (e *Estate) addGroup(i int) error {
+	g := member.NewGroup(fmt.Sprintf("group-%d", i), 1, e.plan.PromoteTime)
+	for k := range 3 {
+		m, err := g.Add(e.tasks, fmt.Sprintf("m-%d-%d", i, k), e.plan.Slots, e.plan.Connections, e.plan.Work)
+		if err != nil {
+			return err
+		}
+		zone := "zone-" + strconv.Itoa(k)
+		m.Announce = func(primary, leaving bool) { e.announce(g.Name, m, zone, primary, leaving) }
+		primary, _ := m.State()
+		e.announce(g.Name, m, zone, primary, false)
+	}
+	e.Groups = append(e.Groups, g)
+	return nil
+}
+
+// announce writes the entry of a member.
+func (e *Estate) announce(group string, m *member.Member, zone string, primary, leaving bool) {
+	e.mutex.Lock()
+	e.sequence++
+	sequence := e.sequence
+	e.mutex.Unlock()
+	entry := map[string]any{
+		"service": group, "address": m.Address, "zone": zone, "version": "v1", "slots": m.Slots, "state": "ready",
+		"cold-left-ms": 0, "db-role": "replica", "sequence": sequence, "born": 1700000000000,
+	}
+	if primary {
+		entry["db-role"] = "primary"
+	}
+	if leaving {
+		entry["state"] = "draining"
+	}
+	e.Store.Put(endpointPrefix+m.ID, encode(entry))
+}
+
+// Remove takes a member off the platform's list.
+func (e *Estate) Remove(m *member.Member) { e.Store.Delete(endpointPrefix + m.ID) }
+
+// promote passes a promotion to the group that it names.
+func (e *Estate) promote(p *cloud.PromotePayload) error {
+	for _, g := range e.Groups {
+		if g.Name == p.Service {
+			return g.Promote(p.ID, p.Token)
+		}
+	}
+	return errors.Errorf("no group %s", p.Service)
+}
+
+// Configure writes a new version of the configuration and returns it. The
+// function may change the routes, which are keyed by database.
+func (e *Estate) Configure(change func(routes map[string]map[string]any)) uint64 {
+	e.mutex.Lock()
+	e.version += 3
+	version := e.version
+	e.mutex.Unlock()
+	routes := map[string]map[string]any{}
+	var services []map[string]any
+	for i := range e.plan.Groups {
+		group := fmt.Sprintf("group-%d", i)
+		for _, kind := range []struct{ name, kind string }{
+			{"primary", "primary"}, {"bounded", "bounded_stale"}, {"own", "read_own_writes"},
+		} {
+			database := fmt.Sprintf("%s-%d", kind.name, i)
+			routes[database] = map[string]any{
+				"name": "r-" + database, "host": database, "path-prefix": "/", "route-type": kind.kind, "service": group,
+				"timeout-ms": 1000, "target-latency-ms": 300, "priority": 1, "max-staleness-ms": 1500,
+			}
+		}
+		services = append(services, map[string]any{"name": group, "max-conns": e.plan.Connections, "sync-replicas": 1})
+	}
+	if change != nil {
+		change(routes)
+	}
+	list := make([]map[string]any, 0, len(routes))
+	for _, r := range routes {
+		list = append(list, r)
+	}
+	e.Store.Put(configurationKey, encode(map[string]any{
+		"version": version, "routes": list, "services": services, "limits": map[string]any{"tx-idle-ms": 1000},
+	}))
+	return version
+}
+
+// Settings returns settings of a proxy that listens on free ports of loopback.
+func (e *Estate) Settings(name string) settings.Node {
+	const free = "127.0.0.1:0"
+	return settings.Node{
+		Name: name, DataCentre: "zone-0", Callers: free, Readiness: free, Sibling: free,
+		Store: e.Address, Promotion: e.Promotion,
+		GraceSeconds: 4, Descriptors: 4096, MemoryMegabytes: 512,
+	}
+}
+
+// Until calls f until it reports true, or fails when the time is over.
+func Until(ctx context.Context, limit time.Duration, f func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticks := time.NewTicker(5 * time.Millisecond)
+	defer ticks.Stop()
+	for !f() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("not so within %v", limit)
+		case <-ticks.C:
+		}
+	}
+	return nil
+}
+
+// encode returns the JSON of a value.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // maps of plain values always have a JSON form
+	}
+	return b
+}
--- /dev/null
+++ b/internal/lab/keyvalue/store.go
@@ -0,0 +1,352 @@
+// Package keyvalue is the stand-in for the platform's key-value store: the
+// published HTTP calls on loopback, with leases, a history that can be
+// dropped, outages, and answers that are lost after the effect.
+package keyvalue
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/gen/kv"
+)
+
+// maxHistory is how many changes are kept for watches.
+const maxHistory = 4096
+
+// The refusals of the store; the server turns them into statuses.
+var (
+	errAbsent      = errors.New("no such key or lease")
+	errCompacted   = errors.New("the history is no longer kept")
+	errUnavailable = errors.New("the store does not serve")
+	errLost        = errors.New("the answer is lost")
+)
+
+// Conditions are the faults in force. The value is immutable.
+type Conditions struct {
+	// Down refuses every call.
+	Down bool
+	// LoseAnswers makes changes take effect and then drops the connection.
+	LoseAnswers bool
+	// Mute keeps watches from hearing of changes.
+	Mute bool
+	// Delay is added to every answer.
+	Delay time.Duration
+}
+
+// Store holds the keys. Use New to make one.
+type Store struct {
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	// changed is closed and replaced with each change.
+	changed    chan struct{}
+	conditions Conditions
+	revision   uint64
+	items      map[string]*kv.Item
+	history    []*kv.Item
+	// dropped is the newest revision that the history no longer holds.
+	dropped uint64
+	// leases holds when each lease ends.
+	leases    map[uint64]time.Time
+	lastLease uint64
+	calls     map[string]int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		changed: make(chan struct{}), revision: 1, items: map[string]*kv.Item{}, leases: map[uint64]time.Time{},
+		calls: map[string]int{},
+	}
+}
+
+// SetConditions brings faults into force.
+func (s *Store) SetConditions(c Conditions) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.conditions = c
+	s.wake()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.dropped = nil, s.revision
+	s.wake()
+}
+
+// Put writes a key on behalf of the platform.
+func (s *Store) Put(key string, value []byte) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.put(key, value, 0)
+	return s.revision
+}
+
+// Delete removes a key on behalf of the platform.
+func (s *Store) Delete(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.remove(key)
+}
+
+// Value returns what a key holds, and its revision.
+func (s *Store) Value(key string) ([]byte, uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if i, ok := s.items[key]; ok {
+		return i.Value, i.Revision
+	}
+	return nil, 0
+}
+
+// Calls returns how often each method was called.
+func (s *Store) Calls() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Range lists the keys below a prefix.
+func (s *Store) Range(ctx context.Context, p *kv.RangePayload) (*kv.RangeResult, error) {
+	if err := s.enter(ctx, "Range"); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	const page = 50
+	after, more := "", false
+	if p.After != nil {
+		after = *p.After
+	}
+	result := &kv.RangeResult{AtRev: s.revision, HasMore: &more}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if !strings.HasPrefix(key, p.PathPrefix) || key <= after {
+			continue
+		}
+		if len(result.Items) == page {
+			more = true
+			break
+		}
+		result.Items = append(result.Items, s.items[key])
+	}
+	return result, nil
+}
+
+// Watch waits for changes below a prefix.
+func (s *Store) Watch(ctx context.Context, p *kv.WatchPayload) (*kv.WatchResult, error) {
+	if err := s.enter(ctx, "Watch"); err != nil {
+		return nil, err
+	}
+	end := time.NewTimer(time.Duration(p.WaitMs) * time.Millisecond)
+	defer end.Stop()
+	over := false
+	for {
+		result, changed, err := s.events(p, over)
+		if result != nil || err != nil {
+			return result, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-end.C:
+			over = true
+		case <-changed:
+		}
+	}
+}
+
+// events returns the changes after a revision, or nil if there are none yet.
+func (s *Store) events(p *kv.WatchPayload, over bool) (*kv.WatchResult, chan struct{}, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	if s.conditions.Down {
+		return nil, nil, errUnavailable
+	}
+	if p.After < s.dropped {
+		return nil, nil, errCompacted
+	}
+	result := &kv.WatchResult{AtRev: max(p.After, s.revision)}
+	if s.conditions.Mute {
+		result.AtRev = p.After
+	} else {
+		for _, i := range s.history {
+			if i.Revision > p.After && strings.HasPrefix(i.Key, p.PathPrefix) {
+				result.Events = append(result.Events, i)
+			}
+		}
+	}
+	if len(result.Events) > 0 || over {
+		return result, nil, nil
+	}
+	return nil, s.changed, nil
+}
+
+// Txn changes keys if all conditions hold.
+func (s *Store) Txn(ctx context.Context, p *kv.TxnPayload) (*kv.TxnResult, error) {
+	if err := s.enter(ctx, "Txn"); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	conflict := &kv.Conflict{}
+	for _, e := range p.ExpectedRev {
+		if i, ok := s.items[e.Key]; (ok && i.Revision != e.Revision) || (!ok && e.Revision != 0) {
+			conflict.Items = append(conflict.Items, &kv.Item{Key: e.Key})
+		}
+	}
+	if len(conflict.Items) > 0 {
+		return nil, conflict
+	}
+	for _, e := range p.PutEntries {
+		if e.Lease != nil && *e.Lease != 0 {
+			if _, ok := s.leases[*e.Lease]; !ok {
+				return nil, errAbsent
+			}
+		}
+	}
+	s.revision++
+	for _, e := range p.PutEntries {
+		lease := uint64(0)
+		if e.Lease != nil {
+			lease = *e.Lease
+		}
+		s.put(e.Key, e.Value, lease)
+	}
+	for _, key := range p.DeleteKeys {
+		s.remove(key)
+	}
+	if s.conditions.LoseAnswers {
+		return nil, errLost
+	}
+	return &kv.TxnResult{Revision: s.revision}, nil
+}
+
+// Lease creates a lease.
+func (s *Store) Lease(ctx context.Context, p *kv.LeasePayload) (*kv.LeaseResult, error) {
+	if err := s.enter(ctx, "Lease"); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastLease++
+	s.leases[s.lastLease] = time.Now().Add(time.Duration(p.TTLMs) * time.Millisecond)
+	return &kv.LeaseResult{Lease: s.lastLease, TTLMs: &p.TTLMs}, nil
+}
+
+// Keep renews a lease for eight seconds, the time that proxies ask for.
+func (s *Store) Keep(ctx context.Context, p *kv.KeepPayload) error {
+	if err := s.enter(ctx, "Keep"); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	if _, ok := s.leases[p.Lease]; !ok {
+		return errAbsent
+	}
+	s.leases[p.Lease] = time.Now().Add(8 * time.Second)
+	return nil
+}
+
+// End ends a lease.
+func (s *Store) End(ctx context.Context, p *kv.EndPayload) error {
+	if err := s.enter(ctx, "End"); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, ok := s.leases[p.Lease]; !ok {
+		return errAbsent
+	}
+	s.leases[p.Lease] = time.Time{}
+	s.expire()
+	return nil
+}
+
+// enter counts a call and applies the conditions.
+func (s *Store) enter(ctx context.Context, method string) error {
+	s.mutex.Lock()
+	s.calls[method]++
+	c := s.conditions
+	s.mutex.Unlock()
+	if c.Delay > 0 {
+		wait := time.NewTimer(c.Delay)
+		defer wait.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-wait.C:
+		}
+	}
+	if c.Down {
+		return errUnavailable
+	}
+	return nil
+}
+
+// put writes a key under the present revision. The caller holds the mutex.
+func (s *Store) put(key string, value []byte, lease uint64) {
+	created := s.revision
+	if old, ok := s.items[key]; ok {
+		created = *old.CreatedRev
+	}
+	i := &kv.Item{Key: key, Value: value, Revision: s.revision, CreatedRev: &created, Lease: &lease}
+	s.items[key] = i
+	s.record(i)
+}
+
+// remove removes a key under the present revision. The caller holds the mutex.
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	gone := true
+	s.record(&kv.Item{Key: key, Revision: s.revision, Deleted: &gone})
+}
+
+// record adds a change to the history. The caller holds the mutex.
+func (s *Store) record(i *kv.Item) {
+	s.history = append(s.history, i)
+	if len(s.history) > maxHistory {
+		s.dropped = s.history[0].Revision
+		s.history = s.history[1:]
+	}
+	s.wake()
+}
+
+// expire removes the keys of leases that have ended. The caller holds the
+// mutex.
+func (s *Store) expire() {
+	now := time.Now()
+	for lease, until := range s.leases {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.leases, lease)
+		s.revision++
+		for key, i := range s.items {
+			if i.Lease != nil && *i.Lease == lease {
+				s.remove(key)
+			}
+		}
+	}
+}
+
+// wake wakes all watches. The caller holds the mutex.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/lab/member/group.go
@@ -0,0 +1,209 @@
+// Package member is the stand-in for the members of a database group on the
+// users' platform: listeners that speak its line protocol, with a log, replicas
+// that apply it late, slots, and faults.
+package member
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+// entry is one commit in a log.
+type entry struct {
+	position position.Position
+	writes   map[string]string
+	// received is when the member received it.
+	received time.Time
+}
+
+// Group is a set of members. Its mutex guards the state of all of them.
+type Group struct {
+	// Name is what clients of the members connect to.
+	Name string
+	// Synchronous is how many replicas hold a commit before it is
+	// acknowledged.
+	Synchronous int
+	// PromoteTime is how long a promotion takes.
+	PromoteTime time.Duration
+
+	mutex   sync.Mutex
+	changed *sync.Cond
+	members []*Member
+	// acknowledged is the newest position that was acknowledged, and lost
+	// counts acknowledged commits that a promotion dropped.
+	acknowledged position.Position
+	lost         int
+	// fence is the highest token that was seen.
+	fence uint64
+	// lowered counts promotions with a lower token than an earlier one.
+	lowered int
+}
+
+// NewGroup returns a group without members.
+func NewGroup(name string, synchronous int, promote time.Duration) *Group {
+	g := &Group{Name: name, Synchronous: synchronous, PromoteTime: promote}
+	g.changed = sync.NewCond(&g.mutex)
+	return g
+}
+
+// Members returns the members.
+func (g *Group) Members() []*Member {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return append([]*Member(nil), g.members...)
+}
+
+// Primary returns the member that leads the newest term.
+func (g *Group) Primary() *Member {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	var best *Member
+	for _, m := range g.members {
+		if m.primary && (best == nil || m.term > best.term) {
+			best = m
+		}
+	}
+	return best
+}
+
+// Violations returns what a change of primary must never do: the number of
+// acknowledged commits that were lost, and of tokens that fell.
+func (g *Group) Violations() (lost, lowered int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.lost, g.lowered
+}
+
+// Acknowledged returns the newest acknowledged position.
+func (g *Group) Acknowledged() position.Position {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.acknowledged
+}
+
+// Promote makes a member the primary of the next term, after PromoteTime.
+func (g *Group) Promote(id string, token uint64) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if token < g.fence {
+		g.lowered++
+	}
+	g.fence = max(g.fence, token)
+	for _, m := range g.members {
+		if m.ID != id {
+			continue
+		}
+		if m.fault.Down || m.fault.Silent {
+			return errors.New("the member is not running")
+		}
+		if !m.primary {
+			time.AfterFunc(g.PromoteTime, func() { g.lead(m) })
+		}
+		return nil
+	}
+	return errors.Errorf("no member %s", id)
+}
+
+// lead makes m the primary of the next term.
+func (g *Group) lead(m *Member) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	term := uint64(0)
+	for _, other := range g.members {
+		term = max(term, other.term, other.suspended)
+	}
+	if len(m.log) == 0 || g.acknowledged.Log > m.end().Log {
+		g.lost++
+	}
+	m.term, m.primary, m.suspended = term+1, true, 0
+	for _, other := range g.members {
+		if other != m && !other.fault.Cut {
+			other.follow(m)
+		}
+	}
+	g.announce()
+	g.changed.Broadcast()
+}
+
+// follow makes a member a replica of the primary. The caller holds the mutex.
+func (m *Member) follow(primary *Member) {
+	if m.primary && m.fault.Alone {
+		return
+	}
+	m.primary, m.term, m.suspended = false, primary.term, 0
+	common := 0
+	for common < len(m.log) && common < len(primary.log) && m.log[common].position == primary.log[common].position {
+		common++
+	}
+	m.log = append([]entry(nil), m.log[:common]...)
+	for _, e := range primary.log[common:] {
+		e.received = time.Now()
+		m.log = append(m.log, e)
+	}
+}
+
+// commit appends writes to the log of a primary and waits until they are
+// acknowledged, or the member is closed to that.
+func (m *Member) commit(writes map[string]string) (position.Position, error) {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !m.primary {
+		return position.Position{}, errReadOnly
+	}
+	p := position.Position{Term: m.term, Log: m.end().Log + 1}
+	e := entry{position: p, writes: writes, received: time.Now()}
+	m.log = append(m.log, e)
+	for {
+		if !m.primary || m.term != p.Term || m.fault.Down {
+			return position.Position{}, errors.New("the member lost the lead")
+		}
+		if g.holders(m, e) >= g.Synchronous {
+			g.acknowledged = g.acknowledged.Later(p)
+			return p, nil
+		}
+		g.changed.Wait()
+	}
+}
+
+// holders sends the log to the replicas that receive it and returns how many
+// hold an entry. The caller holds the mutex.
+func (g *Group) holders(primary *Member, e entry) int {
+	count := 0
+	for _, r := range g.members {
+		if r == primary || r.primary || r.fault.Down || r.fault.Cut || primary.fault.Alone || r.suspended > primary.term {
+			continue
+		}
+		r.follow(primary)
+		if r.end().Log >= e.position.Log {
+			count++
+		}
+	}
+	return count
+}
+
+// announce reports all members' entries. The caller holds the mutex.
+func (g *Group) announce() {
+	for _, m := range g.members {
+		if m.Announce != nil {
+			m.Announce(m.primary, m.leaving)
+		}
+	}
+}
+
+// String returns the state of the group for a failed test.
+func (g *Group) String() string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	text := g.Name
+	for _, m := range g.members {
+		text += fmt.Sprintf(" [%s primary=%v term=%d end=%v suspended=%d fault=%+v]",
+			m.ID, m.primary, m.term, m.end(), m.suspended, m.fault)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/lab/member/session.go
@@ -0,0 +1,361 @@
+package member
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+// listen accepts connections until the context ends.
+func (m *Member) listen(l net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+		defer stop()
+		for {
+			c, err := l.Accept()
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if err != nil {
+				return errors.WithStack(err)
+			}
+			m.tasks.Detach("member session", func(ctx context.Context) {
+				end := context.AfterFunc(ctx, func() { _ = c.Close() })
+				defer end()
+				m.serve(c)
+			})
+		}
+	}
+}
+
+// session is one connection to a member.
+type session struct {
+	member *Member
+	conn   net.Conn
+	reader *bufio.Reader
+	// values and prepared are what the connection has set.
+	values   map[string]string
+	prepared map[string]string
+	// inside is true in a transaction, broken once it has failed; readOnly
+	// and term tell how it began, and writes what it will commit.
+	inside, broken, readOnly bool
+	term                     uint64
+	writes                   map[string]string
+}
+
+// serve runs one connection.
+func (m *Member) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	g := m.group
+	g.mutex.Lock()
+	full := len(m.open) >= m.Connections
+	down := m.fault.Down
+	if full && !down {
+		m.rejected++
+	}
+	if !full && !down {
+		m.open[c] = true
+	}
+	g.mutex.Unlock()
+	if down {
+		return
+	}
+	defer func() {
+		g.mutex.Lock()
+		delete(m.open, c)
+		g.mutex.Unlock()
+	}()
+	s := &session{member: m, conn: c, reader: bufio.NewReader(c), values: map[string]string{}, prepared: map[string]string{}}
+	line, err := s.line()
+	if err != nil {
+		return
+	}
+	fields := strings.Fields(line)
+	switch {
+	case full:
+		s.send("ERROR OVERLOAD too many connections")
+		return
+	case len(fields) < 3 || fields[0] != "CONNECT" || fields[1] != g.Name || (len(fields) > 3 && fields[3] != m.ID):
+		s.send("ERROR MISROUTED another member")
+		return
+	}
+	s.send("READY I " + s.position())
+	for {
+		line, err := s.line()
+		if err != nil || !s.handle(line) {
+			return
+		}
+	}
+}
+
+// line reads one message. A silent member reads nothing more.
+func (s *session) line() (string, error) {
+	line, err := s.reader.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	g := s.member.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if s.member.fault.Down {
+		return "", net.ErrClosed
+	}
+	return strings.TrimRight(line, "\r\n"), nil
+}
+
+// send writes messages unless the member is silent.
+func (s *session) send(lines ...string) {
+	s.member.group.mutex.Lock()
+	silent := s.member.fault.Silent
+	s.member.group.mutex.Unlock()
+	if silent {
+		return
+	}
+	_, _ = s.conn.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
+}
+
+// position is the position that reads can see.
+func (s *session) position() string {
+	s.member.group.mutex.Lock()
+	defer s.member.group.mutex.Unlock()
+	_, at := s.member.read("")
+	if at.IsZero() {
+		return "-"
+	}
+	return at.String()
+}
+
+// ready is the message that ends an answer.
+func (s *session) ready() string {
+	state := "I"
+	if s.broken {
+		state = "E"
+	} else if s.inside {
+		state = "T"
+	}
+	return "READY " + state + " " + s.position()
+}
+
+// ok answers with rows and a signature.
+func (s *session) ok(signature string, rows ...string) bool {
+	lines := make([]string, 0, len(rows)+2)
+	for _, r := range rows {
+		lines = append(lines, "ROW "+r)
+	}
+	s.send(append(lines, "COMPLETE "+signature, s.ready())...)
+	return true
+}
+
+// fail answers with an error, which breaks an open transaction.
+func (s *session) fail(code, text string) bool {
+	if s.inside {
+		s.broken = true
+	}
+	s.send("ERROR "+code+" "+text, s.ready())
+	return true
+}
+
+// handle runs one message and reports whether the session goes on.
+func (s *session) handle(line string) bool {
+	word, rest, _ := strings.Cut(line, " ")
+	id, text, _ := strings.Cut(rest, " ")
+	if word != "QUERY" {
+		return false
+	}
+	if after, ok := strings.CutPrefix(text, "AFTER "); ok {
+		place, remains, _ := strings.Cut(after, " ")
+		p, err := position.Parse(place)
+		if err != nil {
+			return s.fail("MALFORMED", "position")
+		}
+		if !s.covers(p) {
+			return s.fail("LAGGING", "behind")
+		}
+		text = remains
+	}
+	fields := strings.Fields(text)
+	if len(fields) == 0 {
+		return s.fail("MALFORMED", "empty")
+	}
+	if s.broken && fields[0] != "ROLLBACK" && fields[0] != "COMMIT" {
+		return s.fail("MALFORMED", "failed transaction")
+	}
+	return s.run(id, text, fields)
+}
+
+// run runs one statement.
+func (s *session) run(id, text string, fields []string) bool {
+	switch fields[0] {
+	case "STATUS":
+		return s.ok("-", s.status())
+	case "SUSPEND", "DEMOTE":
+		return s.order(fields)
+	case "RESET":
+		s.values, s.prepared = map[string]string{}, map[string]string{}
+		return s.ok("-")
+	case "SET":
+		s.values[fields[1]] = strings.Join(fields[2:], " ")
+		return s.ok("-")
+	case "PREPARE":
+		s.prepared[fields[1]] = fields[2]
+		return s.ok("-")
+	case "BEGIN":
+		return s.begin(len(fields) > 1)
+	case "ROLLBACK":
+		s.inside, s.broken, s.writes = false, false, nil
+		return s.ok("-")
+	case "COMMIT":
+		return s.commit(id, text)
+	case "READ", "WRITE", "EXECUTE":
+		return s.data(id, text, fields)
+	default:
+		return s.fail("MALFORMED", "unknown")
+	}
+}
+
+// covers reports whether reads here see a position.
+func (s *session) covers(p position.Position) bool {
+	m := s.member
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	n := m.applied()
+	for i := n - 1; i >= 0; i-- {
+		if m.log[i].position == p {
+			return true
+		}
+	}
+	return n > 0 && m.log[n-1].position.Term > p.Term && m.log[n-1].position.Log >= p.Log
+}
+
+// status is the row of STATUS.
+func (s *session) status() string {
+	m := s.member
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	role := "replica"
+	if m.primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("%s %d %s %d %d %d %d", role, m.term, m.end(), m.suspended,
+		m.fault.Lag.Milliseconds(), len(m.slots), len(m.open))
+}
+
+// order runs SUSPEND and DEMOTE.
+func (s *session) order(fields []string) bool {
+	term, err := strconv.ParseUint(fields[1], 10, 64)
+	if err != nil {
+		return s.fail("MALFORMED", "term")
+	}
+	m := s.member
+	m.group.mutex.Lock()
+	switch {
+	case fields[0] == "SUSPEND" && !m.primary && term > m.term:
+		m.suspended = max(m.suspended, term)
+	case fields[0] == "DEMOTE" && m.primary && term > m.term:
+		m.primary = false
+	}
+	m.group.changed.Broadcast()
+	m.group.mutex.Unlock()
+	return s.ok("-", s.status())
+}
+
+// begin opens a transaction.
+func (s *session) begin(readOnly bool) bool {
+	primary, term := s.member.State()
+	if !readOnly && !primary {
+		return s.fail("READONLY", s.member.ID)
+	}
+	s.inside, s.readOnly, s.term, s.writes = true, readOnly, term, map[string]string{}
+	return s.ok("-")
+}
+
+// data reads or writes one item.
+func (s *session) data(id, text string, fields []string) bool {
+	writes, item, value := fields[0] == "WRITE", "", ""
+	arguments := fields[1:]
+	if fields[0] == "EXECUTE" {
+		mode, ok := s.prepared[fields[1]]
+		if !ok {
+			return s.fail("NOSTMT", fields[1])
+		}
+		writes, arguments = mode == "WRITE", fields[2:]
+	}
+	if len(arguments) > 0 {
+		item = arguments[0]
+	}
+	value = strings.Join(arguments[1:], " ")
+	primary, term := s.member.State()
+	if (writes && (!primary || (s.inside && s.readOnly))) || (s.inside && !s.readOnly && (!primary || term != s.term)) {
+		return s.fail("READONLY", s.member.ID)
+	}
+	s.work()
+	if !writes {
+		g := s.member.group
+		g.mutex.Lock()
+		row, _ := s.member.read(item)
+		g.mutex.Unlock()
+		if v, ok := s.writes[item]; s.inside && ok {
+			row = v
+		}
+		return s.answer(id, text, row)
+	}
+	if s.inside {
+		s.writes[item] = value
+		return s.answer(id, text)
+	}
+	if _, err := s.member.commit(map[string]string{item: value}); err != nil {
+		return s.fail("READONLY", err.Error())
+	}
+	return s.answer(id, text)
+}
+
+// commit ends a transaction.
+func (s *session) commit(id, text string) bool {
+	if !s.inside {
+		return s.fail("MALFORMED", "no transaction")
+	}
+	writes, broken := s.writes, s.broken
+	s.inside, s.broken, s.writes = false, false, nil
+	if broken {
+		s.send("ERROR ABORTED failed", s.ready())
+		return true
+	}
+	s.work()
+	if len(writes) > 0 {
+		if _, err := s.member.commit(maps.Clone(writes)); err != nil {
+			s.send("ERROR READONLY "+err.Error(), s.ready())
+			return true
+		}
+	}
+	return s.answer(id, text)
+}
+
+// work takes a slot for as long as a statement runs.
+func (s *session) work() {
+	s.member.slots <- struct{}{}
+	time.Sleep(s.member.Work)
+	<-s.member.slots
+	s.member.group.mutex.Lock()
+	s.member.ran++
+	s.member.group.mutex.Unlock()
+}
+
+// answer answers a statement that ran, unless its answer is to be lost.
+func (s *session) answer(id, text string, rows ...string) bool {
+	s.member.group.mutex.Lock()
+	lose := s.member.fault.LoseAnswers
+	s.member.group.mutex.Unlock()
+	if lose {
+		return true
+	}
+	return s.ok("sig-"+s.member.ID+"-"+id+"-"+strconv.Itoa(len(text)), rows...)
+}
--- a/internal/policy/patience/patience.go
+++ b/internal/policy/patience/patience.go
@@ -11,7 +11,7 @@
 	busyShare = 0.5
 	// changeTime is how long a change of primary takes once it has begun: a
 	// promotion of 300 to 600 ms, and the lifetime of a proof.
-	changeTime = 1250 * time.Millisecond
+	changeTime = 1050 * time.Millisecond
 	// changeShare is the part of its time that a statement waits for a change
 	// of primary that takes longer than usual.
 	changeShare = 0.42
