--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -318,7 +319,7 @@
 // settle waits until no proxy can still hold the old primary for the current
 // one. That is at once if its process is down.
 func (c *change) settle(ctx context.Context, suspended time.Duration) error {
-	if c.dead {
+	if c.dead && c.stillDown(ctx) {
 		return nil
 	}
 	if rest := suspended + lead.ProofLifetime - c.keeper.clock.Boot(); rest > 0 {
@@ -327,6 +328,19 @@
 	return ctx.Err()
 }
 
+// stillDown reports whether the old primary's host still refuses connections.
+// If its process starts again later, it finds that another member leads.
+func (c *change) stillDown(ctx context.Context) bool {
+	if c.old.Address == "" {
+		return false
+	}
+	n, err := c.keeper.dial(ctx, c.old)
+	if err == nil {
+		n.release(nil)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // open opens the record for the new primary, and tells the old one.
 func (c *change) open(ctx context.Context, id string, term uint64) {
 	k := c.keeper
--- /dev/null
+++ b/internal/policy/succession/succession_test.go
@@ -0,0 +1,83 @@
+package succession_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+)
+
+func TestJudge(t *testing.T) {
+	healthy := succession.Evidence{Known: true, Listed: true, Successors: 2, Silent: 20 * time.Millisecond}
+	with := func(f func(*succession.Evidence)) succession.Evidence {
+		e := healthy
+		f(&e)
+		return e
+	}
+	for name, c := range map[string]struct {
+		evidence succession.Evidence
+		want     succession.Reason
+	}{
+		"a healthy primary stays": {healthy, succession.None},
+		"one lost connection is no crash": {with(func(e *succession.Evidence) {
+			e.Refused, e.Failures, e.Silent = true, 1, 200*time.Millisecond
+		}), succession.None},
+		"a host that refuses connections is down": {with(func(e *succession.Evidence) {
+			e.Refused, e.Failures, e.Silent = true, 2, 200*time.Millisecond
+		}), succession.Down},
+		"silence without a question proves nothing": {with(func(e *succession.Evidence) {
+			e.Failures, e.Silent = 5, time.Minute
+		}), succession.None},
+		"an unanswered question after silence is dark": {with(func(e *succession.Evidence) {
+			e.Failures, e.Silent, e.Probed = 2, 500*time.Millisecond, true
+		}), succession.Dark},
+		"a leaving primary is replaced": {with(func(e *succession.Evidence) { e.Leaving = true }), succession.Leaving},
+		"late commits":                  {with(func(e *succession.Evidence) { e.Stalled = time.Second }), succession.Stalled},
+		"nobody could lead": {with(func(e *succession.Evidence) {
+			e.Leaving, e.Successors = true, 0
+		}), succession.None},
+		"another proxy's change is left alone": {with(func(e *succession.Evidence) {
+			e.Closed, e.Since, e.Leaving = true, time.Second, true
+		}), succession.None},
+		"an old change is taken over": {with(func(e *succession.Evidence) {
+			e.Closed, e.Since = true, 5*time.Second
+		}), succession.Abandoned},
+		"an own change whose answer was lost goes on": {with(func(e *succession.Evidence) {
+			e.Closed, e.Own = true, true
+		}), succession.Abandoned},
+		"an entry that lapsed a moment ago may come back": {with(func(e *succession.Evidence) {
+			e.Listed, e.Unlisted, e.Failures = false, 2*time.Second, 1
+		}), succession.None},
+		"an entry that stays away is gone": {with(func(e *succession.Evidence) {
+			e.Listed, e.Unlisted, e.Failures = false, 3*time.Second, 1
+		}), succession.Gone},
+		"a group without a primary": {succession.Evidence{Successors: 3, Since: 2 * time.Second}, succession.Orphaned},
+	} {
+		assert.Equal(t, succession.Judge(c.evidence), c.want, name)
+	}
+}
+
+func TestTheLongestLogLeads(t *testing.T) {
+	all := []succession.Candidate{
+		{ID: "short", Received: position.Position{Term: 2, Log: 9}},
+		{ID: "leaving", Received: position.Position{Term: 2, Log: 12}, Leaving: true},
+		{ID: "stays", Received: position.Position{Term: 2, Log: 12}},
+		{ID: "older term", Received: position.Position{Term: 1, Log: 99}},
+	}
+	best, ok := succession.Elect(all)
+	assert.Assert(t, ok)
+	assert.Equal(t, best.ID, "stays")
+	_, ok = succession.Elect(nil)
+	assert.Assert(t, !ok)
+}
+
+func TestOneProxyHoldsTheDuty(t *testing.T) {
+	assert.Assert(t, succession.Takes("a", "", false, 0))
+	assert.Assert(t, succession.Takes("a", "a", true, 0))
+	assert.Assert(t, succession.Takes("a", "b", false, 0))
+	assert.Assert(t, !succession.Takes("a", "b", true, time.Second))
+	assert.Assert(t, succession.Takes("a", "b", true, 5*time.Second))
+}
