--- a/cmd/eelgrassladder/node.go
+++ b/cmd/eelgrassladder/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +13,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 	"eelgrassladder.example/eelgrassladder/internal/host/node"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/platform/adapter"
 )
 
@@ -35,10 +37,17 @@
 	if len(findings) > 0 {
 		return command.Usage(findings.Err().Error())
 	}
-	if err := journal.Start(os.Stdout, s.LogLevel); err != nil {
+	lines := journal.NewWriter(os.Stdout)
+	if err := journal.Start(lines, s.LogLevel); err != nil {
 		return err
 	}
-	defer klog.Flush()
+	writing := task.New(context.Background())
+	writing.Go("log", lines.Run)
+	defer func() {
+		klog.Flush()
+		writing.Stop()
+		_ = writing.Wait()
+	}()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	stopping, cancel := command.Interrupted()
 	defer cancel()
--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -80,7 +80,7 @@
 	reply := a.await()
 	g.observer.Answered(Answered{
 		Statement: st, Route: a.route, Version: a.version, Reply: reply, Endpoint: a.at, Primary: a.asPrimary,
-		Took: g.timer.Now().Sub(a.arrived), Tries: a.tries,
+		Took: g.timer.Now().Sub(a.arrived), Tries: a.tries, Lead: g.table.Lead(a.route.Group), Now: g.clock.Boot(),
 	})
 	return reply
 }
@@ -122,7 +122,7 @@
 	}
 	if !a.fresh(w) {
 		a.gateway.table.Return(w.Endpoint.ID, c, work.Outcome{Answered: true})
-		a.again(w, "the choice of the endpoint is too old", false)
+		a.again(w, statement.OK, "the choice of the endpoint is too old", false)
 		return
 	}
 	if a.session.open != nil {
@@ -177,7 +177,7 @@
 				o = work.Outcome{Refused: true}
 			}
 			g.table.Discard(w.Endpoint.ID, nil, o)
-			a.again(w, describe(reply, err), false)
+			a.again(w, reply.Code, describe(reply, err), false)
 			return nil, false
 		}
 		c = opened
@@ -185,7 +185,7 @@
 	reply, err := c.Adopt(a.deadline, a.session.values, a.statement)
 	if err != nil || reply.Code != statement.OK {
 		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Answered: err == nil})
-		a.again(w, describe(reply, err), false)
+		a.again(w, reply.Code, describe(reply, err), false)
 		return nil, false
 	}
 	return c, true
@@ -214,7 +214,7 @@
 	}
 	g.table.Return(w.Endpoint.ID, c, o)
 	if reply.Code == statement.OK && !a.current(w) {
-		a.again(w, "the primary may have been replaced before it answered", true)
+		a.again(w, statement.OK, "the primary may have been replaced before it answered", true)
 		return
 	}
 	a.judge(w, reply)
@@ -245,9 +245,9 @@
 		}
 		a.finish(reply)
 	case reply.Code.NotRun():
-		a.again(w, reply.Code.String(), false)
+		a.again(w, reply.Code, reply.Code.String(), false)
 	case !a.statement.Writes() && a.tries == 1 && reply.Code == statement.Failed:
-		a.again(w, reply.Code.String(), true)
+		a.again(w, reply.Code, reply.Code.String(), true)
 	default:
 		a.finish(reply)
 	}
@@ -264,7 +264,7 @@
 	}
 	switch {
 	case !a.statement.Writes():
-		a.again(w, err.Error(), true)
+		a.again(w, statement.OK, err.Error(), true)
 	case late:
 		a.lost(w, statement.TimedOut, err, took)
 	default:
@@ -282,10 +282,10 @@
 
 // again tries another time, elsewhere if there is a choice. It is for
 // statements that have not run or only read.
-func (a *attempt) again(w work.Assignment, reason string, sent bool) {
+func (a *attempt) again(w work.Assignment, c statement.Code, reason string, sent bool) {
 	now := a.gateway.timer.Now()
 	a.gateway.observer.Tried(Tried{
-		Statement: a.statement, Endpoint: w.Endpoint.ID, Reason: reason, Sent: sent, Took: now.Sub(a.arrived),
+		Statement: a.statement, Endpoint: w.Endpoint.ID, Code: c, Reason: reason, Sent: sent, Took: now.Sub(a.arrived),
 	})
 	if !now.Add(busyPause).Before(a.deadline) {
 		a.finish(a.session.fail(statement.Busy, "no endpoint answered in time"))
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/worker"
 	"eelgrassladder.example/eelgrassladder/internal/policy/retry"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 )
@@ -64,6 +65,10 @@
 	Took time.Duration
 	// Tries is how often an endpoint was tried.
 	Tries int
+	// Lead is what was known of the group's primary at the end, and Now the
+	// boot time of the end.
+	Lead lead.Lead
+	Now  time.Duration
 }
 
 // Tried is one try at an endpoint that did not answer the client. It is
@@ -73,8 +78,10 @@
 	Statement statement.Statement
 	// Endpoint is where it was tried.
 	Endpoint string
-	// Reason says what went wrong.
+	// Reason says what went wrong, and Code is the endpoint's answer or OK if
+	// there was none.
 	Reason string
+	Code   statement.Code
 	// Sent is true if the statement may have run there.
 	Sent bool
 	// Took is the time of the try.
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -1,29 +1,59 @@
 package gateway
 
 import (
+	"time"
+
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 )
 
-// Log is an Observer that writes failures to the structured log.
-type Log struct{}
+const (
+	// failureBudget is how many failed requests of one reason are logged in a
+	// second.
+	failureBudget = 10
+	// successBudget is how many successes are logged in a second, as samples.
+	successBudget = 1
+)
+
+// Log is an Observer that writes to the structured log: failures within a
+// budget for each reason, and samples of successes. A line tells how many of
+// its reason were left out before it.
+type Log struct {
+	failures  *journal.Sampler
+	successes *journal.Sampler
+}
 
 // NewLog returns an observer that writes to the structured log.
-func NewLog() Log { return Log{} }
+func NewLog() Log {
+	return Log{failures: journal.NewSampler(failureBudget), successes: journal.NewSampler(successBudget)}
+}
 
-// Answered logs an answer that is an error.
-func (Log) Answered(a Answered) {
-	if a.Reply.Code == statement.OK {
+// Answered logs the answer to a client.
+func (l Log) Answered(a Answered) {
+	message, sampler, reason := "Request served", l.successes, a.Route.Consistency.String()
+	if a.Reply.Code != statement.OK {
+		message, sampler, reason = "Request failed", l.failures, a.Reply.Code.String()+a.Reply.Detail
+	}
+	omitted, ok := sampler.Allow(time.Now(), reason)
+	if !ok {
 		return
 	}
-	klog.InfoS("Request failed", "Request", a.Statement.ID, "Kind", a.Statement.Kind.String(),
-		"Code", a.Reply.Code.String(), "Detail", a.Reply.Detail, "Group", a.Route.Group, "Version", a.Version,
-		"Endpoint", a.Endpoint, "Primary", a.Primary, "TookMs", a.Took.Milliseconds(), "Tries", a.Tries)
+	klog.InfoS(message, "Request", a.Statement.ID, "Kind", a.Statement.Kind.String(),
+		"Code", a.Reply.Code.String(), "Detail", a.Reply.Detail, "Database", a.Route.Database, "Group", a.Route.Group,
+		"Version", a.Version, "Endpoint", a.Endpoint, "Primary", a.Primary, "Term", a.Lead.Term,
+		"Closed", a.Lead.Closed, "ProofAgeMs", (a.Now - a.Lead.Proven).Milliseconds(),
+		"PositionAgeMs", (a.Now - a.Lead.Newest()).Milliseconds(),
+		"TookMs", a.Took.Milliseconds(), "Tries", a.Tries, "Omitted", omitted)
 }
 
 // Tried logs a try that did not answer the client.
-func (Log) Tried(t Tried) {
+func (l Log) Tried(t Tried) {
+	omitted, ok := l.failures.Allow(time.Now(), "try"+t.Endpoint+t.Code.String())
+	if !ok {
+		return
+	}
 	klog.InfoS("Try failed", "Request", t.Statement.ID, "Kind", t.Statement.Kind.String(), "Endpoint", t.Endpoint,
-		"Reason", t.Reason, "Sent", t.Sent, "TookMs", t.Took.Milliseconds())
+		"Reason", t.Reason, "Sent", t.Sent, "TookMs", t.Took.Milliseconds(), "Omitted", omitted)
 }
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -202,7 +202,7 @@
 	}
 	h := k.table.Health(l.Endpoint)
 	e.Failures = max(e.Failures, h.Failures)
-	e.Refused = h.Refused
+	e.Refused, e.Running = h.Refused, h.Running
 	heard := h.Heard
 	if heard.Before(w.began) {
 		heard = w.began
--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// suspicion is the silence after which an unanswered primary is asked.
-	suspicion = 150 * time.Millisecond
+	// suspicion is the silence after which a primary that owes an answer is
+	// asked.
+	suspicion = 200 * time.Millisecond
 	// quiet is the silence after which a primary without traffic is asked.
 	quiet = 500 * time.Millisecond
 	// downSilence is how long a primary must be silent while its host refuses
@@ -79,6 +80,8 @@
 	Leaving bool
 	// Silent is the time since the primary last answered anything.
 	Silent time.Duration
+	// Running is how many statements are there without an answer.
+	Running int
 	// Failures counts tries without an answer since then.
 	Failures int
 	// Refused is true if the last failure was a refused connection.
@@ -119,7 +122,8 @@
 	if !e.Known || e.Closed {
 		return false
 	}
-	return e.Silent > quiet || (e.Failures > 0 && (e.Silent > suspicion || e.Refused))
+	return e.Silent > quiet || (e.Failures > 0 && e.Refused) ||
+		(e.Silent > suspicion && (e.Failures > 0 || e.Running > 0))
 }
 
 // Takes reports whether a proxy may take the duty to order promotions, which
--- a/internal/policy/succession/succession_test.go
+++ b/internal/policy/succession/succession_test.go
@@ -81,3 +81,12 @@
 	assert.Assert(t, !succession.Takes("a", "b", true, time.Second))
 	assert.Assert(t, succession.Takes("a", "b", true, 5*time.Second))
 }
+
+func TestAPrimaryThatOwesAnAnswerIsAskedSoon(t *testing.T) {
+	e := succession.Evidence{Known: true, Listed: true, Successors: 2, Silent: 250 * time.Millisecond}
+	assert.Assert(t, !succession.Asks(e), "it has nothing to answer")
+	e.Running = 1
+	assert.Assert(t, succession.Asks(e))
+	e.Closed = true
+	assert.Assert(t, !succession.Asks(e))
+}
--- a/internal/table/work/health.go
+++ b/internal/table/work/health.go
@@ -9,6 +9,8 @@
 type Health struct {
 	// Heard is when it last answered anything; zero for never.
 	Heard time.Time
+	// Running is how many statements are there without an answer.
+	Running int
 	// Failures counts tries without an answer since then.
 	Failures int
 	// Refused is true if the last failure proves that no process listens.
@@ -26,7 +28,7 @@
 	if !ok {
 		return Health{}
 	}
-	h := Health{Heard: e.heard, Failures: e.failures, Refused: e.refused}
+	h := Health{Heard: e.heard, Running: e.running, Failures: e.failures, Refused: e.refused}
 	for _, sent := range e.writes {
 		if sent.After(e.acknowledged) && (h.Waiting.IsZero() || sent.Before(h.Waiting)) {
 			h.Waiting = sent
--- a/internal/trade/roster/status.go
+++ b/internal/trade/roster/status.go
@@ -24,4 +24,3 @@
 	// Connections is how many connections are open.
 	Connections int
 }
-
