Pass configurations on by pull, and make fewer changes in the store

Each registration, removal and new registration woke the watch of every proxy.

Change: the text of a configuration goes only into the answer to a proxy that has an older one, a second after the store had it; a process that starts in the place of another goes on with its entry and lease; a watch rests up to 120 ms after a change.

--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -36,9 +35,12 @@
 	Groups() map[string]bool
 	// Proxies returns the addresses of the other proxies by name.
 	Proxies() map[string]string
-	// Beat returns what is told to others, besides primaries; the text of
-	// the configuration is left out if the receiver has that version.
-	Beat(theirs uint64) beat.Beat
+	// Beat returns what is told to others, besides primaries and the text of
+	// the configuration.
+	Beat() beat.Beat
+	// Configuration adds the text to a beat for a proxy that has an older
+	// version.
+	Configuration(b beat.Beat, theirs uint64) beat.Beat
 	// Heard takes what another proxy has told, besides primaries.
 	Heard(b beat.Beat)
 }
@@ -50,18 +52,13 @@
 	table   *work.Table
 	peers   Exchanger
 	beliefs Beliefs
-
-	// mutex guards the fields below. It is a leaf.
-	mutex sync.Mutex
-	// versions holds the version that each proxy last told.
-	versions map[string]uint64
-	// turn counts beats, so that proxies take turns.
+	// turn counts beats, so that proxies take turns. Run alone uses it.
 	turn int
 }
 
 // New returns a gossip among the proxies that are registered.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, x Exchanger, b Beliefs) *Gossip {
-	return &Gossip{timer: t, clock: c, table: table, peers: x, beliefs: b, versions: map[string]uint64{}}
+	return &Gossip{timer: t, clock: c, table: table, peers: x, beliefs: b}
 }
 
 // Run sends beats until ctx ends.
@@ -78,54 +75,44 @@
 	}
 }
 
-// Answer returns the beat that answers b.
+// Answer returns the beat that answers b. Only answers carry the text of a
+// configuration: what the asker has is known then, and none is sent twice.
 func (g *Gossip) Answer(b beat.Beat) beat.Beat {
 	g.beliefs.Heard(b)
-	g.note(b)
-	answer := g.beliefs.Beat(b.Version)
+	answer := g.beliefs.Configuration(g.beliefs.Beat(), b.Version)
 	answer.Sights = g.sights()
 	return answer
 }
 
 // beat exchanges one beat with the next proxy.
 func (g *Gossip) beat(ctx context.Context) {
-	name, address, theirs := g.next()
+	name, address := g.next()
 	if address == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := g.clock.Boot()
-	answer, err := g.peers.Exchange(ctx, address, g.beliefs.Beat(theirs))
+	answer, err := g.peers.Exchange(ctx, address, g.beliefs.Beat())
 	if err != nil {
 		klog.V(1).InfoS("Beat without an answer", "Proxy", name, "Address", address, "Error", err.Error())
 		return
 	}
-	g.note(answer)
 	g.beliefs.Heard(answer)
 	g.see(answer, sent)
 }
 
-// next returns the proxy whose turn it is, and the version that it last told.
-func (g *Gossip) next() (name, address string, version uint64) {
+// next returns the proxy whose turn it is.
+func (g *Gossip) next() (name, address string) {
 	proxies := g.beliefs.Proxies()
 	if len(proxies) == 0 {
-		return "", "", 0
+		return "", ""
 	}
 	names, addresses := sorted(proxies)
 	g.peers.Keep(addresses)
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	g.turn++
 	name = names[g.turn%len(names)]
-	return name, proxies[name], g.versions[name]
-}
-
-// note remembers the version of the sender.
-func (g *Gossip) note(b beat.Beat) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.versions[b.Sender] = b.Version
+	return name, proxies[name]
 }
 
 // sights returns what this proxy knows of primaries that it has proven.
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -25,6 +26,11 @@
 	Routes(i eelgrassladder.Item) (route.Table, error)
 }
 
+// storeHead is how long a configuration that came from the store is not
+// passed on: the others have it from there in that time, unless the store
+// turns them away.
+const storeHead = time.Second
+
 // beliefs is what the process takes to be in force. Its values are replaced
 // whole, never changed.
 type beliefs struct {
@@ -41,8 +47,10 @@
 	// proxies holds the addresses of the other registered proxies by name. It
 	// is replaced, never changed.
 	proxies map[string]string
-	// configuration is the item that the routes in force were decoded from.
+	// configuration is the item that the routes in force were decoded from,
+	// and told the boot time from which it is passed on to other proxies.
 	configuration eelgrassladder.Item
+	told          time.Duration
 	// duty is the newest that is known.
 	duty tenure.Duty
 	// changed is told of each group whose record has changed.
@@ -50,11 +58,12 @@
 	// name is that of this proxy, and registry decodes what others tell.
 	name     string
 	registry Registry
+	clock    eelgrassladder.Clock
 }
 
 // newBeliefs returns beliefs without routes and endpoints.
-func newBeliefs(name string, r Registry) *beliefs {
-	b := &beliefs{changed: func(string) {}, name: name, registry: r}
+func newBeliefs(name string, r Registry, c eelgrassladder.Clock) *beliefs {
+	b := &beliefs{changed: func(string) {}, name: name, registry: r, clock: c}
 	b.routes.Store(&route.Table{})
 	b.roster.Store(&roster.Roster{})
 	return b
@@ -68,7 +77,7 @@
 
 // takeRoutes brings a configuration into force unless it is older than the
 // one that is.
-func (b *beliefs) takeRoutes(i eelgrassladder.Item, source string) {
+func (b *beliefs) takeRoutes(i eelgrassladder.Item, source string, told time.Duration) {
 	t, err := b.registry.Routes(i)
 	if err != nil {
 		klog.ErrorS(err, "Configuration cannot be read", "Revision", i.Revision, "Source", source)
@@ -81,7 +90,7 @@
 		return
 	}
 	b.routes.Store(&t)
-	b.configuration = i
+	b.configuration, b.told = i, told
 	klog.InfoS("Routes in force", "Version", t.Version, "Before", old.Version, "Source", source)
 }
 
@@ -99,14 +108,22 @@
 	return b.proxies
 }
 
+// Configuration adds the text of the configuration to a beat for a proxy that
+// has an older version.
+func (b *beliefs) Configuration(made beat.Beat, theirs uint64) beat.Beat {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if theirs >= b.routes.Load().Version || b.clock.Boot() < b.told {
+		return made
+	}
+	return made.WithConfiguration(b.configuration.Value, b.configuration.Revision)
+}
+
 // Beat returns what is told to other proxies.
-func (b *beliefs) Beat(theirs uint64) beat.Beat {
+func (b *beliefs) Beat() beat.Beat {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	made := beat.Beat{Sender: b.name, Version: b.routes.Load().Version}
-	if theirs < made.Version {
-		made = made.WithConfiguration(b.configuration.Value, b.configuration.Revision)
-	}
 	for _, t := range b.tenures {
 		made.Records = append(made.Records, beat.Record{Group: t.Group, Revision: t.Revision, Value: t.Bytes()})
 		if o := b.opened[t.Group]; t.Closed && o.Revision == t.Revision {
@@ -121,7 +138,7 @@
 func (b *beliefs) Heard(h beat.Beat) {
 	if len(h.Configuration) > 0 {
 		key, _ := b.registry.Keys()
-		b.takeRoutes(eelgrassladder.Item{Key: key, Value: h.Configuration, Revision: h.Revision}, h.Sender)
+		b.takeRoutes(eelgrassladder.Item{Key: key, Value: h.Configuration, Revision: h.Revision}, h.Sender, 0)
 	}
 	for _, r := range h.Records {
 		t, err := tenure.Parse(r.Group, r.Value, r.Revision)
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -53,7 +53,7 @@
 	configuration, endpoints := n.parts.Registry.Keys()
 	switch {
 	case i.Key == configuration && !i.Gone:
-		n.beliefs.takeRoutes(i, "store")
+		n.beliefs.takeRoutes(i, "store", n.parts.Clock.Boot()+storeHead)
 	case strings.HasPrefix(i.Key, proxyPrefix):
 		f.takeProxy(i)
 	case i.Key == tenure.DutyKey:
@@ -83,14 +83,15 @@
 // takeProxy notes a proxy that has registered or left.
 func (f *follower) takeProxy(i eelgrassladder.Item) {
 	name := strings.TrimPrefix(i.Key, proxyPrefix)
+	r := parseRegistration(i.Value)
 	if i.Gone {
 		delete(f.proxies, name)
 	} else {
-		f.proxies[name] = string(i.Value)
+		f.proxies[name] = r.address
 	}
 	klog.InfoS("Proxy registered or gone", "Proxy", name, "Gone", i.Gone, "Proxies", len(f.proxies))
 	if name == f.node.settings.Name {
-		f.node.registered.Store(!i.Gone)
+		f.node.takeRegistration(r, i.Gone)
 	}
 	others := maps.Clone(f.proxies)
 	delete(others, f.node.settings.Name)
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -80,8 +80,10 @@
 	beliefs   *beliefs
 	// listed is true once the store was read for the first time.
 	listed atomic.Bool
-	// registered is true while the store lists this proxy.
+	// registered is true while the store lists this proxy, and lease is that
+	// of the entry; zero for none.
 	registered atomic.Bool
+	lease      atomic.Uint64
 	// leaving is true once the process was told to stop.
 	leaving atomic.Bool
 }
@@ -92,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{listeners: opened, settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry)}
+	n := &Node{listeners: opened, settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry, p.Clock)}
 	n.table = work.New(n.timer, p.Clock, s.DataCentre)
 	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs.Routes, p.Observer, n.tasks)
 	n.prober = proof.New(n.timer, p.Clock, n.table, p.Connector, n.tasks, func(group string) []roster.Endpoint {
@@ -161,7 +163,6 @@
 	end := n.timer.Now().Add(grace - graceMargin)
 	timer.Pause(ctx, n.timer, min(drainTime, grace/2))
 	n.front.Leave()
-	n.deregister(ctx)
 	for n.front.Connections() > 0 && n.timer.Now().Before(end) {
 		timer.Pause(ctx, n.timer, leavePace)
 	}
--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -22,6 +22,11 @@
 	// waitPerProxy spreads the calls: with more proxies each waits longer, and
 	// what one of them sees goes to the others by gossip.
 	waitPerProxy = 240 * time.Millisecond
+	// restPerProxy is the rest after a change, up to maxRest, so that changes
+	// that come together cost one call: each change costs a call of every
+	// proxy.
+	restPerProxy = 4 * time.Millisecond
+	maxRest      = 120 * time.Millisecond
 	// firstPause and maxPause bound the wait after a failure.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -109,6 +114,7 @@
 	w.revision = max(w.revision, revision)
 	if len(items) > 0 {
 		w.sink.Changed(items)
+		timer.Pause(ctx, w.timer, min(restPerProxy*time.Duration(w.proxies()), maxRest))
 	}
 	return nil
 }
