Send the client's own BEGIN and ROLLBACK to the endpoint

Cause: they went out as statements of the proxy's own, which are priced as questions.

Beats go out every 150 ms among more than eight proxies.

--- a/connection.go
+++ b/connection.go
@@ -24,12 +24,14 @@
 	// Adopt brings session values into force and prepares the shape of s, if
 	// it has one, where the connection does not have them yet.
 	Adopt(deadline time.Time, v statement.Values, s statement.Statement) (statement.Reply, error)
-	// Begin opens a transaction whose log holds after.
-	Begin(deadline time.Time, readOnly bool, after position.Position) (statement.Reply, error)
+	// Begin sends the start of a client's transaction, whose log must hold
+	// after.
+	Begin(deadline time.Time, s statement.Statement, after position.Position) (statement.Reply, error)
 	// Run sends a client's statement and returns its whole answer.
 	Run(deadline time.Time, s statement.Statement, after position.Position) (statement.Reply, error)
-	// Rollback ends the open transaction.
-	Rollback(deadline time.Time) (statement.Reply, error)
+	// Rollback ends the open transaction. The identifier is that of the
+	// client's statement; empty if the proxy rolls back by itself.
+	Rollback(deadline time.Time, id string) (statement.Reply, error)
 	// Status asks for the endpoint's status. A reply whose code is not OK is
 	// a refusal, such as Busy.
 	Status(deadline time.Time) (roster.Status, statement.Reply, error)
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -35,8 +35,9 @@
 	route route.Route
 	// version is the version of that route.
 	version uint64
-	// readOnly is true if the client asked for it.
-	readOnly bool
+	// begin is the client's statement; it is sent before the first one that
+	// an endpoint runs.
+	begin statement.Statement
 	// endpoint is where it runs; empty until its first statement has run.
 	endpoint roster.Endpoint
 	// connection is the transaction's until it ends; nil before the first
@@ -82,7 +83,7 @@
 	case statement.Commit:
 		return s.reply(s.commit(st))
 	case statement.Rollback:
-		return s.reply(s.rollback())
+		return s.reply(s.rollback(st))
 	case statement.Set:
 		s.values = s.values.With(st.Name, st.Value)
 		return s.reply(statement.Reply{})
@@ -108,7 +109,7 @@
 // Expire rolls back a transaction that its client has left idle for too long.
 func (s *Session) Expire() {
 	if s.open != nil && !s.open.broken {
-		s.abandon()
+		s.abandon("")
 		s.open.broken = true
 	}
 }
@@ -116,7 +117,7 @@
 // Close ends the session and rolls back an open transaction.
 func (s *Session) Close() {
 	if s.open != nil {
-		s.abandon()
+		s.abandon("")
 		s.open = nil
 	}
 }
@@ -141,17 +142,17 @@
 		return statement.Fail(statement.NoDatabase, "no route leads to database "+s.database)
 	}
 	s.open = &transaction{
-		route: r, version: routes.Version, readOnly: st.Kind == statement.BeginRead,
+		route: r, version: routes.Version, begin: st,
 	}
 	return statement.Reply{}
 }
 
 // rollback ends the open transaction and keeps nothing.
-func (s *Session) rollback() statement.Reply {
+func (s *Session) rollback(st statement.Statement) statement.Reply {
 	if s.open == nil {
 		return statement.Fail(statement.Malformed, "no transaction is open")
 	}
-	s.abandon()
+	s.abandon(st.ID)
 	s.open = nil
 	return statement.Reply{}
 }
@@ -162,15 +163,16 @@
 		return statement.Fail(statement.Malformed, "no transaction is open")
 	}
 	if s.open.broken {
-		s.abandon()
+		s.abandon("")
 		s.open = nil
 		return statement.Fail(statement.Aborted, "the transaction had failed and was rolled back")
 	}
 	return s.run(st)
 }
 
-// abandon gives up the connection of the open transaction.
-func (s *Session) abandon() {
+// abandon rolls back the open transaction and gives up its connection. The
+// identifier is that of the client's rollback, if it has asked for it.
+func (s *Session) abandon(id string) {
 	t := s.open
 	c := t.connection
 	if c == nil {
@@ -179,7 +181,7 @@
 	t.connection = nil
 	g := s.gateway
 	g.table.Resume(t.endpoint.ID)
-	reply, err := c.Rollback(g.timer.Now().Add(rollbackTime))
+	reply, err := c.Rollback(g.timer.Now().Add(rollbackTime), id)
 	if err != nil || reply.State != statement.Idle {
 		g.table.Discard(t.endpoint.ID, c, work.Outcome{Answered: err == nil})
 		return
@@ -193,7 +195,7 @@
 		Group: r.Group, Write: st.Writes(), Consistency: r.Consistency, Staleness: r.Staleness,
 	}
 	if s.open != nil {
-		n.Write, n.Reads = !s.open.readOnly, true
+		n.Write, n.Reads = s.open.begin.Kind == statement.Begin, true
 	}
 	if r.Consistency == route.ReadYourWrites {
 		n.Required = s.written
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -11,7 +11,7 @@
 // its first statement there.
 func (a *attempt) beginAt(w work.Assignment, c eelgrassladder.Connection) {
 	g, t := a.gateway, a.session.open
-	reply, err := c.Begin(a.deadline, t.readOnly, w.After)
+	reply, err := c.Begin(a.deadline, t.begin, w.After)
 	if err != nil || reply.Code != statement.OK {
 		o := work.Outcome{Answered: err == nil, Refused: refused(err), Crowded: reply.Code == statement.Busy}
 		if reply.Code == statement.Lagging {
--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -10,14 +10,20 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/beat"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 )
 
 const (
-	// period is how often a beat is sent, to one proxy after the other.
-	period = 300 * time.Millisecond
+	// period is how often a beat is sent, to one proxy after the other. What
+	// one proxy knows takes some rounds to reach all; with more than fewProxies
+	// of them beats are sent every shortPeriod, so that proofs arrive young
+	// enough to spare questions to endpoints.
+	period      = 300 * time.Millisecond
+	shortPeriod = 150 * time.Millisecond
+	fewProxies  = 8
 	// limit bounds one exchange.
 	limit = 600 * time.Millisecond
 )
@@ -63,16 +69,15 @@
 
 // Run sends beats until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
-	ticks := g.timer.Subscribe(period)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticks.C():
-			g.beat(ctx)
+	for ctx.Err() == nil {
+		wait := period
+		if len(g.beliefs.Proxies()) > fewProxies {
+			wait = shortPeriod
 		}
+		timer.Pause(ctx, g.timer, wait)
+		g.beat(ctx)
 	}
+	return ctx.Err()
 }
 
 // Answer returns the beat that answers b. Only answers carry the text of a
