--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -12,8 +12,9 @@
 	// suspicion is the silence after which a primary that owes an answer is
 	// asked.
 	suspicion = 200 * time.Millisecond
-	// quiet is the silence after which a primary without traffic is asked.
-	quiet = 500 * time.Millisecond
+	// quiet is the silence after which a primary that owes no answer is asked;
+	// whoever sends it a statement notices sooner.
+	quiet = 5 * time.Second
 	// downSilence is how long a primary must be silent while its host refuses
 	// connections, so that one broken connection is not taken for a crash.
 	downSilence = 100 * time.Millisecond
