--- a/cmd/eelgrassladder/node.go
+++ b/cmd/eelgrassladder/node.go
@@ -9,7 +9,6 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/command"
-	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 	"eelgrassladder.example/eelgrassladder/internal/host/node"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
@@ -51,7 +50,7 @@
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	stopping, cancel := command.Interrupted()
 	defer cancel()
-	process, err := node.New(s, adapter.Parts(s, gateway.NewLog()))
+	process, err := node.New(s, adapter.Parts(s))
 	if err != nil {
 		return err
 	}
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -57,3 +57,20 @@
 	klog.InfoS("Try failed", "Request", t.Statement.ID, "Kind", t.Statement.Kind.String(), "Endpoint", t.Endpoint,
 		"Reason", t.Reason, "Sent", t.Sent, "TookMs", t.Took.Milliseconds(), "Omitted", omitted)
 }
+
+// Observers tells several observers in turn.
+type Observers []Observer
+
+// Answered tells all of an answer.
+func (o Observers) Answered(a Answered) {
+	for _, one := range o {
+		one.Answered(a)
+	}
+}
+
+// Tried tells all of a try.
+func (o Observers) Tried(t Tried) {
+	for _, one := range o {
+		one.Tried(t)
+	}
+}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -23,6 +23,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/watch"
 	"eelgrassladder.example/eelgrassladder/internal/peer/sibling"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 )
 
@@ -49,6 +50,11 @@
 	Connections() int
 }
 
+// Measures shows what a process takes to be in force, and how old it is.
+type Measures interface {
+	Beliefs(version, clients func() float64, leads func() map[string]lead.Lead, now func() time.Duration)
+}
+
 // Parts are what the process needs of the platform.
 type Parts struct {
 	Store     eelgrassladder.KeyValue
@@ -57,6 +63,8 @@
 	Registry  Registry
 	Clock     eelgrassladder.Clock
 	Observer  gateway.Observer
+	// Measures shows what the process takes to be in force.
+	Measures Measures
 	// Front returns the clients' front end of a gateway.
 	Front func(*gateway.Gateway, eelgrassladder.Timer, *task.Group) Front
 	// Readiness returns the handler of the readiness probe and of metrics.
@@ -105,9 +113,21 @@
 	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
 	n.front = p.Front(n.gateway, n.timer, n.tasks)
+	p.Measures.Beliefs(
+		func() float64 { return float64(n.beliefs.Routes().Version) },
+		func() float64 { return float64(n.front.Connections()) }, n.leads, p.Clock.Boot)
 	return n, nil
 }
 
+// leads returns what is known of all primaries.
+func (n *Node) leads() map[string]lead.Lead {
+	all := map[string]lead.Lead{}
+	for group := range n.beliefs.Groups() {
+		all[group] = n.table.Lead(group)
+	}
+	return all
+}
+
 // Callers returns the address that clients connect to.
 func (n *Node) Callers() string { return n.listeners.callers.Addr().String() }
 
