--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -33,6 +33,9 @@
 	// promoteTime is how long a member may take to lead; it takes 300 to
 	// 600 ms.
 	promoteTime = 1500 * time.Millisecond
+	// retryPause is the wait before a change that could not begin is judged
+	// again.
+	retryPause = 80 * time.Millisecond
 	// openPause is the wait before the record is opened once more.
 	openPause = 60 * time.Millisecond
 )
@@ -69,6 +72,7 @@
 	}
 	if err != nil {
 		klog.InfoS("Change of primary not begun", "Group", group, "Reason", reason.String(), "Error", err.Error())
+		timer.Pause(ctx, k.timer, retryPause)
 		return
 	}
 	klog.InfoS("Change of primary begun", "Group", group, "Reason", reason.String(), "Primary", l.Endpoint,
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -173,7 +173,7 @@
 	if w.primary != l.Endpoint {
 		*w = watched{primary: l.Endpoint, began: now, members: w.members}
 	}
-	w.see(r.Group(group), now)
+	w.see(r, group, now)
 	e := policy.Evidence{Known: l.Endpoint != "", Closed: l.Closed, Since: k.clock.Boot() - l.Since}
 	e.Own = l.Closed && k.beliefs.Tenure(group).Holder == k.name
 	for _, one := range r.Group(group) {
@@ -215,17 +215,20 @@
 	return e
 }
 
-// see notes the members that are listed and forgets those that are gone for
-// good.
-func (w *watched) see(listed []roster.Endpoint, now time.Time) {
+// see notes the members of a group that are listed. It forgets those that are
+// gone for good: not listed for long, or replaced at their address.
+func (w *watched) see(r roster.Roster, group string, now time.Time) {
 	if w.members == nil {
 		w.members = map[string]sighting{}
 	}
-	for _, e := range listed {
+	for _, e := range r.Group(group) {
 		w.members[e.ID] = sighting{endpoint: e, at: now}
 	}
 	for id, s := range w.members {
-		if now.Sub(s.at) > memberTime {
+		if s.at.Equal(now) {
+			continue
+		}
+		if now.Sub(s.at) > memberTime || r.Replaced(s.endpoint) {
 			delete(w.members, id)
 		}
 	}
--- a/internal/lab/estate/estate.go
+++ b/internal/lab/estate/estate.go
@@ -125,6 +125,15 @@
 // Remove takes a member off the platform's list.
 func (e *Estate) Remove(m *member.Member) { e.Store.Delete(endpointPrefix + m.ID) }
 
+// Rename lists a member under another ID, as one that was started again after
+// a crash.
+func (e *Estate) Rename(m *member.Member, id string) {
+	old := m.Rename(id)
+	primary, _ := m.State()
+	m.Announce(primary, false)
+	e.Store.Delete(endpointPrefix + old)
+}
+
 // promote passes a promotion to the group that it names.
 func (e *Estate) promote(p *cloud.PromotePayload) error {
 	for _, g := range e.Groups {
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -105,6 +105,15 @@
 	g.changed.Broadcast()
 }
 
+// Rename gives the member another ID and returns the one that it had.
+func (m *Member) Rename(id string) string {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	old := m.ID
+	m.ID = id
+	return old
+}
+
 // Leave marks the member as leaving.
 func (m *Member) Leave() {
 	g := m.group
--- a/internal/trade/roster/roster.go
+++ b/internal/trade/roster/roster.go
@@ -80,6 +80,20 @@
 // be changed.
 func (r Roster) Group(name string) []Endpoint { return r.groups[name] }
 
+// Replaced reports whether another instance is listed at the address of an
+// endpoint that is not listed, which proves that the endpoint has ended.
+func (r Roster) Replaced(e Endpoint) bool {
+	if _, ok := r.endpoints[e.ID]; ok {
+		return false
+	}
+	for _, other := range r.endpoints {
+		if other.Address == e.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of endpoints.
 func (r Roster) Len() int { return len(r.endpoints) }
 
