--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -15,7 +15,7 @@
 	remotePenalty = 30 * time.Millisecond
 	// primaryPenalty keeps reads that a replica can serve away from the
 	// primary, whose slots writes need.
-	primaryPenalty = 10 * time.Millisecond
+	primaryPenalty = 45 * time.Millisecond
 	// boundMargin is taken off a staleness bound. It covers the way from the
 	// choice of an endpoint to the first byte that the endpoint reads.
 	boundMargin = 120 * time.Millisecond
