Open control connections in one place, and split what grew

The prober and the keeper each borrowed, opened and noted connections in their own way; internal/host/control does it for both. change.go and attempt.go are split by concept.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
-	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
@@ -171,7 +168,7 @@
 	if c == nil {
 		opened, reply, err := g.connect(w, a.deadline)
 		if opened == nil {
-			o := work.Outcome{Answered: err == nil, Refused: refused(err)}
+			o := work.Outcome{Answered: err == nil, Refused: control.Refused(err)}
 			o.Full = reply.Code == statement.Overload || reply.Code == statement.Busy
 			if reply.Code == statement.Misrouted {
 				o = work.Outcome{Refused: true}
@@ -235,77 +232,6 @@
 	return reply, err
 }
 
-// judge decides what the endpoint's answer means for the client.
-func (a *attempt) judge(w work.Assignment, reply statement.Reply) {
-	switch {
-	case reply.Code == statement.OK:
-		a.gateway.budget.Succeeded(a.gateway.timer.Now())
-		if a.statement.Writes() {
-			a.session.written = a.session.written.Later(reply.Position)
-		}
-		a.finish(reply)
-	case reply.Code.NotRun():
-		a.again(w, reply.Code, reply.Code.String(), false)
-	case !a.statement.Writes() && a.tries == 1 && reply.Code == statement.Failed:
-		a.again(w, reply.Code, reply.Code.String(), true)
-	default:
-		a.finish(reply)
-	}
-}
-
-// unanswered decides what follows when no whole answer came.
-func (a *attempt) unanswered(w work.Assignment, c eelgrassladder.Connection, err error, took time.Duration) {
-	g := a.gateway
-	late := timedOut(err)
-	if late {
-		g.drain(w, c, a.deadline)
-	} else {
-		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: refused(err)})
-	}
-	switch {
-	case !a.statement.Writes():
-		a.again(w, statement.OK, err.Error(), true)
-	case late:
-		a.lost(w, statement.TimedOut, err, took)
-	default:
-		a.lost(w, statement.InDoubt, err, took)
-	}
-}
-
-// lost tells the client that the outcome is not known.
-func (a *attempt) lost(w work.Assignment, c statement.Code, err error, took time.Duration) {
-	a.gateway.observer.Tried(Tried{
-		Statement: a.statement, Endpoint: w.Endpoint.ID, Reason: err.Error(), Sent: true, Took: took,
-	})
-	a.finish(statement.Fail(c, "the endpoint did not answer"))
-}
-
-// again tries another time, elsewhere if there is a choice. It is for
-// statements that have not run or only read.
-func (a *attempt) again(w work.Assignment, c statement.Code, reason string, sent bool) {
-	now := a.gateway.timer.Now()
-	a.gateway.observer.Tried(Tried{
-		Statement: a.statement, Endpoint: w.Endpoint.ID, Code: c, Reason: reason, Sent: sent, Took: now.Sub(a.arrived),
-	})
-	if !now.Add(busyPause).Before(a.deadline) {
-		a.finish(a.session.fail(statement.Busy, "no endpoint answered in time"))
-		return
-	}
-	if a.tries%3 != 0 {
-		a.submit(w.Endpoint.ID)
-		return
-	}
-	a.gateway.tasks.Detach("pause before a retry", func(ctx context.Context) {
-		pause := a.gateway.timer.Once(busyPause)
-		defer pause.Stop()
-		select {
-		case <-ctx.Done():
-		case <-pause.C():
-		}
-		a.submit(w.Endpoint.ID)
-	})
-}
-
 // patience is when a try is given up.
 func (a *attempt) patience(now time.Time) time.Time {
 	if a.statement.Writes() {
@@ -333,7 +259,7 @@
 func (g *Gateway) drain(w work.Assignment, c eelgrassladder.Connection, deadline time.Time) {
 	g.tasks.Detach("late answer", func(context.Context) {
 		if _, err := c.Await(deadline.Add(lateAnswer)); err != nil {
-			g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: refused(err)})
+			g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: control.Refused(err)})
 			return
 		}
 		g.table.Return(w.Endpoint.ID, c, work.Outcome{Answered: true})
@@ -342,49 +268,3 @@
 
 // lateAnswer is how long past a statement's deadline its answer is waited for.
 const lateAnswer = 500 * time.Millisecond
-
-// learn notes what an answer of the primary shows.
-func (g *Gateway) learn(w work.Assignment, group string, asked time.Duration, r statement.Reply, wrote bool) {
-	if !w.Primary || r.Position.IsZero() {
-		return
-	}
-	known, _ := g.routes().Group(group)
-	g.table.Change(group, func(l lead.Lead) lead.Lead {
-		return learned(l, w.Endpoint.ID, asked, r.Position, wrote && known.Synchronous > 0)
-	})
-}
-
-// learned is the lead after its endpoint has answered a request sent at
-// asked. An acknowledged write proves that no change of primary was under
-// way, because a change suspends the replicas that must acknowledge it.
-func learned(l lead.Lead, endpoint string, asked time.Duration, p position.Position, wrote bool) lead.Lead {
-	if l.Endpoint != endpoint {
-		return l
-	}
-	if l.Term == 0 {
-		l = l.WithTerm(p.Term)
-	}
-	if wrote && p.Term == l.Term {
-		l = l.WithProof(asked)
-	}
-	return l.WithSample(asked, p)
-}
-
-// refused reports whether an error proves that no process listens.
-func refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
-// timedOut reports whether an error is that of a passed deadline.
-func timedOut(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
-// describe says why a try failed.
-func describe(r statement.Reply, err error) string {
-	if err != nil {
-		return err.Error()
-	}
-	return r.Code.String()
-}
--- /dev/null
+++ b/internal/host/gateway/outcome.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
+)
+
+// judge decides what the endpoint's answer means for the client.
+func (a *attempt) judge(w work.Assignment, reply statement.Reply) {
+	switch {
+	case reply.Code == statement.OK:
+		a.gateway.budget.Succeeded(a.gateway.timer.Now())
+		if a.statement.Writes() {
+			a.session.written = a.session.written.Later(reply.Position)
+		}
+		a.finish(reply)
+	case reply.Code.NotRun():
+		a.again(w, reply.Code, reply.Code.String(), false)
+	case !a.statement.Writes() && a.tries == 1 && reply.Code == statement.Failed:
+		a.again(w, reply.Code, reply.Code.String(), true)
+	default:
+		a.finish(reply)
+	}
+}
+
+// unanswered decides what follows when no whole answer came.
+func (a *attempt) unanswered(w work.Assignment, c eelgrassladder.Connection, err error, took time.Duration) {
+	g := a.gateway
+	late := timedOut(err)
+	if late {
+		g.drain(w, c, a.deadline)
+	} else {
+		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: control.Refused(err)})
+	}
+	switch {
+	case !a.statement.Writes():
+		a.again(w, statement.OK, err.Error(), true)
+	case late:
+		a.lost(w, statement.TimedOut, err, took)
+	default:
+		a.lost(w, statement.InDoubt, err, took)
+	}
+}
+
+// lost tells the client that the outcome is not known.
+func (a *attempt) lost(w work.Assignment, c statement.Code, err error, took time.Duration) {
+	a.gateway.observer.Tried(Tried{
+		Statement: a.statement, Endpoint: w.Endpoint.ID, Reason: err.Error(), Sent: true, Took: took,
+	})
+	a.finish(statement.Fail(c, "the endpoint did not answer"))
+}
+
+// again tries another time, elsewhere if there is a choice. It is for
+// statements that have not run or only read.
+func (a *attempt) again(w work.Assignment, c statement.Code, reason string, sent bool) {
+	now := a.gateway.timer.Now()
+	a.gateway.observer.Tried(Tried{
+		Statement: a.statement, Endpoint: w.Endpoint.ID, Code: c, Reason: reason, Sent: sent, Took: now.Sub(a.arrived),
+	})
+	if !now.Add(busyPause).Before(a.deadline) {
+		a.finish(a.session.fail(statement.Busy, "no endpoint answered in time"))
+		return
+	}
+	if a.tries%3 != 0 {
+		a.submit(w.Endpoint.ID)
+		return
+	}
+	a.gateway.tasks.Detach("pause before a retry", func(ctx context.Context) {
+		pause := a.gateway.timer.Once(busyPause)
+		defer pause.Stop()
+		select {
+		case <-ctx.Done():
+		case <-pause.C():
+		}
+		a.submit(w.Endpoint.ID)
+	})
+}
+
+// timedOut reports whether an error is that of a passed deadline.
+func timedOut(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// describe says why a try failed.
+func describe(r statement.Reply, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return r.Code.String()
+}
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
@@ -13,7 +14,7 @@
 	g, t := a.gateway, a.session.open
 	reply, err := c.Begin(a.deadline, t.begin, w.After)
 	if err != nil || reply.Code != statement.OK {
-		o := work.Outcome{Answered: err == nil, Refused: refused(err), Crowded: reply.Code == statement.Busy}
+		o := work.Outcome{Answered: err == nil, Refused: control.Refused(err), Crowded: reply.Code == statement.Busy}
 		if reply.Code == statement.Lagging {
 			o.Lacked = w.After
 		}
@@ -105,7 +106,7 @@
 // its commit was sent.
 func (a *attempt) broken(c eelgrassladder.Connection, err error) {
 	t := a.session.open
-	o := work.Outcome{Refused: refused(err)}
+	o := work.Outcome{Refused: control.Refused(err)}
 	if a.statement.Kind != statement.Commit || !t.wrote {
 		a.abort(c, o, err.Error())
 		return
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/gossip"
 	"eelgrassladder.example/eelgrassladder/internal/host/proof"
@@ -105,11 +106,12 @@
 	n := &Node{listeners: opened, settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry, p.Clock)}
 	n.table = work.New(n.timer, p.Clock, s.DataCentre)
 	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs.Routes, p.Observer, n.tasks)
-	n.prober = proof.New(n.timer, p.Clock, n.table, p.Connector, n.tasks, func(group string) []roster.Endpoint {
+	dialer := control.NewDialer(n.timer, n.table, p.Connector)
+	n.prober = proof.New(n.timer, p.Clock, n.table, dialer, n.tasks, func(group string) []roster.Endpoint {
 		return n.beliefs.Roster().Group(group)
 	})
 	n.beliefs.changed = n.lead
-	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, p.Connector, p.Store, p.Promoter, n.beliefs, n.tasks)
+	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, dialer, p.Store, p.Promoter, n.beliefs, n.tasks)
 	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
 	n.front = p.Front(n.gateway, n.timer, n.tasks)
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
@@ -30,7 +31,7 @@
 	timer     eelgrassladder.Timer
 	clock     eelgrassladder.Clock
 	table     *work.Table
-	connector eelgrassladder.Connector
+	dialer    *control.Dialer
 	tasks     *task.Group
 	endpoints func(group string) []roster.Endpoint
 
@@ -43,11 +44,11 @@
 }
 
 // New returns a prober of the groups in the table.
-func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, dial eelgrassladder.Connector,
+func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, dialer *control.Dialer,
 	g *task.Group, endpoints func(string) []roster.Endpoint,
 ) *Prober {
 	return &Prober{
-		timer: t, clock: c, table: table, connector: dial, tasks: g, endpoints: endpoints, asking: map[string]bool{},
+		timer: t, clock: c, table: table, dialer: dialer, tasks: g, endpoints: endpoints, asking: map[string]bool{},
 	}
 }
 
@@ -140,23 +141,11 @@
 
 // status asks one endpoint.
 func (p *Prober) status(ctx context.Context, e roster.Endpoint) (roster.Status, statement.Reply, bool) {
-	c, ok := p.table.Borrow(e.ID)
-	if !ok {
+	c, err := p.dialer.Question(ctx, e)
+	if err != nil {
 		return roster.Status{}, statement.Reply{}, false
 	}
-	if c == nil {
-		opened, reply, err := p.connector.Connect(ctx, e)
-		if opened == nil {
-			p.table.Discard(e.ID, nil, work.Outcome{Answered: err == nil, Full: reply.Code == statement.Overload})
-			return roster.Status{}, reply, false
-		}
-		c = opened
-	}
 	s, reply, err := c.Status(p.timer.Now().Add(askTime))
-	if err != nil {
-		p.table.Discard(e.ID, c, work.Outcome{})
-		return s, reply, false
-	}
-	p.table.Return(e.ID, c, work.Outcome{Answered: true, Applied: reply.Position})
-	return s, reply, reply.Code == statement.OK
+	c.Release(err, reply.Position)
+	return s, reply, err == nil && reply.Code == statement.OK
 }
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -2,20 +2,18 @@
 
 import (
 	"context"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
-	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
-	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
@@ -149,18 +147,6 @@
 	return nil
 }
 
-// statuses asks all endpoints for their status.
-func (c *change) statuses(ctx context.Context, all []roster.Endpoint) []answer {
-	return c.each(ctx, all, func(n *control) (roster.Status, error) {
-		s, reply, err := n.connection.Status(c.keeper.timer.Now().Add(orderTime))
-		n.release(err)
-		if err == nil && reply.Code != statement.OK {
-			err = errors.Errorf("no status: %v", reply.Code)
-		}
-		return s, err
-	})
-}
-
 // close takes the token and closes the group's record for all proxies.
 func (c *change) close(ctx context.Context, l lead.Lead, before tenure.Tenure) error {
 	k := c.keeper
@@ -230,35 +216,6 @@
 	return next.ID, led, c.settle(ctx, suspended)
 }
 
-// answer is what one member told.
-type answer struct {
-	endpoint roster.Endpoint
-	status   roster.Status
-	err      error
-}
-
-// each asks all endpoints at once.
-func (c *change) each(ctx context.Context, all []roster.Endpoint, ask func(*control) (roster.Status, error)) []answer {
-	answers := make([]answer, len(all))
-	var mutex sync.Mutex
-	g := task.New(ctx)
-	for i, e := range all {
-		g.Go("order to an endpoint", func(ctx context.Context) error {
-			a := answer{endpoint: e}
-			var connection *control
-			if connection, a.err = c.keeper.dial(ctx, e); a.err == nil {
-				a.status, a.err = ask(connection)
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			answers[i] = a
-			return nil
-		})
-	}
-	_ = g.Wait()
-	return answers
-}
-
 // newest returns the newest term that the members know, and the one besides
 // the old primary that already leads.
 func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, string, error) {
@@ -279,29 +236,6 @@
 	return term, leading, nil
 }
 
-// suspend stops all replicas from receiving. All of them must answer: one
-// that goes on could acknowledge writes of the old primary.
-func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) ([]policy.Candidate, error) {
-	answers := c.each(ctx, others, func(n *control) (roster.Status, error) {
-		s, reply, err := n.connection.Suspend(c.keeper.timer.Now().Add(orderTime), term)
-		n.release(err)
-		if err == nil && reply.Code != statement.OK {
-			err = errors.Errorf("not suspended: %v %s", reply.Code, reply.Detail)
-		}
-		return s, err
-	})
-	candidates := make([]policy.Candidate, 0, len(answers))
-	for _, a := range answers {
-		if a.err != nil {
-			return nil, errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
-		}
-		candidates = append(candidates, policy.Candidate{
-			ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving,
-		})
-	}
-	return candidates, nil
-}
-
 // awaitLead asks a member until it leads a term above the old one.
 func (c *change) awaitLead(ctx context.Context, id string, old uint64) (uint64, error) {
 	k := c.keeper
@@ -338,11 +272,11 @@
 	if c.old.Address == "" {
 		return false
 	}
-	n, err := c.keeper.dial(ctx, c.old)
+	n, err := c.keeper.dialer.Order(ctx, c.old)
 	if err == nil {
-		n.release(nil)
+		n.Release(nil, position.Position{})
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	return control.Refused(err)
 }
 
 // open opens the record for the new primary, and tells the old one.
@@ -378,20 +312,3 @@
 	}
 	c.demote(ctx, term)
 }
-
-// demote makes the old primary a replica, if it can be reached.
-func (c *change) demote(ctx context.Context, term uint64) {
-	if c.old.Address == "" || c.dead {
-		return
-	}
-	answers := c.each(ctx, []roster.Endpoint{c.old}, func(n *control) (roster.Status, error) {
-		s, reply, err := n.connection.Demote(c.keeper.timer.Now().Add(orderTime), term)
-		n.release(err)
-		klog.InfoS("Old primary told to follow", "Group", c.group, "Endpoint", c.old.ID, "Code", reply.Code.String(),
-			"Status", s, "Position", reply.Position.String())
-		return s, err
-	})
-	if err := answers[0].err; err != nil {
-		klog.InfoS("Old primary not told", "Group", c.group, "Endpoint", c.old.ID, "Error", err.Error())
-	}
-}
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -16,11 +16,13 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
@@ -58,15 +60,15 @@
 
 // Keeper watches and replaces primaries. Use New, then Run.
 type Keeper struct {
-	name      string
-	timer     eelgrassladder.Timer
-	clock     eelgrassladder.Clock
-	table     *work.Table
-	connector eelgrassladder.Connector
-	store     eelgrassladder.KeyValue
-	promoter  eelgrassladder.Promoter
-	beliefs   Beliefs
-	tasks     *task.Group
+	name     string
+	timer    eelgrassladder.Timer
+	clock    eelgrassladder.Clock
+	table    *work.Table
+	dialer   *control.Dialer
+	store    eelgrassladder.KeyValue
+	promoter eelgrassladder.Promoter
+	beliefs  Beliefs
+	tasks    *task.Group
 
 	// mutex guards the fields below. It is a leaf.
 	mutex sync.Mutex
@@ -103,10 +105,10 @@
 
 // New returns a keeper for the proxy with the name.
 func New(name string, t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table,
-	dial eelgrassladder.Connector, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, b Beliefs, g *task.Group,
+	dialer *control.Dialer, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, b Beliefs, g *task.Group,
 ) *Keeper {
 	return &Keeper{
-		name: name, timer: t, clock: c, table: table, connector: dial, store: store, promoter: p, beliefs: b, tasks: g,
+		name: name, timer: t, clock: c, table: table, dialer: dialer, store: store, promoter: p, beliefs: b, tasks: g,
 		watched: map[string]*watched{},
 	}
 }
@@ -260,10 +262,11 @@
 	if !ok {
 		return
 	}
-	c, err := k.dial(ctx, told)
+	c, err := k.dialer.Order(ctx, told)
 	if err == nil {
-		_, _, err = c.connection.Status(k.timer.Now().Add(probeTime))
-		c.release(err)
+		var reply statement.Reply
+		_, reply, err = c.Status(k.timer.Now().Add(probeTime))
+		c.Release(err, reply.Position)
 	}
 	if err != nil {
 		klog.InfoS("Primary did not answer", "Group", group, "Endpoint", told.ID, "Reason", err.Error())
--- /dev/null
+++ b/internal/host/succession/order.go
@@ -0,0 +1,102 @@
+package succession
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
+)
+
+// answer is what one member told.
+type answer struct {
+	endpoint roster.Endpoint
+	status   roster.Status
+	err      error
+}
+
+// order is a question or an order to one endpoint.
+type order func(c *control.Connection) (roster.Status, statement.Reply, error)
+
+// each gives an order to all endpoints at once. An answer that is not OK is
+// an error.
+func (c *change) each(ctx context.Context, all []roster.Endpoint, o order) []answer {
+	answers := make([]answer, len(all))
+	var mutex sync.Mutex
+	g := task.New(ctx)
+	for i, e := range all {
+		g.Go("order to an endpoint", func(ctx context.Context) error {
+			a := c.give(ctx, e, o)
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers[i] = a
+			return nil
+		})
+	}
+	_ = g.Wait() // each function returns nil
+	return answers
+}
+
+// give gives an order to one endpoint.
+func (c *change) give(ctx context.Context, e roster.Endpoint, o order) answer {
+	a := answer{endpoint: e}
+	n, err := c.keeper.dialer.Order(ctx, e)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	status, reply, err := o(n)
+	n.Release(err, reply.Position)
+	if err == nil && reply.Code != statement.OK {
+		err = errors.Errorf("%v %s", reply.Code, reply.Detail)
+	}
+	a.status, a.err = status, err
+	return a
+}
+
+// statuses asks all endpoints for their status.
+func (c *change) statuses(ctx context.Context, all []roster.Endpoint) []answer {
+	return c.each(ctx, all, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+		return n.Status(c.keeper.timer.Now().Add(orderTime))
+	})
+}
+
+// suspend stops all replicas from receiving. All of them must answer: one
+// that goes on could acknowledge writes of the old primary.
+func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) ([]policy.Candidate, error) {
+	answers := c.each(ctx, others, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+		return n.Suspend(c.keeper.timer.Now().Add(orderTime), term)
+	})
+	candidates := make([]policy.Candidate, 0, len(answers))
+	for _, a := range answers {
+		if a.err != nil {
+			return nil, errors.WithMessagef(a.err, "endpoint %s not suspended", a.endpoint.ID)
+		}
+		candidates = append(candidates, policy.Candidate{
+			ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving,
+		})
+	}
+	return candidates, nil
+}
+
+// demote makes the old primary a replica, if it can be reached.
+func (c *change) demote(ctx context.Context, term uint64) {
+	if c.old.Address == "" || c.dead {
+		return
+	}
+	a := c.give(ctx, c.old, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+		return n.Demote(c.keeper.timer.Now().Add(orderTime), term)
+	})
+	if a.err != nil {
+		klog.InfoS("Old primary not told", "Group", c.group, "Endpoint", c.old.ID, "Error", a.err.Error())
+		return
+	}
+	klog.InfoS("Old primary told to follow", "Group", c.group, "Endpoint", c.old.ID, "Term", a.status.Term,
+		"Received", a.status.Received.String())
+}
