Soak real proxies under random faults

internal/lab/soak runs proxies as processes of their own against the stand-in of the platform: members that crash, fall silent, are cut, lag or lose answers; a store that is down, slow, mute or loses answers; proxies that are killed, stopped, paused and reloaded; configurations. Clients check each read against what they wrote; refused values must never appear.

--- a/cmd/eelgrasslab/main.go
+++ b/cmd/eelgrasslab/main.go
@@ -15,6 +15,7 @@
 	Trials   experimentCommand `command:"experiment" description:"Run an experiment"`
 	Platform platformCommand   `command:"platform" description:"Run the stand-in of the platform"`
 	Group    groupCommand      `command:"group" description:"Run the stand-in of a database group"`
+	Soak     soakCommand       `command:"soak" description:"Run proxies as processes under random faults and check the promises"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/cmd/eelgrasslab/soak.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/soak"
+)
+
+// soakCommand runs proxies as processes under random faults.
+type soakCommand struct {
+	Seed    uint64 `long:"seed" default:"1" description:"First seed"`
+	Seeds   uint64 `long:"seeds" default:"1" description:"How many seeds to play, one after another"`
+	Seconds int    `long:"seconds" default:"15" description:"How long faults go on for each seed"`
+	Proxies int    `long:"proxies" default:"4" description:"Processes of proxies"`
+	Groups  int    `long:"groups" default:"2" description:"Database groups of three members"`
+	Folder  string `long:"folder" value-name:"DIR" description:"Where settings and logs are kept; a temporary folder if empty"`
+	Quiet   bool   `long:"quiet" description:"Do not print the schedule"`
+}
+
+// Execute plays the seeds and fails if a promise was broken.
+func (c *soakCommand) Execute([]string) error {
+	folder := c.Folder
+	if folder == "" {
+		made, err := os.MkdirTemp("", "eelgrasslab-soak")
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		folder = made
+	}
+	binary, err := soak.Build(folder)
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
+		p := soak.Plan{
+			Seed: seed, Length: time.Duration(c.Seconds) * time.Second, Proxies: c.Proxies, Groups: c.Groups,
+			Binary: binary, Folder: filepath.Join(folder, fmt.Sprintf("seed-%d", seed)), Output: os.Stdout,
+		}
+		if c.Quiet {
+			p.Output = nil
+		}
+		result, err := soak.Play(context.Background(), p)
+		if err != nil {
+			return errors.WithMessagef(err, "seed %d", seed)
+		}
+		fmt.Printf("Seed=%d Served=%d Failed=%d Starts=%d Violations=%d\n%s", seed, result.Served, result.Failed,
+			result.Starts, len(result.Violations), strings.Join(append(result.Violations, ""), "\n"))
+		broken += len(result.Violations)
+	}
+	if broken > 0 {
+		return errors.Errorf("%d promises were broken; logs are in %s", broken, folder)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/soak/process.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/lab/estate"
+)
+
+// restartPause is how long the platform takes to start a process again.
+const restartPause = 300 * time.Millisecond
+
+// process is a proxy that runs as a process of its own and is started again
+// when it ends.
+type process struct {
+	settings settings.Node
+	binary   string
+	file     string
+	log      *os.File
+
+	// mutex guards the fields below. It is a leaf.
+	mutex   sync.Mutex
+	running *os.Process
+	starts  int
+}
+
+// newProcess writes the settings of a proxy on free ports.
+func newProcess(e *estate.Estate, binary, folder, name string) (*process, error) {
+	s := e.Settings(name)
+	for _, a := range []*string{&s.Callers, &s.Readiness, &s.Sibling} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		*a = l.Addr().String()
+		if err := l.Close(); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	p := &process{settings: s, binary: binary, file: filepath.Join(folder, name+".hujson")}
+	if err := os.WriteFile(p.file, text, 0o600); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	p.log, err = os.Create(filepath.Join(folder, name+".log"))
+	return p, errors.WithStack(err)
+}
+
+// run keeps the process running until ctx ends, and then ends it.
+func (p *process) run(ctx context.Context) error {
+	defer func() { _ = p.log.Close() }()
+	for ctx.Err() == nil {
+		c := exec.CommandContext(ctx, p.binary, "node", "--settings", p.file)
+		c.Stdout, c.Stderr = p.log, p.log
+		if err := c.Start(); err != nil {
+			return errors.WithStack(err)
+		}
+		p.mutex.Lock()
+		p.running = c.Process
+		p.starts++
+		p.mutex.Unlock()
+		_ = c.Wait() // processes end by signals here; the log tells why
+		p.mutex.Lock()
+		p.running = nil
+		p.mutex.Unlock()
+		pause := time.NewTimer(restartPause)
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+		pause.Stop()
+	}
+	return ctx.Err()
+}
+
+// signal sends a signal to the process, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running != nil {
+		_ = p.running.Signal(s) // it may have ended meanwhile
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,209 @@
+// Package soak runs real proxies as processes of their own against the
+// stand-in of the users' platform, injects faults from outside, and checks
+// the promises from what clients and members see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/estate"
+	"eelgrassladder.example/eelgrassladder/internal/lab/keyvalue"
+	"eelgrassladder.example/eelgrassladder/internal/lab/member"
+)
+
+const (
+	// recoveryTime is the users' bound for service after faults have ended.
+	recoveryTime = 12 * time.Second
+	// clientsPerGroup is how many clients work on each group.
+	clientsPerGroup = 6
+)
+
+// Plan says what a run does. It is immutable.
+type Plan struct {
+	// Seed draws the schedule and what clients do.
+	Seed uint64
+	// Length is how long faults go on.
+	Length time.Duration
+	// Proxies and Groups are how many there are.
+	Proxies, Groups int
+	// Binary is the program that runs as a proxy.
+	Binary string
+	// Folder takes settings and logs.
+	Folder string
+	// Output takes the schedule as it is played.
+	Output io.Writer
+}
+
+// Result is what a run has shown. It is immutable.
+type Result struct {
+	// Violations are the broken promises.
+	Violations []string
+	// Served and Failed count operations.
+	Served, Failed int
+	// Starts is how often proxies were started.
+	Starts int
+}
+
+// Run is one run. Use Play.
+type Run struct {
+	plan       Plan
+	began      time.Time
+	estate     *estate.Estate
+	processes  []*process
+	clients    []*client
+	violations violations
+	// faulted holds groups with a faulted member. The player alone uses it.
+	faulted map[string]bool
+}
+
+// Build builds the program into the folder and returns its path.
+func Build(folder string) (string, error) {
+	binary := filepath.Join(folder, "eelgrassladder")
+	out, err := exec.Command("go", "build", "-o", binary, "eelgrassladder.example/eelgrassladder/cmd/eelgrassladder").CombinedOutput()
+	return binary, errors.Wrap(err, string(out))
+}
+
+// Play plays one run.
+func Play(ctx context.Context, p Plan) (Result, error) {
+	r := &Run{plan: p, faulted: map[string]bool{}}
+	platform := task.New(ctx)
+	defer func() {
+		platform.Stop()
+		_ = platform.Wait() // its parts end with the context
+	}()
+	layout := estate.DefaultPlan()
+	layout.Groups, layout.Connections = p.Groups, 24
+	e, err := estate.New(platform, layout)
+	if err != nil {
+		return Result{}, err
+	}
+	r.estate = e
+	proxies := task.New(ctx)
+	defer func() {
+		proxies.Stop()
+		_ = proxies.Wait() // each ends by the signal that it was sent
+	}()
+	if err := r.startProxies(proxies); err != nil {
+		return Result{}, err
+	}
+	if err := r.serves(ctx); err != nil {
+		return Result{}, errors.WithMessage(err, "before any fault")
+	}
+	r.work(ctx)
+	return r.finish(ctx), nil
+}
+
+// startProxies starts all proxies.
+func (r *Run) startProxies(g *task.Group) error {
+	if err := os.MkdirAll(r.plan.Folder, 0o700); err != nil {
+		return errors.WithStack(err)
+	}
+	for i := range r.plan.Proxies {
+		p, err := newProcess(r.estate, r.plan.Binary, r.plan.Folder, fmt.Sprintf("proxy-%d", i))
+		if err != nil {
+			return err
+		}
+		r.processes = append(r.processes, p)
+		g.Go(p.settings.Name, p.run)
+	}
+	return nil
+}
+
+// work runs the clients while the faults are played.
+func (r *Run) work(ctx context.Context) {
+	r.began = time.Now()
+	random := rand.New(rand.NewPCG(r.plan.Seed, 1))
+	faults := r.schedule(random, r.plan.Length)
+	working, stop := context.WithCancel(ctx)
+	g := task.New(working)
+	for i := range r.plan.Groups * clientsPerGroup {
+		c := &client{
+			run: r, group: i % r.plan.Groups, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
+			ledger: ledger{item: fmt.Sprintf("item-%d", i), refused: map[int]bool{}},
+		}
+		r.clients = append(r.clients, c)
+		g.Detach("client", c.work)
+	}
+	r.play(ctx, faults)
+	stop()
+	_ = g.Wait() // clients return nothing
+}
+
+// finish ends all faults, and checks that service is back and nothing is lost.
+func (r *Run) finish(ctx context.Context) Result {
+	r.estate.Store.SetConditions(keyvalue.Conditions{})
+	for _, g := range r.estate.Groups {
+		for _, m := range g.Members() {
+			m.SetFault(member.Fault{})
+		}
+	}
+	if err := r.serves(ctx); err != nil {
+		r.violate("service did not come back: %v", err)
+	}
+	var result Result
+	for _, c := range r.clients {
+		r.compare(c)
+		result.Served += c.ledger.served
+		result.Failed += c.ledger.failed
+	}
+	for _, g := range r.estate.Groups {
+		if lost, lowered := g.Violations(); lost+lowered > 0 {
+			r.violate("%d acknowledged commits lost, %d tokens fell: %v", lost, lowered, g)
+		}
+	}
+	for _, p := range r.processes {
+		result.Starts += p.starts
+	}
+	result.Violations = r.violations.found
+	return result
+}
+
+// serves waits until every proxy serves every group.
+func (r *Run) serves(ctx context.Context) error {
+	for _, p := range r.processes {
+		for i := range r.plan.Groups {
+			err := estate.Until(ctx, recoveryTime, func() bool {
+				s, err := estate.Dial(p.settings.Callers, fmt.Sprintf("primary-%d", i))
+				if err != nil {
+					return false
+				}
+				defer s.Close()
+				a, err := s.Do("WRITE probe 1")
+				return err == nil && a.OK()
+			})
+			if err != nil {
+				return errors.WithMessagef(err, "proxy %s, group %d: %v", p.settings.Name, i, r.estate.Groups[i])
+			}
+		}
+	}
+	return nil
+}
+
+// compare reads a client's item once more and compares it with its ledger.
+func (r *Run) compare(c *client) {
+	s, err := estate.Dial(r.processes[0].settings.Callers, fmt.Sprintf("primary-%d", c.group))
+	if err != nil {
+		r.violate("%s: %v", c.ledger.item, err)
+		return
+	}
+	defer s.Close()
+	floor := 0
+	c.read(s, "primary", &floor)
+}
+
+// printf writes a line of the schedule.
+func (r *Run) printf(format string, arguments ...any) {
+	if r.plan.Output != nil {
+		_, _ = fmt.Fprintf(r.plan.Output, format, arguments...) // the schedule is for people
+	}
+}
