--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -141,6 +141,7 @@
 		common++
 	}
 	m.log = append([]entry(nil), m.log[:common]...)
+	m.visible = min(m.visible, common)
 	for _, e := range primary.log[common:] {
 		e.received = time.Now()
 		m.log = append(m.log, e)
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -54,7 +54,10 @@
 	term      uint64
 	suspended uint64
 	log       []entry
-	fault     Fault
+	// visible is how many entries reads have been able to see; it falls only
+	// when a change of primary drops entries.
+	visible int
+	fault   Fault
 	// open holds the open connections.
 	open map[net.Conn]bool
 	// rejected counts connections over the limit, and ran statements that ran.
@@ -149,12 +152,14 @@
 // applied returns how many entries reads can see. The caller holds the mutex.
 func (m *Member) applied() int {
 	if m.primary {
-		return len(m.log)
+		m.visible = len(m.log)
+		return m.visible
 	}
-	n := 0
+	n := m.visible
 	for n < len(m.log) && time.Since(m.log[n].received) >= m.fault.Lag {
 		n++
 	}
+	m.visible = n
 	return n
 }
 
