--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -99,7 +99,7 @@
 	n.Avoid = avoid
 	a.job = work.Job{
 		Need: n, Priority: a.route.Priority, Arrived: a.arrived, Timeout: a.route.Timeout - answerMargin,
-		Target: a.route.Target, Offered: a.tries > 0, Run: a.assigned,
+		Target: a.route.Target, Run: a.assigned,
 	}
 	a.gateway.table.Submit(&a.job)
 }
--- a/internal/policy/patience/patience.go
+++ b/internal/policy/patience/patience.go
@@ -30,8 +30,6 @@
 	Timeout time.Duration
 	// Target is when it should be answered.
 	Target time.Duration
-	// Offered is true if an endpoint was already tried.
-	Offered bool
 }
 
 // Capacity reports whether a statement that waits for a free endpoint is
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -60,8 +60,6 @@
 	Running int
 	// Service is the forecast time of a statement there.
 	Service time.Duration
-	// Applied is the latest position that reads there were seen to cover.
-	Applied position.Position
 	// Behind is a position that it was lately seen to lack; zero for none.
 	Behind position.Position
 }
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -98,7 +98,6 @@
 		Slots:   max(e.told.Slots, 1),
 		Running: e.running,
 		Service: e.service,
-		Applied: e.applied,
 	}
 	if now.Before(e.behindUntil) && !e.applied.Covers(e.behind) {
 		p.Behind = e.behind
--- a/internal/table/work/job.go
+++ b/internal/table/work/job.go
@@ -23,8 +23,6 @@
 	Timeout time.Duration
 	// Target is the time in which it should be answered.
 	Target time.Duration
-	// Offered is true if an endpoint was already tried.
-	Offered bool
 	// Run is called by a worker with what the table assigned.
 	Run func(Assignment)
 }
@@ -40,7 +38,7 @@
 
 // wait is what patience may know of the job.
 func (j *Job) wait(now time.Time) patience.Wait {
-	return patience.Wait{Waited: now.Sub(j.Arrived), Timeout: j.Timeout, Target: j.Target, Offered: j.Offered}
+	return patience.Wait{Waited: now.Sub(j.Arrived), Timeout: j.Timeout, Target: j.Target}
 }
 
 // Assignment is what the table gives a job. It is immutable.
--- a/internal/trade/roster/roster.go
+++ b/internal/trade/roster/roster.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 )
 
 // Endpoint is one member of a database group. It is immutable.
@@ -27,8 +26,6 @@
 	// Born is when its process started, in its own time of day; zero when
 	// it does not say.
 	Born int64
-	// Cold is how much longer it is slow after its start.
-	Cold time.Duration
 	// Revision is the store's revision of its entry.
 	Revision uint64
 }
