Exchange beats with a few partners

The budget for control is 32 MB.

Change: a proxy exchanges beats with those 1, 2, 4, 8 … places after it in the order of names, and closes the connections to others.

--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -39,6 +39,8 @@
 type Beliefs interface {
 	// Groups returns the names of the groups that routes lead to.
 	Groups() map[string]bool
+	// Name returns the name of this proxy.
+	Name() string
 	// Proxies returns the addresses of the other proxies by name.
 	Proxies() map[string]string
 	// Beat returns what is told to others, besides primaries and the text of
@@ -110,13 +112,17 @@
 // next returns the proxy whose turn it is.
 func (g *Gossip) next() (name, address string) {
 	proxies := g.beliefs.Proxies()
-	if len(proxies) == 0 {
+	peers := partners(g.beliefs.Name(), proxies)
+	if len(peers) == 0 {
 		return "", ""
 	}
-	names, addresses := sorted(proxies)
+	addresses := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		addresses[proxies[p]] = true
+	}
 	g.peers.Keep(addresses)
 	g.turn++
-	name = names[g.turn%len(names)]
+	name = peers[g.turn%len(peers)]
 	return name, proxies[name]
 }
 
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -101,6 +101,9 @@
 	b.proxies = proxies
 }
 
+// Name returns the name of this proxy.
+func (b *beliefs) Name() string { return b.name }
+
 // Proxies returns the addresses of the other proxies by name.
 func (b *beliefs) Proxies() map[string]string {
 	b.mutex.Lock()
--- a/internal/peer/sibling/client.go
+++ b/internal/peer/sibling/client.go
@@ -62,15 +62,30 @@
 	return decode(answer), nil
 }
 
-// Keep drops the connections to proxies that are not among the addresses.
+// Keep closes the connections to proxies that are not among the addresses.
 func (c *Client) Keep(addresses map[string]bool) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for a := range c.links {
+	var dropped []*link
+	for a, l := range c.links {
 		if !addresses[a] {
+			dropped = append(dropped, l)
 			delete(c.links, a)
 		}
 	}
+	c.mutex.Unlock()
+	for _, l := range dropped {
+		l.close()
+	}
+}
+
+// close closes the connection once no call uses it.
+func (l *link) close() {
+	l.busy <- struct{}{}
+	defer func() { <-l.busy }()
+	if l.connection != nil {
+		_ = l.connection.Close()
+		l.connection = nil
+	}
 }
 
 // link returns the link to an address, which is made if it is not there.
