--- a/cmd/eelgrassladder/node.go
+++ b/cmd/eelgrassladder/node.go
@@ -47,7 +47,8 @@
 		writing.Stop()
 		_ = writing.Wait()
 	}()
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	writing.Go("reload", awaitReload)
 	stopping, cancel := command.Interrupted()
 	defer cancel()
 	process, err := node.New(s, adapter.Parts(s))
@@ -56,3 +57,19 @@
 	}
 	return process.Run(stopping)
 }
+
+// awaitReload notes each SIGHUP. Settings are read at the start alone; what
+// changes while a process runs is configuration, which comes from the store.
+func awaitReload(ctx context.Context) error {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGHUP)
+	defer signal.Stop(asked)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-asked:
+			klog.InfoS("Reload asked for; settings are read at the start alone")
+		}
+	}
+}
