--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -8,6 +8,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 )
@@ -73,12 +74,7 @@
 		return
 	}
 	a.gateway.tasks.Detach("pause before a retry", func(ctx context.Context) {
-		pause := a.gateway.timer.Once(busyPause)
-		defer pause.Stop()
-		select {
-		case <-ctx.Done():
-		case <-pause.C():
-		}
+		timer.Pause(ctx, a.gateway.timer, busyPause)
 		a.submit(w.Endpoint.ID)
 	})
 }
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 )
 
 const (
@@ -68,12 +69,7 @@
 				wait = retryRenewal
 			}
 		}
-		pause := n.timer.Once(wait)
-		select {
-		case <-ctx.Done():
-		case <-pause.C():
-		}
-		pause.Stop()
+		timer.Pause(ctx, n.timer, wait)
 	}
 	return nil
 }
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -11,6 +11,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
@@ -64,12 +65,7 @@
 	turn := p.turns
 	p.tasks.Detach("proof", func(ctx context.Context) {
 		p.ask(ctx, group, turn)
-		rest := p.timer.Once(pause)
-		defer rest.Stop()
-		select {
-		case <-ctx.Done():
-		case <-rest.C():
-		}
+		timer.Pause(ctx, p.timer, pause)
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
 		delete(p.asking, group)
