Publish the lab's host list before a proxy reads it

Ruled out: load alone; the order of the two calls allows it at any speed.

Change: the list is published before the proxy runs. No check is changed.

--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -132,11 +132,13 @@
 	s.mutex.Lock()
 	s.Proxies[i] = p
 	s.mutex.Unlock()
+	// The list is there before the proxy reads it for the first time; an empty
+	// one would make it refuse every database until it reads again.
+	s.Publish()
 	s.tasks.Detach(name, func(context.Context) {
 		defer close(p.ended)
 		_ = made.Run(ctx)
 	})
-	s.Publish()
 	return nil
 }
 
