Say once what an answer has shown, and which code a lost one gets

The outcome of an answer was put together in two places of the gateway, and the choice between timed out and in doubt stood twice; Newest repeated Last. No change of behaviour.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -201,14 +201,12 @@
 		a.unanswered(w, c, err, took)
 		return
 	}
-	o := work.Outcome{Answered: true, Applied: reply.Position, Crowded: reply.Code == statement.Busy}
+	o := seen(w, reply, nil)
+	o.Applied = reply.Position
 	if reply.Code == statement.OK {
 		o.Took = took
 		g.learn(w, a.route.Group, asked, reply, a.statement.Writes())
 	}
-	if reply.Code == statement.Lagging {
-		o.Lacked = w.After
-	}
 	g.table.Return(w.Endpoint.ID, c, o)
 	if reply.Code == statement.OK && !a.current(w) {
 		a.again(w, statement.OK, "the primary may have been replaced before it answered", true)
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -34,24 +34,24 @@
 // unanswered decides what follows when no whole answer came.
 func (a *attempt) unanswered(w work.Assignment, c eelgrassladder.Connection, err error, took time.Duration) {
 	g := a.gateway
-	late := timedOut(err)
-	if late {
+	if timedOut(err) {
 		g.drain(w, c, a.deadline)
 	} else {
 		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: control.Refused(err)})
 	}
-	switch {
-	case !a.statement.Writes():
-		a.again(w, statement.OK, err.Error(), true)
-	case late:
-		a.lost(w, statement.TimedOut, err, took)
-	default:
-		a.lost(w, statement.InDoubt, err, took)
+	if a.statement.Writes() {
+		a.lost(w, err, took)
+		return
 	}
+	a.again(w, statement.OK, err.Error(), true)
 }
 
 // lost tells the client that the outcome is not known.
-func (a *attempt) lost(w work.Assignment, c statement.Code, err error, took time.Duration) {
+func (a *attempt) lost(w work.Assignment, err error, took time.Duration) {
+	c := statement.InDoubt
+	if timedOut(err) {
+		c = statement.TimedOut
+	}
 	a.gateway.observer.Tried(Tried{
 		Statement: a.statement, Endpoint: w.Endpoint.ID, Reason: err.Error(), Sent: true, Took: took,
 	})
@@ -79,6 +79,15 @@
 	})
 }
 
+// seen returns what an answer, or its absence, has shown of the endpoint.
+func seen(w work.Assignment, r statement.Reply, err error) work.Outcome {
+	o := work.Outcome{Answered: err == nil, Refused: control.Refused(err), Crowded: r.Code == statement.Busy}
+	if r.Code == statement.Lagging {
+		o.Lacked = w.After
+	}
+	return o
+}
+
 // timedOut reports whether an error is that of a passed deadline.
 func timedOut(err error) bool {
 	var t interface{ Timeout() bool }
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -14,10 +14,7 @@
 	g, t := a.gateway, a.session.open
 	reply, err := c.Begin(a.deadline, t.begin, w.After)
 	if err != nil || reply.Code != statement.OK {
-		o := work.Outcome{Answered: err == nil, Refused: control.Refused(err), Crowded: reply.Code == statement.Busy}
-		if reply.Code == statement.Lagging {
-			o.Lacked = w.After
-		}
+		o := seen(w, reply, err)
 		if err != nil || reply.State != statement.Idle {
 			g.table.Discard(w.Endpoint.ID, c, o)
 		} else {
@@ -57,7 +54,8 @@
 		a.broken(c, err)
 		return
 	}
-	o := work.Outcome{Answered: true, Applied: reply.Position, Crowded: reply.Code == statement.Busy}
+	o := seen(w, reply, nil)
+	o.Applied = reply.Position
 	if reply.Code == statement.OK {
 		o.Took = took
 		g.learn(w, t.route.Group, asked, reply, commits)
@@ -113,11 +111,7 @@
 	}
 	a.gateway.table.Discard(t.endpoint.ID, c, o)
 	a.session.open = nil
-	code := statement.InDoubt
-	if timedOut(err) {
-		code = statement.TimedOut
-	}
-	a.lost(work.Assignment{Endpoint: t.endpoint}, code, err, 0)
+	a.lost(work.Assignment{Endpoint: t.endpoint}, err, 0)
 }
 
 // abort gives up the transaction; nothing of it is kept.
--- a/internal/trade/lead/lead.go
+++ b/internal/trade/lead/lead.go
@@ -155,8 +155,6 @@
 
 // Newest returns when the latest sample was asked for; zero for none.
 func (l Lead) Newest() time.Duration {
-	if n := len(l.samples); n > 0 {
-		return l.samples[n-1].asked
-	}
-	return 0
+	asked, _, _ := l.Last()
+	return asked
 }
