Keep a new term when a judgement of the one before comes late

The log shows term 6 raised at 02.031 and term 7 at 02.471 for TermSuperseded, though nothing had fenced the group again: a probe that judged the term before put its request for a new one into the channel after the term loop had taken the first, and the loop gave up the new term without judging it.

Change: a request for a new term names the term that was judged, and is left aside when another is in force.

--- a/internal/host/owner/generation.go
+++ b/internal/host/owner/generation.go
@@ -67,7 +67,7 @@
 // superseded asks for a new term if the generation is still in force.
 func (o *Owner) superseded(g *generation) {
 	if o.current() == g {
-		o.askRaise("TermSuperseded")
+		o.askRaise("TermSuperseded", g.term)
 	}
 }
 
--- a/internal/host/owner/handover.go
+++ b/internal/host/owner/handover.go
@@ -85,7 +85,7 @@
 	}
 	o.keys.Restore(h.Keys, o.timer.Now())
 	if h.Term == 0 {
-		o.askRaise("Takeover")
+		o.askRaise("Takeover", 0)
 		return
 	}
 	o.acks.Begin(h.Term)
--- a/internal/host/owner/observe.go
+++ b/internal/host/owner/observe.go
@@ -115,7 +115,7 @@
 		o.queue.SetPlaces(places)
 	}
 	if reason := promotion.Judge(now, all, g.term, g.primary); reason != promotion.None {
-		o.askRaise(string(reason))
+		o.askRaise(string(reason), g.term)
 	}
 }
 
--- a/internal/host/owner/owner.go
+++ b/internal/host/owner/owner.go
@@ -88,7 +88,7 @@
 	// highest is the highest term seen anywhere in the group.
 	highest uint64
 	// raise has room for one; it asks the term loop for a new term.
-	raise chan string
+	raise chan raiseRequest
 }
 
 // Event is a change of term.
@@ -134,7 +134,7 @@
 		acks:     acknowledgements.New(),
 		learned:  newLearned(),
 		watching: map[string]context.CancelFunc{},
-		raise:    make(chan string, 1),
+		raise:    make(chan raiseRequest, 1),
 	}
 	for _, option := range options {
 		option(o)
@@ -152,7 +152,7 @@
 	if h != nil {
 		o.adopt(*h)
 	} else {
-		o.askRaise("Takeover")
+		o.askRaise("Takeover", 0)
 	}
 	o.tasks.Go("term", o.keepTerm)
 	o.tasks.Go("sweep", o.sweep)
--- a/internal/host/owner/term.go
+++ b/internal/host/owner/term.go
@@ -37,13 +37,21 @@
 	promoteTries = 3
 )
 
-// askRaise asks the term loop for a new term.
-func (o *Owner) askRaise(reason string) {
+// raiseRequest asks for a new term. It is immutable.
+type raiseRequest struct {
+	// reason says why the term was found wanting.
+	reason string
+	// term is the term that was judged; zero if none was in force.
+	term uint64
+}
+
+// askRaise asks the term loop for a term above the one that was judged.
+func (o *Owner) askRaise(reason string, judged uint64) {
 	if o.draining.Load() {
 		return
 	}
 	select {
-	case o.raise <- reason:
+	case o.raise <- raiseRequest{reason: reason, term: judged}:
 	default:
 	}
 }
@@ -58,8 +66,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case reason := <-o.raise:
-			o.change(ctx, commands, reason)
+		case asked := <-o.raise:
+			if g := o.current(); g != nil && g.term != asked.term {
+				// Another judgement of the same term has raised it meanwhile.
+				continue
+			}
+			o.change(ctx, commands, asked.reason)
 		case <-s.C():
 			o.follow(ctx, commands)
 		}
