Wait for the first routes before a database is denied

Ruled out: a sibling with an older configuration (the first routes in force were version 90, from the store), a restart of the same process.

Change: a session that comes before the first routes waits for them up to 0.5 s, and is then refused as busy, which another proxy may not be. A failed try logs the position that the endpoint had to have and the one that it told.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -60,7 +60,7 @@
 	if t := s.open; t != nil {
 		a.route, a.version = t.route, t.version
 	} else {
-		routes := g.routes()
+		routes := g.routes.Routes()
 		r, ok := routes.Route(s.database)
 		if !ok {
 			return statement.Fail(statement.NoDatabase, "no route leads to database "+s.database)
@@ -119,7 +119,7 @@
 	}
 	if !a.fresh(w) {
 		a.gateway.table.Return(w.Endpoint.ID, c, work.Outcome{Answered: true})
-		a.again(w, statement.OK, "the choice of the endpoint is too old", false)
+		a.again(w, statement.Reply{}, "the choice of the endpoint is too old", false)
 		return
 	}
 	if a.session.open != nil {
@@ -174,7 +174,7 @@
 				o = work.Outcome{Refused: true}
 			}
 			g.table.Discard(w.Endpoint.ID, nil, o)
-			a.again(w, reply.Code, describe(reply, err), false)
+			a.again(w, reply, describe(reply, err), false)
 			return nil, false
 		}
 		c = opened
@@ -182,7 +182,7 @@
 	reply, err := c.Adopt(a.deadline, a.session.values, a.statement)
 	if err != nil || reply.Code != statement.OK {
 		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Answered: err == nil})
-		a.again(w, reply.Code, describe(reply, err), false)
+		a.again(w, reply, describe(reply, err), false)
 		return nil, false
 	}
 	return c, true
@@ -209,7 +209,7 @@
 	}
 	g.table.Return(w.Endpoint.ID, c, o)
 	if reply.Code == statement.OK && !a.current(w) {
-		a.again(w, statement.OK, "the primary may have been replaced before it answered", true)
+		a.again(w, statement.Reply{}, "the primary may have been replaced before it answered", true)
 		return
 	}
 	a.judge(w, reply)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/policy/retry"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 )
@@ -23,6 +24,10 @@
 	workers = 512
 	// sweepPeriod is how often waiting statements are looked at again.
 	sweepPeriod = 20 * time.Millisecond
+	// firstRoutesTime is how long a session that comes before the first routes
+	// waits for them. A process reads the store within 60 ms of its start; a
+	// session that is refused finds another proxy.
+	firstRoutesTime = 500 * time.Millisecond
 )
 
 // Gateway runs statements. Use New, then Start.
@@ -31,13 +36,21 @@
 	clock     eelgrassladder.Clock
 	table     *work.Table
 	connector eelgrassladder.Connector
-	routes    func() route.Table
+	routes    Routes
 	observer  Observer
 	tasks     *task.Group
 	// budget bounds second tries of reads whose first is still under way.
 	budget *retry.Budget
 }
 
+// Routes tells which routes are in force.
+type Routes interface {
+	// Routes returns the routes in force; their version is 0 before the first.
+	Routes() route.Table
+	// Known returns a channel that is closed once there are routes.
+	Known() <-chan struct{}
+}
+
 // Observer is told of what happens to statements. Its methods must not block.
 type Observer interface {
 	// Answered is told of each answer to a client.
@@ -78,10 +91,12 @@
 	Statement statement.Statement
 	// Endpoint is where it was tried.
 	Endpoint string
-	// Reason says what went wrong, and Code is the endpoint's answer or OK if
-	// there was none.
+	// Reason says what went wrong.
 	Reason string
-	Code   statement.Code
+	// Reply is the endpoint's answer; the zero value if there was none.
+	Reply statement.Reply
+	// After is the position that the endpoint's log had to hold; zero for none.
+	After position.Position
 	// Sent is true if the statement may have run there.
 	Sent bool
 	// Took is the time of the try.
@@ -90,7 +105,7 @@
 
 // New returns a gateway that takes jobs from the table.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, dial eelgrassladder.Connector,
-	routes func() route.Table, o Observer, g *task.Group,
+	routes Routes, o Observer, g *task.Group,
 ) *Gateway {
 	return &Gateway{
 		timer: t, clock: c, table: table, connector: dial, routes: routes, observer: o, tasks: g,
@@ -105,14 +120,37 @@
 	g.tasks.Go("sweep", g.sweep)
 }
 
-// Open begins the session of a client, or says why there is none.
+// Open begins the session of a client, or says why there is none. Before the
+// first routes it waits for them a short time: a database that is not known
+// yet may well exist.
 func (g *Gateway) Open(database string) (*Session, statement.Reply) {
-	if _, ok := g.routes().Route(database); !ok {
+	if !g.awaitRoutes() {
+		return nil, statement.Fail(statement.Busy, "the routes are not known yet")
+	}
+	if _, ok := g.routes.Routes().Route(database); !ok {
 		return nil, statement.Fail(statement.NoDatabase, "no route leads to database "+database)
 	}
 	return &Session{gateway: g, database: database, prepared: map[string]statement.Shape{}}, statement.Reply{}
 }
 
+// awaitRoutes waits for the first routes and reports whether there are any.
+func (g *Gateway) awaitRoutes() bool {
+	select {
+	case <-g.routes.Known():
+		return true
+	default:
+	}
+	limit := g.timer.Once(firstRoutesTime)
+	defer limit.Stop()
+	select {
+	case <-g.routes.Known():
+		return true
+	case <-limit.C():
+	case <-g.tasks.Context().Done():
+	}
+	return false
+}
+
 // sweep looks at waiting statements from time to time.
 func (g *Gateway) sweep(ctx context.Context) error {
 	ticks := g.timer.Subscribe(sweepPeriod)
--- a/internal/host/gateway/learn.go
+++ b/internal/host/gateway/learn.go
@@ -14,7 +14,7 @@
 	if !w.Primary || r.Position.IsZero() {
 		return
 	}
-	known, _ := g.routes().Group(group)
+	known, _ := g.routes.Routes().Group(group)
 	g.table.Change(group, func(l lead.Lead) lead.Lead {
 		return learned(l, w.Endpoint.ID, asked, r.Position, wrote && known.Synchronous > 0)
 	})
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -50,12 +50,12 @@
 
 // Tried logs a try that did not answer the client.
 func (l Log) Tried(t Tried) {
-	omitted, ok := l.failures.Allow(time.Now(), "try"+t.Endpoint+t.Code.String())
+	omitted, ok := l.failures.Allow(time.Now(), "try"+t.Endpoint+t.Reply.Code.String())
 	if !ok {
 		return
 	}
 	klog.InfoS("Try failed", "Request", t.Statement.ID, "Kind", t.Statement.Kind.String(), "Endpoint", t.Endpoint,
-		"Reason", t.Reason, "Sent", t.Sent, "TookMs", t.Took.Milliseconds(), "Omitted", omitted)
+		"Reason", t.Reason, "After", t.After.String(), "Position", t.Reply.Position.String(), "Sent", t.Sent, "TookMs", t.Took.Milliseconds(), "Omitted", omitted)
 }
 
 // Observers tells several observers in turn.
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -23,9 +23,9 @@
 		}
 		a.finish(reply)
 	case reply.Code.NotRun():
-		a.again(w, reply.Code, reply.Code.String(), false)
+		a.again(w, reply, reply.Code.String(), false)
 	case !a.statement.Writes() && a.tries == 1 && reply.Code == statement.Failed:
-		a.again(w, reply.Code, reply.Code.String(), true)
+		a.again(w, reply, reply.Code.String(), true)
 	default:
 		a.finish(reply)
 	}
@@ -43,7 +43,7 @@
 		a.lost(w, err, took)
 		return
 	}
-	a.again(w, statement.OK, err.Error(), true)
+	a.again(w, statement.Reply{}, err.Error(), true)
 }
 
 // lost tells the client that the outcome is not known.
@@ -60,10 +60,11 @@
 
 // again tries another time, elsewhere if there is a choice. It is for
 // statements that have not run or only read.
-func (a *attempt) again(w work.Assignment, c statement.Code, reason string, sent bool) {
+func (a *attempt) again(w work.Assignment, r statement.Reply, reason string, sent bool) {
 	now := a.gateway.timer.Now()
 	a.gateway.observer.Tried(Tried{
-		Statement: a.statement, Endpoint: w.Endpoint.ID, Code: c, Reason: reason, Sent: sent, Took: now.Sub(a.arrived),
+		Statement: a.statement, Endpoint: w.Endpoint.ID, Reply: r, After: w.After, Reason: reason, Sent: sent,
+		Took: now.Sub(a.arrived),
 	})
 	if !now.Add(busyPause).Before(a.deadline) {
 		a.finish(a.session.fail(statement.Busy, "no endpoint answered in time"))
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -69,7 +69,7 @@
 	if s.open == nil || s.open.connection == nil {
 		return 0
 	}
-	return s.gateway.routes().Limits.TransactionIdle
+	return s.gateway.routes.Routes().Limits.TransactionIdle
 }
 
 // Do runs one statement and returns the reply for the client.
@@ -136,7 +136,7 @@
 	if s.open != nil {
 		return s.fail(statement.Malformed, "a transaction is already open")
 	}
-	routes := s.gateway.routes()
+	routes := s.gateway.routes.Routes()
 	r, ok := routes.Route(s.database)
 	if !ok {
 		return statement.Fail(statement.NoDatabase, "no route leads to database "+s.database)
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -20,12 +20,12 @@
 		} else {
 			g.table.Return(w.Endpoint.ID, c, o)
 		}
-		a.again(w, reply.Code, describe(reply, err), false)
+		a.again(w, reply, describe(reply, err), false)
 		return
 	}
 	if !a.current(w) {
 		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Answered: true})
-		a.again(w, statement.OK, "the primary may have been replaced before the transaction began", false)
+		a.again(w, statement.Reply{}, "the primary may have been replaced before the transaction began", false)
 		return
 	}
 	t.endpoint, t.connection, t.primary = w.Endpoint, c, w.Primary
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -70,8 +70,8 @@
 
 // Tried counts a try that did not answer the client.
 func (n *Node) Tried(t gateway.Tried) {
-	code := t.Code.String()
-	if t.Code == 0 {
+	code := t.Reply.Code.String()
+	if t.Reply.Code == 0 {
 		code = "NoAnswer"
 	}
 	n.tries.WithLabelValues(t.Endpoint, code, strconv.FormatBool(t.Sent)).Inc()
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -36,6 +36,8 @@
 type beliefs struct {
 	routes atomic.Pointer[route.Table]
 	roster atomic.Pointer[roster.Roster]
+	// known is closed with the first routes.
+	known chan struct{}
 
 	// mutex guards the fields below. It is a leaf.
 	mutex sync.Mutex
@@ -63,7 +65,7 @@
 
 // newBeliefs returns beliefs without routes and endpoints.
 func newBeliefs(name string, r Registry, c eelgrassladder.Clock) *beliefs {
-	b := &beliefs{changed: func(string) {}, name: name, registry: r, clock: c}
+	b := &beliefs{known: make(chan struct{}), changed: func(string) {}, name: name, registry: r, clock: c}
 	b.routes.Store(&route.Table{})
 	b.roster.Store(&roster.Roster{})
 	return b
@@ -72,6 +74,9 @@
 // Routes returns the routes in force.
 func (b *beliefs) Routes() route.Table { return *b.routes.Load() }
 
+// Known returns a channel that is closed once there are routes.
+func (b *beliefs) Known() <-chan struct{} { return b.known }
+
 // Roster returns the endpoints in use.
 func (b *beliefs) Roster() roster.Roster { return *b.roster.Load() }
 
@@ -90,6 +95,9 @@
 		return
 	}
 	b.routes.Store(&t)
+	if old.Version == 0 {
+		close(b.known)
+	}
 	b.configuration, b.told = i, told
 	klog.InfoS("Routes in force", "Version", t.Version, "Before", old.Version, "Source", source)
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -105,7 +105,7 @@
 	}
 	n := &Node{listeners: opened, settings: s, parts: p, timer: timer.New(), tasks: task.New(context.Background()), beliefs: newBeliefs(s.Name, p.Registry, p.Clock)}
 	n.table = work.New(n.timer, p.Clock, s.DataCentre)
-	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs.Routes, p.Observer, n.tasks)
+	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs, p.Observer, n.tasks)
 	dialer := control.NewDialer(n.timer, n.table, p.Connector)
 	n.prober = proof.New(n.timer, p.Clock, n.table, dialer, n.tasks, func(group string) []roster.Endpoint {
 		return n.beliefs.Roster().Group(group)
