Refuse what waits for capacity after 0.22 of its target

A client tries three times; at half of the target a wait, the second and third try could only be served late, and 1,548 of 13,914 shop-progress requests were.

Change: busyShare from 0.5 to 0.22.

--- a/internal/policy/patience/patience.go
+++ b/internal/policy/patience/patience.go
@@ -8,7 +8,7 @@
 const (
 	// busyShare is the part of its target that a statement waits for capacity.
 	// What waits longer would be answered late and take the place of others.
-	busyShare = 0.5
+	busyShare = 0.22
 	// changeTime is how long a change of primary takes once it has begun: a
 	// promotion of 300 to 600 ms, and the lifetime of a proof.
 	changeTime = 1050 * time.Millisecond
