Ask replicas that failed last, and wait longer for a proof than for capacity

Every second question for a proof went to a dead replica first, which takes its whole time. The shorter wait for capacity had also shortened the wait for a proof, which is one question away.

Ruled out by trial: reading the group's record in the store as a further proof.

Change: replicas that have lately failed are asked last; a statement waits for a proof up to half of its target. The test of waiting work checked nothing at 150 ms, since it took no assignment; it now takes one, at 70 and 100 ms.

--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -115,11 +115,7 @@
 // askReplica proves that no change of primary is under way: a change suspends
 // all replicas first.
 func (p *Prober) askReplica(ctx context.Context, group string, l lead.Lead, all []roster.Endpoint, turn int) {
-	for i := range all {
-		e := all[(i+turn)%len(all)]
-		if e.ID == l.Endpoint {
-			continue
-		}
+	for _, e := range p.replicas(l, all, turn) {
 		asked := p.clock.Boot()
 		s, _, ok := p.status(ctx, e)
 		if !ok || s.Primary || s.Term != l.Term || s.Suspended > l.Term {
@@ -135,6 +131,23 @@
 	}
 }
 
+// replicas returns the replicas in the order of the turn. Those that have
+// lately failed come last: they may take the whole time of a question.
+func (p *Prober) replicas(l lead.Lead, all []roster.Endpoint, turn int) []roster.Endpoint {
+	var sound, failing []roster.Endpoint
+	for i := range all {
+		e := all[(i+turn)%len(all)]
+		switch {
+		case e.ID == l.Endpoint:
+		case p.table.Health(e.ID).Failures > 0:
+			failing = append(failing, e)
+		default:
+			sound = append(sound, e)
+		}
+	}
+	return append(sound, failing...)
+}
+
 // status asks one endpoint.
 func (p *Prober) status(ctx context.Context, e roster.Endpoint) (roster.Status, statement.Reply, bool) {
 	c, err := p.dialer.Question(ctx, e)
--- /dev/null
+++ b/internal/host/proof/proof_test.go
@@ -0,0 +1,77 @@
+package proof_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
+	"eelgrassladder.example/eelgrassladder/internal/host/proof"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
+)
+
+// boot is a boot clock.
+type boot struct{ began time.Time }
+
+func (b boot) Boot() time.Duration { return time.Hour + time.Since(b.began) }
+
+// dialer is a Connector that notes whom it is asked to connect to and fails.
+type dialer struct {
+	mutex sync.Mutex
+	asked []string
+}
+
+func (d *dialer) Connect(_ context.Context, e roster.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.asked = append(d.asked, e.ID)
+	return nil, statement.Reply{}, errors.New("no route")
+}
+
+// TestAReplicaThatFailedIsAskedLast asks for a proof twice, so that each
+// replica has the first turn once; the one that has failed comes last in both.
+func TestAReplicaThatFailedIsAskedLast(t *testing.T) {
+	g := task.New(context.Background())
+	defer func() {
+		g.Stop()
+		_ = g.Wait()
+	}()
+	service := timer.New()
+	g.Go("timer", service.Run)
+	clock := boot{time.Now()}
+	all := []roster.Endpoint{
+		{ID: "p", Group: "g", Slots: 2}, {ID: "q", Group: "g", Slots: 2}, {ID: "r", Group: "g", Slots: 2},
+	}
+	for turn := range 2 {
+		table := work.New(service, clock, "here")
+		table.SetRoster(roster.New(all...))
+		table.SetShares(1, func(string) int { return 4 })
+		table.Change("g", func(l lead.Lead) lead.Lead {
+			now := clock.Boot()
+			l = l.WithPrimary("p", 1, now).WithProof(now - 900*time.Millisecond)
+			return l.WithSample(now-100*time.Millisecond, position.Position{Term: 1, Log: 1})
+		})
+		table.Note("q", work.Outcome{})
+		d := &dialer{}
+		p := proof.New(service, clock, table, control.NewDialer(service, table, d), g,
+			func(string) []roster.Endpoint { return all })
+		for range turn + 1 {
+			p.Want("g")
+			time.Sleep(100 * time.Millisecond)
+		}
+		d.mutex.Lock()
+		assert.DeepEqual(t, d.asked[:2], []string{"r", "q"})
+		d.mutex.Unlock()
+	}
+}
--- a/internal/policy/patience/patience.go
+++ b/internal/policy/patience/patience.go
@@ -9,6 +9,9 @@
 	// busyShare is the part of its target that a statement waits for capacity.
 	// What waits longer would be answered late and take the place of others.
 	busyShare = 0.22
+	// proofShare is the part of its target that a statement waits for a proof
+	// of the primary: one question to an endpoint.
+	proofShare = 0.5
 	// changeTime is how long a change of primary takes once it has begun: a
 	// promotion of 300 to 600 ms, and the lifetime of a proof.
 	changeTime = 1050 * time.Millisecond
@@ -38,6 +41,10 @@
 	return w.Waited+ahead > share(w.Target, busyShare)
 }
 
+// Proof reports whether a statement that waits for a proof of the primary is
+// refused.
+func Proof(w Wait) bool { return w.Waited > share(w.Target, proofShare) }
+
 // Change reports whether a statement that needs the primary is refused while
 // the primary is being replaced; lasted is how long the change has taken.
 func Change(w Wait, lasted time.Duration) bool {
--- a/internal/policy/patience/patience_test.go
+++ b/internal/policy/patience/patience_test.go
@@ -19,6 +19,14 @@
 	assert.Assert(t, patience.Capacity(w, 0))
 }
 
+func TestAProofIsWorthALongerWait(t *testing.T) {
+	w := patience.Wait{Timeout: 800 * ms, Target: 200 * ms, Waited: 90 * ms}
+	assert.Assert(t, patience.Capacity(w, 0))
+	assert.Assert(t, !patience.Proof(w))
+	w.Waited = 110 * ms
+	assert.Assert(t, patience.Proof(w))
+}
+
 func TestAWriteWaitsForTheEndOfAChangeThatItCanSee(t *testing.T) {
 	w := patience.Wait{Timeout: 800 * ms, Target: 200 * ms}
 	assert.Assert(t, patience.Change(w, 0), "the change ends after the write's time")
--- a/internal/table/work/work.go
+++ b/internal/table/work/work.go
@@ -146,6 +146,8 @@
 		return patience.Unknown(w)
 	case NoCapacity:
 		return patience.Capacity(w, t.ahead(g, j))
+	case NoProof:
+		return patience.Proof(w)
 	default:
 		return patience.Capacity(w, 0)
 	}
--- a/internal/table/work/work_test.go
+++ b/internal/table/work/work_test.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// idle checks that no assignment is ready.
+func (b *bench) idle(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, ok := b.table.Take(ctx)
+	assert.Assert(t, !ok, "an assignment is ready")
+}
+
 var write = placement.Need{Write: true}
 
 func TestUrgentWorkGoesFirst(t *testing.T) {
@@ -137,13 +146,27 @@
 	b.submit("running", 1, write, &taken)
 	b.submit("waiting", 1, write, &taken)
 	b.drain(t, 1)
+	b.timer.Advance(70 * time.Millisecond)
+	b.table.Sweep()
+	b.idle(t)
+	b.timer.Advance(30 * time.Millisecond)
+	b.table.Sweep()
+	b.drain(t, 1)
+	assert.Equal(t, taken[1], "waiting refused NoCapacity")
+}
+
+func TestAReadWaitsLongerForAProofThanForCapacity(t *testing.T) {
+	b := newBench(t, 4, 1)
+	b.clock.now += 2 * lead.ProofLifetime
+	var taken []string
+	b.submit("read", 1, placement.Need{Consistency: route.Primary}, &taken)
 	b.timer.Advance(150 * time.Millisecond)
 	b.table.Sweep()
-	assert.Equal(t, len(taken), 1)
+	b.idle(t)
 	b.timer.Advance(100 * time.Millisecond)
 	b.table.Sweep()
 	b.drain(t, 1)
-	assert.Equal(t, taken[1], "waiting refused NoCapacity")
+	assert.Equal(t, taken[0], "read refused NoProof")
 }
 
 func TestABusyEndpointGetsLess(t *testing.T) {
