Wake the watches of many proxies less often, and spread their calls

And all watches began their waits at the same event: a change that all of them missed would have shown after 7.4 s, beyond the 5 s in which a configuration must be in force.

Change: the rest after a change is 20 ms a proxy, up to 600 ms (was 4 and 120); waits are of random length above the least one, longer with more proxies.

--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,18 +16,19 @@
 const (
 	// minWait and maxWait bound how long one call waits for a change. A watch
 	// that waits may miss changes while the store drops its history; the next
-	// call shows them. The platform wants a configuration in force within 3 s,
-	// and lets a call wait for 30 s.
+	// call shows them. The platform wants a configuration in force within 3 s
+	// (5 s on large sites), and lets a call wait for 30 s.
 	minWait = 1200 * time.Millisecond
 	maxWait = 25 * time.Second
-	// waitPerProxy spreads the calls: with more proxies each waits longer, and
-	// what one of them sees goes to the others by gossip.
-	waitPerProxy = 240 * time.Millisecond
+	// waitPerProxy is how much longer the longest wait is for each proxy above
+	// fewProxies: what one of many sees goes to the others by gossip.
+	waitPerProxy = 600 * time.Millisecond
+	fewProxies   = 5
 	// restPerProxy is the rest after a change, up to maxRest, so that changes
 	// that come together cost one call: each change costs a call of every
 	// proxy.
-	restPerProxy = 4 * time.Millisecond
-	maxRest      = 120 * time.Millisecond
+	restPerProxy = 20 * time.Millisecond
+	maxRest      = 600 * time.Millisecond
 	// firstPause and maxPause bound the wait after a failure.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -103,7 +105,7 @@
 		w.sink.Reset(items)
 		return nil
 	}
-	wait := min(max(minWait, waitPerProxy*time.Duration(w.proxies())), maxWait)
+	wait := waitFor(w.proxies(), rand.Float64())
 	if w.failures > 0 {
 		wait = 0
 	}
@@ -118,3 +120,13 @@
 	}
 	return nil
 }
+
+// waitFor returns how long a call of one of so many proxies waits, for a random
+// number from 0 to 1. Each change ends the waits of all proxies at once; random
+// lengths spread the next calls, so that one of them soon shows what the
+// watches have missed.
+func waitFor(proxies int, random float64) time.Duration {
+	longest := minWait + waitPerProxy*time.Duration(max(proxies-fewProxies, 0))
+	longest = min(longest, maxWait)
+	return minWait + time.Duration(random*float64(longest-minWait))
+}
