Harm the links of the soak's proxies from outside

Cause: the soak's members and store misbehaved by themselves; no connection was delayed, reset, cut one way or silenced between real processes.

Change: internal/lab/link relays connections on loopback under conditions; the soak puts one before each member, before the store for each proxy, and before each proxy for its clients, and draws their faults with the others. The estate lists a member under another address if it is told one.

--- a/internal/lab/estate/estate.go
+++ b/internal/lab/estate/estate.go
@@ -38,6 +38,9 @@
 	Work time.Duration
 	// PromoteTime is how long a promotion takes.
 	PromoteTime time.Duration
+	// Listed returns the address under which the platform lists a member that
+	// listens on the given one; nil lists the member's own.
+	Listed func(id, address string) (string, error)
 }
 
 // DefaultPlan is a small estate with quick members.
@@ -94,23 +97,29 @@
 		if err != nil {
 			return err
 		}
+		listed := m.Address
+		if e.plan.Listed != nil {
+			if listed, err = e.plan.Listed(m.ID, m.Address); err != nil {
+				return err
+			}
+		}
 		zone := "zone-" + strconv.Itoa(k)
-		m.Announce = func(primary, leaving bool) { e.announce(g.Name, m, zone, primary, leaving) }
+		m.Announce = func(primary, leaving bool) { e.announce(g.Name, m, listed, zone, primary, leaving) }
 		primary, _ := m.State()
-		e.announce(g.Name, m, zone, primary, false)
+		m.Announce(primary, false)
 	}
 	e.Groups = append(e.Groups, g)
 	return nil
 }
 
 // announce writes the entry of a member.
-func (e *Estate) announce(group string, m *member.Member, zone string, primary, leaving bool) {
+func (e *Estate) announce(group string, m *member.Member, address, zone string, primary, leaving bool) {
 	e.mutex.Lock()
 	e.sequence++
 	sequence := e.sequence
 	e.mutex.Unlock()
 	entry := map[string]any{
-		"service": group, "address": m.Address, "zone": zone, "version": "v1", "slots": m.Slots, "state": "ready",
+		"service": group, "address": address, "zone": zone, "version": "v1", "slots": m.Slots, "state": "ready",
 		"cold-left-ms": 0, "db-role": "replica", "sequence": sequence, "born": 1700000000000,
 	}
 	if primary {
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,117 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/link"
+)
+
+// wait is how long a test waits for what must not come.
+const wait = 60 * time.Millisecond
+
+// start returns a link to a server that sends back each line.
+func start(t *testing.T) *link.Link {
+	t.Helper()
+	g := task.New(context.Background())
+	t.Cleanup(func() {
+		g.Stop()
+		_ = g.Wait()
+	})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	g.Detach("echo", func(context.Context) {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			g.Detach("echo of one", func(context.Context) { _, _ = io.Copy(c, c) })
+		}
+	})
+	l, err := link.New(g, listener.Addr().String())
+	assert.NilError(t, err)
+	return l
+}
+
+// caller is a connection through a link.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, l *link.Link) caller {
+	t.Helper()
+	c, err := net.Dial("tcp4", l.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return caller{c, bufio.NewReader(c)}
+}
+
+// say sends a line and returns the one that comes back within the time.
+func (c caller) say(t *testing.T, line string, limit time.Duration) (string, error) {
+	t.Helper()
+	_, err := c.Write([]byte(line + "\n"))
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(limit)))
+	return c.reader.ReadString('\n')
+}
+
+func TestBytesAreHeldUpByDelaysAndCuts(t *testing.T) {
+	l := start(t)
+	c := dial(t, l)
+	back, err := c.say(t, "one", time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, back, "one\n")
+
+	l.Set(link.Conditions{Delay: 30 * time.Millisecond})
+	began := time.Now()
+	_, err = c.say(t, "two", time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(began) >= 60*time.Millisecond, "a delay in each direction")
+
+	for _, cut := range []link.Conditions{{CutThere: true}, {CutBack: true}} {
+		l.Set(cut)
+		_, err = c.say(t, "three", wait)
+		assert.Assert(t, err != nil, "%+v", cut)
+		l.Set(link.Conditions{})
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+		back, err = c.reader.ReadString('\n')
+		assert.NilError(t, err, "held bytes arrive once the cut has healed")
+		assert.Equal(t, back, "three\n")
+	}
+}
+
+func TestOpenConnectionsGoSilentWhileNewOnesWork(t *testing.T) {
+	l := start(t)
+	c := dial(t, l)
+	_, err := c.say(t, "one", time.Second)
+	assert.NilError(t, err)
+	l.Silence()
+	_, err = c.say(t, "two", wait)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	_, err = dial(t, l).say(t, "three", time.Second)
+	assert.NilError(t, err)
+}
+
+func TestAResetEndsOpenConnections(t *testing.T) {
+	l := start(t)
+	c := dial(t, l)
+	_, err := c.say(t, "one", time.Second)
+	assert.NilError(t, err)
+	l.Reset()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = c.reader.ReadByte()
+	assert.ErrorContains(t, err, "reset")
+	_, err = dial(t, l).say(t, "two", time.Second)
+	assert.NilError(t, err)
+}
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -44,7 +44,7 @@
 	for ctx.Err() == nil {
 		p := c.run.processes[c.random.IntN(len(c.run.processes))]
 		kind := []string{"primary", "own"}[c.random.IntN(2)]
-		s, err := estate.Dial(p.settings.Callers, fmt.Sprintf("%s-%d", kind, c.group))
+		s, err := estate.Dial(p.callers, fmt.Sprintf("%s-%d", kind, c.group))
 		if err != nil {
 			c.pause(ctx)
 			continue
--- a/internal/lab/soak/fault.go
+++ b/internal/lab/soak/fault.go
@@ -35,13 +35,15 @@
 
 // draw draws one fault.
 func (r *Run) draw(random *rand.Rand) fault {
-	switch random.IntN(10) {
+	switch random.IntN(12) {
 	case 0, 1, 2, 3:
 		return r.memberFault(random)
 	case 4, 5:
 		return r.storeFault(random)
 	case 6:
 		return fault{name: "configuration", begin: func() { r.estate.Configure(nil) }, end: func() {}}
+	case 7, 8:
+		return r.linkFault(random)
 	default:
 		return r.processFault(random)
 	}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
-	"eelgrassladder.example/eelgrassladder/internal/lab/estate"
 )
 
 // restartPause is how long the platform takes to start a process again.
@@ -24,9 +23,11 @@
 // when it ends.
 type process struct {
 	settings settings.Node
-	binary   string
-	file     string
-	log      *os.File
+	// callers is where clients connect to.
+	callers string
+	binary  string
+	file    string
+	log     *os.File
 
 	// mutex guards the fields below. It is a leaf.
 	mutex   sync.Mutex
@@ -34,9 +35,11 @@
 	starts  int
 }
 
-// newProcess writes the settings of a proxy on free ports.
-func newProcess(e *estate.Estate, binary, folder, name string) (*process, error) {
-	s := e.Settings(name)
+// newProcess writes the settings of a proxy on free ports that reaches the
+// store at an address.
+func newProcess(s settings.Node, store, binary, folder string) (*process, error) {
+	name := s.Name
+	s.Store = store
 	for _, a := range []*string{&s.Callers, &s.Readiness, &s.Sibling} {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -18,6 +18,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/lab/estate"
 	"eelgrassladder.example/eelgrassladder/internal/lab/keyvalue"
+	"eelgrassladder.example/eelgrassladder/internal/lab/link"
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
 )
 
@@ -56,10 +57,12 @@
 
 // Run is one run. Use Play.
 type Run struct {
-	plan       Plan
-	began      time.Time
-	estate     *estate.Estate
-	processes  []*process
+	plan      Plan
+	began     time.Time
+	estate    *estate.Estate
+	processes []*process
+	// links are the ways that can be harmed, ordered as they were made.
+	links      []way
 	clients    []*client
 	violations violations
 	// faulted holds groups with a faulted member. The player alone uses it.
@@ -83,6 +86,9 @@
 	}()
 	layout := estate.DefaultPlan()
 	layout.Groups, layout.Connections = p.Groups, 24
+	layout.Listed = func(id, address string) (string, error) {
+		return r.link(platform, "proxies to "+id, address)
+	}
 	e, err := estate.New(platform, layout)
 	if err != nil {
 		return Result{}, err
@@ -93,7 +99,7 @@
 		proxies.Stop()
 		_ = proxies.Wait() // each ends by the signal that it was sent
 	}()
-	if err := r.startProxies(proxies); err != nil {
+	if err := r.startProxies(platform, proxies); err != nil {
 		return Result{}, err
 	}
 	if err := r.serves(ctx); err != nil {
@@ -103,16 +109,25 @@
 	return r.finish(ctx), nil
 }
 
-// startProxies starts all proxies.
-func (r *Run) startProxies(g *task.Group) error {
+// startProxies starts all proxies, each with a way of its own to the store and
+// one from its clients.
+func (r *Run) startProxies(platform, g *task.Group) error {
 	if err := os.MkdirAll(r.plan.Folder, 0o700); err != nil {
 		return errors.WithStack(err)
 	}
 	for i := range r.plan.Proxies {
-		p, err := newProcess(r.estate, r.plan.Binary, r.plan.Folder, fmt.Sprintf("proxy-%d", i))
+		name := fmt.Sprintf("proxy-%d", i)
+		store, err := r.link(platform, name+" to the store", r.estate.Address)
+		if err != nil {
+			return err
+		}
+		p, err := newProcess(r.estate.Settings(name), store, r.plan.Binary, r.plan.Folder)
 		if err != nil {
 			return err
 		}
+		if p.callers, err = r.link(platform, "clients to "+name, p.settings.Callers); err != nil {
+			return err
+		}
 		r.processes = append(r.processes, p)
 		g.Go(p.settings.Name, p.run)
 	}
@@ -142,6 +157,9 @@
 // finish ends all faults, and checks that service is back and nothing is lost.
 func (r *Run) finish(ctx context.Context) Result {
 	r.estate.Store.SetConditions(keyvalue.Conditions{})
+	for _, w := range r.links {
+		w.link.Set(link.Conditions{})
+	}
 	for _, g := range r.estate.Groups {
 		for _, m := range g.Members() {
 			m.SetFault(member.Fault{})
@@ -173,7 +191,7 @@
 	for _, p := range r.processes {
 		for i := range r.plan.Groups {
 			err := estate.Until(ctx, recoveryTime, func() bool {
-				s, err := estate.Dial(p.settings.Callers, fmt.Sprintf("primary-%d", i))
+				s, err := estate.Dial(p.callers, fmt.Sprintf("primary-%d", i))
 				if err != nil {
 					return false
 				}
@@ -191,7 +209,7 @@
 
 // compare reads a client's item once more and compares it with its ledger.
 func (r *Run) compare(c *client) {
-	s, err := estate.Dial(r.processes[0].settings.Callers, fmt.Sprintf("primary-%d", c.group))
+	s, err := estate.Dial(r.processes[0].callers, fmt.Sprintf("primary-%d", c.group))
 	if err != nil {
 		r.violate("%s: %v", c.ledger.item, err)
 		return
