--- a/cmd/eelgrasslab/main.go
+++ b/cmd/eelgrasslab/main.go
@@ -16,6 +16,7 @@
 	Platform platformCommand   `command:"platform" description:"Run the stand-in of the platform"`
 	Group    groupCommand      `command:"group" description:"Run the stand-in of a database group"`
 	Soak     soakCommand       `command:"soak" description:"Run proxies as processes under random faults and check the promises"`
+	Report   reportCommand     `command:"report" description:"Show the scores in the journal of the users' bench"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
