Send records of primaries only to proxies that lack them, and bound an answer

Cause: each beat carried the records of all groups that had ever changed their primary, both ways, 6.7 times a second among many proxies: at 610 groups some 60 KB a beat, worked out, and each was encoded anew.

Ruled out: sending changes since a revision; a proxy that has heard of a later one may lack an earlier one.

Change: a beat names a digest of its sender's records and leaves them out for a receiver with the same digest; they are encoded when they change. An answer tells at most 128 primaries, a random part of more.

--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -26,6 +29,9 @@
 	fewProxies  = 8
 	// limit bounds one exchange.
 	limit = 600 * time.Millisecond
+	// maxSights bounds an answer, at some 60 bytes each; among more groups a
+	// random part is told.
+	maxSights = 128
 )
 
 // Exchanger sends a beat to the proxy at an address and returns its answer.
@@ -60,13 +66,15 @@
 	table   *work.Table
 	peers   Exchanger
 	beliefs Beliefs
-	// turn counts beats, so that proxies take turns. Run alone uses it.
+	// turn counts beats, so that proxies take turns, and told holds the digest
+	// that each partner has told last. Run alone uses them.
 	turn int
+	told map[string]uint64
 }
 
 // New returns a gossip among the proxies that are registered.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table, x Exchanger, b Beliefs) *Gossip {
-	return &Gossip{timer: t, clock: c, table: table, peers: x, beliefs: b}
+	return &Gossip{timer: t, clock: c, table: table, peers: x, beliefs: b, told: map[string]uint64{}}
 }
 
 // Run sends beats until ctx ends.
@@ -86,7 +94,7 @@
 // configuration: what the asker has is known then, and none is sent twice.
 func (g *Gossip) Answer(b beat.Beat) beat.Beat {
 	g.beliefs.Heard(b)
-	answer := g.beliefs.Configuration(g.beliefs.Beat(), b.Version)
+	answer := g.beliefs.Configuration(g.beliefs.Beat().For(b.Digest), b.Version)
 	answer.Sights = g.sights()
 	return answer
 }
@@ -100,11 +108,13 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := g.clock.Boot()
-	answer, err := g.peers.Exchange(ctx, address, g.beliefs.Beat())
+	answer, err := g.peers.Exchange(ctx, address, g.beliefs.Beat().For(g.told[name]))
 	if err != nil {
+		delete(g.told, name)
 		klog.V(1).InfoS("Beat without an answer", "Proxy", name, "Address", address, "Error", err.Error())
 		return
 	}
+	g.told[name] = answer.Digest
 	g.beliefs.Heard(answer)
 	g.see(answer, sent)
 }
@@ -121,6 +131,7 @@
 		addresses[proxies[p]] = true
 	}
 	g.peers.Keep(addresses)
+	maps.DeleteFunc(g.told, func(name string, _ uint64) bool { return !slices.Contains(peers, name) })
 	g.turn++
 	name = peers[g.turn%len(peers)]
 	return name, proxies[name]
@@ -141,6 +152,10 @@
 		}
 		all = append(all, s)
 	}
+	if len(all) > maxSights {
+		rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+		all = all[:maxSights]
+	}
 	return all
 }
 
--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -46,6 +46,9 @@
 	// opened holds primaries that lead although the store still has the closed
 	// record of the revision. It is replaced, never changed.
 	opened map[string]tenure.Tenure
+	// records are tenures and opened as they are told to other proxies. It is
+	// replaced, never changed.
+	records []beat.Record
 	// proxies holds the addresses of the other registered proxies by name. It
 	// is replaced, never changed.
 	proxies map[string]string
@@ -134,15 +137,20 @@
 func (b *beliefs) Beat() beat.Beat {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	made := beat.Beat{Sender: b.name, Version: b.routes.Load().Version}
+	return beat.Beat{Sender: b.name, Version: b.routes.Load().Version}.WithRecords(b.records)
+}
+
+// gather puts the records together that are told to other proxies. The caller
+// holds the mutex.
+func (b *beliefs) gather() {
+	all := make([]beat.Record, 0, len(b.tenures))
 	for _, t := range b.tenures {
-		made.Records = append(made.Records, beat.Record{Group: t.Group, Revision: t.Revision, Value: t.Bytes()})
+		all = append(all, beat.Record{Group: t.Group, Revision: t.Revision, Value: t.Bytes()})
 		if o := b.opened[t.Group]; t.Closed && o.Revision == t.Revision {
-			made.Records = append(made.Records,
-				beat.Record{Group: t.Group, Revision: t.Revision, Value: o.Bytes(), Unwritten: true})
+			all = append(all, beat.Record{Group: t.Group, Revision: t.Revision, Value: o.Bytes(), Unwritten: true})
 		}
 	}
-	return made
+	b.records = all
 }
 
 // Heard takes what another proxy has told.
@@ -176,6 +184,7 @@
 		}
 		opened[t.Group] = t
 		b.opened = opened
+		b.gather()
 	}
 	b.mutex.Unlock()
 	if !known {
@@ -241,5 +250,6 @@
 	}
 	tenures[t.Group] = t
 	b.tenures = tenures
+	b.gather()
 	return true
 }
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -14,6 +14,7 @@
 func encode(b beat.Beat) *peer.Beat {
 	m := &peer.Beat{
 		Sender: b.Sender, Version: b.Version, Configuration: b.Configuration, ConfigurationRevision: b.Revision,
+		Digest: b.Digest,
 	}
 	for _, s := range b.Sights {
 		m.Sights = append(m.Sights, &peer.Sight{
@@ -35,6 +36,7 @@
 	b := beat.Beat{
 		Sender: m.GetSender(), Version: m.GetVersion(),
 		Configuration: m.GetConfiguration(), Revision: m.GetConfigurationRevision(),
+		Digest: m.GetDigest(),
 	}
 	for _, s := range m.GetSights() {
 		b.Sights = append(b.Sights, beat.Sight{
--- a/internal/trade/beat/beat.go
+++ b/internal/trade/beat/beat.go
@@ -2,8 +2,11 @@
 package beat
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 )
 
@@ -20,7 +23,10 @@
 	Revision uint64
 	// Sights are what the sender knows of primaries.
 	Sights []Sight
-	// Records are records of primaries that the sender has lately learned.
+	// Digest stands for all records that the sender has; two proxies with equal
+	// digests have the same.
+	Digest uint64
+	// Records are all of them, or none for a receiver that has the same.
 	Records []Record
 }
 
@@ -51,6 +57,31 @@
 	Unwritten bool
 }
 
+// WithRecords returns the beat with all records of its sender.
+func (b Beat) WithRecords(all []Record) Beat {
+	b.Records, b.Digest = all, digest(all)
+	return b
+}
+
+// For returns the beat without its records if the receiver, whose digest is
+// given, has the same.
+func (b Beat) For(digest uint64) Beat {
+	if b.Digest == digest {
+		b.Records = nil
+	}
+	return b
+}
+
+// digest returns a number that is the same for the same records in any order,
+// and zero for none. The value of a record goes by its revision.
+func digest(all []Record) uint64 {
+	sum := uint64(0)
+	for _, r := range all {
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s %d %t", r.Group, r.Revision, r.Unwritten))
+	}
+	return sum
+}
+
 // WithConfiguration returns the beat with the text of its version.
 func (b Beat) WithConfiguration(text []byte, revision uint64) Beat {
 	b.Configuration, b.Revision = text, revision
