--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -12,7 +12,7 @@
 const (
 	// remotePenalty is the service time that an endpoint in another data
 	// centre must save to be preferred; bytes between data centres are dear.
-	remotePenalty = 55 * time.Millisecond
+	remotePenalty = 30 * time.Millisecond
 	// primaryPenalty keeps reads that a replica can serve away from the
 	// primary, whose slots writes need.
 	primaryPenalty = 45 * time.Millisecond
