Make a primary of an earlier term a replica before it is suspended

When it heard of term 2 at 14.309 s it became a replica, received commit 2.168 from the primary that was being replaced, and so had it acknowledged; the replica promoted meanwhile lacked it.

Ruled out: a replica that was not asked (two candidates answered), a late transaction, a proxy that had not heard of the change (it may write; the write must not be acknowledged).

Change: a member that answers the order as a primary is demoted and suspended again, and only one that says it is a suspended replica counts as a candidate; else the change goes on or is given up. The model has primaries that rejoin; without the rule its new order of events loses a commit.

--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -67,14 +67,17 @@
 	})
 }
 
-// suspend stops all replicas from receiving. All of them must answer: one
-// that goes on could acknowledge writes of the old primary.
+// suspend stops all replicas from receiving. All of them must answer and be
+// suspended: one that goes on could acknowledge writes of the old primary.
 func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) ([]policy.Candidate, error) {
 	answers := c.each(ctx, others, func(n *control.Connection) (roster.Status, statement.Reply, error) {
-		return n.Suspend(c.keeper.timer.Now().Add(orderTime), term)
+		return c.halt(n, term)
 	})
 	candidates := make([]policy.Candidate, 0, len(answers))
 	for _, a := range answers {
+		if a.err == nil && !a.status.Halted(term) {
+			a.err = errors.Errorf("primary=%v of term %d, suspended for %d", a.status.Primary, a.status.Term, a.status.Suspended)
+		}
 		if a.err != nil {
 			return nil, errors.WithMessagef(a.err, "endpoint %s not suspended", a.endpoint.ID)
 		}
@@ -85,6 +88,22 @@
 	return candidates, nil
 }
 
+// halt suspends one member. A primary of an earlier term that has not heard of
+// the later one cannot be suspended, and would receive again as soon as it
+// has: it is made a replica first.
+func (c *change) halt(n *control.Connection, term uint64) (roster.Status, statement.Reply, error) {
+	end := c.keeper.timer.Now().Add(orderTime)
+	s, reply, err := n.Suspend(end, term)
+	if err != nil || reply.Code != statement.OK || !s.Primary {
+		return s, reply, err
+	}
+	s, reply, err = n.Demote(end, c.record.Term)
+	if err != nil || reply.Code != statement.OK {
+		return s, reply, err
+	}
+	return n.Suspend(end, term)
+}
+
 // demote makes the old primary a replica, if it can be reached.
 func (c *change) demote(ctx context.Context, term uint64) {
 	if c.old.Address == "" || c.dead {
--- a/internal/policy/succession/model_test.go
+++ b/internal/policy/succession/model_test.go
@@ -17,14 +17,14 @@
 // rules are the rules of a change of primary. Each can be left out, to show
 // that the model notices.
 type rules struct {
-	suspendAll, longest, settle, proof, answerCheck, oneHolder, freshToken, expiry bool
+	suspendAll, longest, settle, proof, answerCheck, oneHolder, freshToken, expiry, demoteStale bool
 }
 
 // allRules are the rules in force.
 func allRules() rules {
 	return rules{
 		suspendAll: true, longest: true, settle: true, proof: true, answerCheck: true, oneHolder: true,
-		freshToken: true, expiry: true,
+		freshToken: true, expiry: true, demoteStale: true,
 	}
 }
 
@@ -282,12 +282,35 @@
 			}
 			continue
 		}
-		r.suspended = max(r.suspended, term+1)
+		if r.primary && m.rules.demoteStale {
+			m.rejoin(r)
+		}
+		if !r.primary {
+			// A primary answers the order, and is not suspended by it.
+			r.suspended = max(r.suspended, term+1)
+		}
 		c.candidates = append(c.candidates, succession.Candidate{ID: fmt.Sprint(i), Received: r.end()})
 	}
 	c.settled, c.step = m.now, 2
 }
 
+// rejoin makes a primary of an earlier term a replica, as it becomes when it is
+// told to or when it reaches the later one.
+func (m *model) rejoin(r *memberModel) {
+	for _, later := range m.members {
+		if later == r || !later.primary || later.dead || later.term <= r.term {
+			continue
+		}
+		r.primary, r.term, r.suspended = false, later.term, 0
+		common := 0
+		for common < len(r.log) && common < len(later.log) && r.log[common] == later.log[common] {
+			common++
+		}
+		r.log = r.log[:common]
+		return
+	}
+}
+
 func (m *model) stepPromote(p *proxyModel, c *changeModel) {
 	if m.rules.freshToken && m.now-c.began > holdTime {
 		p.change = nil
@@ -359,7 +382,7 @@
 	member := rapid.IntRange(0, 2).Draw(t, "member")
 	switch rapid.SampledFrom([]string{
 		"write", "write", "probe", "probe", "read", "read", "send", "answer", "late", "learn", "learn", "judge", "step", "step", "step", "step",
-		"change", "change", "change", "time", "time", "freeze", "cut", "heal", "crash",
+		"change", "change", "change", "time", "time", "freeze", "cut", "heal", "rejoin", "crash",
 	}).Draw(t, "act") {
 	case "write":
 		m.write(p)
@@ -393,6 +416,10 @@
 		m.members[member].cut = true
 	case "heal":
 		m.members[member].cut = false
+	case "rejoin":
+		if r := m.members[member]; r.primary && !r.dead && !r.cut {
+			m.rejoin(r)
+		}
 	case "crash":
 		if !m.members[0].dead && !m.members[1].dead && !m.members[2].dead {
 			m.members[member].dead = true
@@ -470,6 +497,34 @@
 				m.answer(b, false)
 			},
 		},
+		"a primary of an earlier term is made a replica before it is suspended": {
+			leave: func(r *rules) { r.demoteStale = false },
+			script: func(m *model, a, b *proxyModel) {
+				// Member 0 is cut off, and member 1 replaces it.
+				m.members[0].cut = true
+				m.judge(a)
+				for range 3 {
+					m.step(0, a)
+				}
+				m.now += 1200 * time.Millisecond
+				m.step(0, a)
+				m.step(0, a)
+				m.learn(b)
+				m.write(b)
+				// Member 0 is back and has not heard of member 1, which is
+				// replaced in turn. Then it hears of it, and takes a write.
+				m.members[0].cut = false
+				m.learn(a)
+				m.judge(a)
+				m.step(0, a)
+				m.step(0, a)
+				if m.members[0].primary {
+					m.rejoin(m.members[0])
+				}
+				m.write(b)
+				m.step(0, a)
+			},
+		},
 		"an answer counts only under a proof": {
 			leave: func(r *rules) { r.answerCheck = false },
 			script: func(m *model, a, b *proxyModel) {
--- a/internal/trade/roster/status.go
+++ b/internal/trade/roster/status.go
@@ -24,3 +24,7 @@
 	// Connections is how many connections are open.
 	Connections int
 }
+
+// Halted reports whether the endpoint is a replica that receives nothing more
+// before the term.
+func (s Status) Halted(term uint64) bool { return !s.Primary && s.Suspended >= term }
