--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -97,6 +97,8 @@
 	if err != nil || reply.Code != statement.OK || !s.Primary {
 		return s, reply, err
 	}
+	klog.InfoS("Primary of an earlier term is made a replica", "Group", c.group, "Term", s.Term, "Newest", c.record.Term,
+		"Received", s.Received.String())
 	s, reply, err = n.Demote(end, c.record.Term)
 	if err != nil || reply.Code != statement.OK {
 		return s, reply, err
