--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -41,14 +43,11 @@
 	name := s.Name
 	s.Store = store
 	for _, a := range []*string{&s.Callers, &s.Readiness, &s.Sibling} {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		*a = l.Addr().String()
-		if err := l.Close(); err != nil {
-			return nil, errors.WithStack(err)
+			return nil, err
 		}
+		*a = address
 	}
 	text, err := json.Marshal(s)
 	if err != nil {
@@ -62,6 +61,29 @@
 	return p, errors.WithStack(err)
 }
 
+// The ports of processes lie below those that the kernel gives to outgoing
+// connections, which could take one before its process listens.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+	portTries = 100
+)
+
+// freeAddress returns an address of loopback that nobody listens on.
+func freeAddress() (string, error) {
+	var last error
+	for range portTries {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err != nil {
+			last = err
+			continue
+		}
+		address := l.Addr().String()
+		return address, errors.WithStack(l.Close())
+	}
+	return "", errors.WithStack(last)
+}
+
 // run keeps the process running until ctx ends, and then ends it.
 func (p *process) run(ctx context.Context) error {
 	defer func() { _ = p.log.Close() }()
