Send a stalled primary one write at a time, and ask failing endpoints first

Ruled out: writes without a replica holding slots at the member. Five hung writes at two slots left the reads their full rate.

Change: a primary that has acknowledged nothing for 300 ms gets one write at a time; others are refused as not run after a quarter of their target, and the hung one does not count in the limit. After a second failure an endpoint gets statements again only once it has answered a question (host/checkup).

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/checkup"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/gossip"
@@ -85,6 +86,7 @@
 	prober    *proof.Prober
 	gossip    *gossip.Gossip
 	keeper    *succession.Keeper
+	checkup   *checkup.Checkup
 	front     Front
 	beliefs   *beliefs
 	// listed is true once the store was read for the first time.
@@ -112,6 +114,7 @@
 	})
 	n.beliefs.changed = n.lead
 	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, dialer, p.Store, p.Promoter, n.beliefs, n.tasks)
+	n.checkup = checkup.New(n.timer, n.table, dialer, n.tasks)
 	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
 	n.front = p.Front(n.gateway, n.timer, n.tasks)
@@ -146,6 +149,7 @@
 	n.tasks.Go("store", watch.New(n.parts.Store, n.timer, "", &follower{node: n, proxies: map[string]string{}},
 		func() int { return len(n.beliefs.Proxies()) + 1 }).Run)
 	n.tasks.Go("primaries", n.keeper.Run)
+	n.tasks.Go("checkup", n.checkup.Run)
 	n.tasks.Go("registration", n.register)
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, n.listeners.callers) })
 	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, n.listeners.readiness) })
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -62,6 +62,9 @@
 	Service time.Duration
 	// Behind is a position that it was lately seen to lack; zero for none.
 	Behind position.Position
+	// Stalled is true at a primary that acknowledges no writes and has one of
+	// this proxy; more would only fill its slots.
+	Stalled bool
 }
 
 // Choice is the outcome of Choose.
@@ -109,7 +112,7 @@
 		return Choice{Place: -1, Unproven: true}
 	}
 	for i, p := range places {
-		if p.ID == l.Endpoint && p.Usable && p.Free {
+		if p.ID == l.Endpoint && p.Usable && p.Free && !(n.Write && p.Stalled) {
 			return Choice{Place: i}
 		}
 	}
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"slices"
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -29,15 +30,22 @@
 	// baseDrift lets the base rise by this part with each answer, so that it
 	// follows work that has become slower in itself.
 	baseDrift = 2000
-	// failureTime is how long an endpoint is passed by after a failure, and
-	// maxFailureTime after many.
+	// failureTime is how long an endpoint is neither used nor asked after a
+	// failure, and maxFailureTime after many.
 	failureTime    = 50 * time.Millisecond
 	maxFailureTime = time.Second
+	// provenFailures is how many failures in a row show that it is not just one
+	// connection that broke.
+	provenFailures = 2
 	// spareTime is how long a connection may be unused before it is closed,
 	// and keptSpares how many are kept all the same. When all proxies lose
 	// power, their connections fill the endpoints' limit for 3 s more.
 	spareTime  = time.Second
 	keptSpares = 1
+	// stalledTime is how long a write may wait before the endpoint gets no
+	// others. A commit takes some milliseconds, and behind full slots some
+	// hundred.
+	stalledTime = 300 * time.Millisecond
 	// overloadTime is how long no connection is opened after the endpoint
 	// refused one for having too many.
 	overloadTime = 200 * time.Millisecond
@@ -84,20 +92,30 @@
 	writes []time.Time
 	// acknowledged is when the latest answered write was sent.
 	acknowledged time.Time
+	// lost is when the first write after acknowledged was sent that ended
+	// without an answer; zero if there is none.
+	lost time.Time
 	// refused is true if the last failure proves that the process is down.
 	refused bool
 }
 
 // place returns what placement may know of the endpoint.
 func (e *endpoint) place(now time.Time, dataCentre string) placement.Place {
+	stalled := e.stalled(now)
+	running := e.running
+	if stalled {
+		// Writes that wait for a replica take no slot.
+		running -= len(e.writes)
+	}
 	p := placement.Place{
 		ID:      e.told.ID,
-		Usable:  !e.gone && !e.told.Leaving && !now.Before(e.downUntil),
+		Usable:  !e.gone && !e.told.Leaving && e.sound(now),
 		Local:   e.told.DataCentre == dataCentre,
-		Free:    e.running < int(e.limit) && (len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil))),
+		Free:    running < int(e.limit) && (len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil))),
 		Slots:   max(e.told.Slots, 1),
-		Running: e.running,
+		Running: running,
 		Service: e.service,
+		Stalled: stalled && len(e.writes) > 0,
 	}
 	if now.Before(e.behindUntil) && !e.applied.Covers(e.behind) {
 		p.Behind = e.behind
@@ -105,6 +123,16 @@
 	return p
 }
 
+// sound reports whether statements may be sent to the endpoint. After one
+// failure a single one is tried; after more, a question has to be answered
+// first.
+func (e *endpoint) sound(now time.Time) bool {
+	if e.failures == 0 {
+		return true
+	}
+	return e.failures < provenFailures && e.running == 0 && !now.Before(e.downUntil)
+}
+
 // take returns an idle connection, or nil with room for a new one.
 func (e *endpoint) take() eelgrassladder.Connection {
 	n := len(e.idle)
@@ -140,6 +168,43 @@
 	e.downUntil = now.Add(min(wait, maxFailureTime))
 }
 
+// waiting returns when the oldest write was sent that is not answered, of
+// those sent after the last one that was; zero if there is none.
+func (e *endpoint) waiting() time.Time {
+	var oldest time.Time
+	for _, sent := range e.writes {
+		if sent.After(e.acknowledged) && (oldest.IsZero() || sent.Before(oldest)) {
+			oldest = sent
+		}
+	}
+	return oldest
+}
+
+// stalled reports whether the endpoint has lately acknowledged no writes.
+func (e *endpoint) stalled(now time.Time) bool {
+	if !e.lost.IsZero() {
+		return true
+	}
+	oldest := e.waiting()
+	return !oldest.IsZero() && now.Sub(oldest) > stalledTime
+}
+
+// ended notes that the write that was sent at some time has ended.
+func (e *endpoint) ended(sent time.Time, answered bool) {
+	switch {
+	case answered && sent.After(e.acknowledged):
+		e.acknowledged = sent
+		if !e.lost.After(sent) {
+			e.lost = time.Time{}
+		}
+	case !answered && sent.After(e.acknowledged) && e.lost.IsZero():
+		e.lost = sent
+	}
+	if i := slices.Index(e.writes, sent); i >= 0 {
+		e.writes = slices.Delete(e.writes, i, i+1)
+	}
+}
+
 // crowded lowers the limit after the endpoint was busy.
 func (e *endpoint) crowded() { e.limit = max(e.limit*limitCut, 1) }
 
--- a/internal/table/work/health.go
+++ b/internal/table/work/health.go
@@ -1,8 +1,9 @@
 package work
 
 import (
-	"slices"
 	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 )
 
 // Health is what the use of an endpoint has shown of it. It is immutable.
@@ -28,13 +29,24 @@
 	if !ok {
 		return Health{}
 	}
-	h := Health{Heard: e.heard, Running: e.running, Failures: e.failures, Refused: e.refused}
-	for _, sent := range e.writes {
-		if sent.After(e.acknowledged) && (h.Waiting.IsZero() || sent.Before(h.Waiting)) {
-			h.Waiting = sent
+	return Health{
+		Heard: e.heard, Running: e.running, Failures: e.failures, Refused: e.refused, Waiting: e.waiting(),
+	}
+}
+
+// Failing returns the endpoints that statements are kept from by failures and
+// that may be asked again now.
+func (t *Table) Failing() []roster.Endpoint {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.timer.Now()
+	var all []roster.Endpoint
+	for _, e := range t.endpoints {
+		if !e.gone && e.failures >= provenFailures && !now.Before(e.downUntil) {
+			all = append(all, e.told)
 		}
 	}
-	return h
+	return all
 }
 
 // WriteSent notes that a write was sent to an endpoint.
@@ -51,14 +63,8 @@
 func (t *Table) WriteDone(id string, at time.Time, answered bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	e, ok := t.endpoints[id]
-	if !ok {
-		return
-	}
-	if answered && at.After(e.acknowledged) {
-		e.acknowledged = at
-	}
-	if i := slices.Index(e.writes, at); i >= 0 {
-		e.writes = slices.Delete(e.writes, i, i+1)
+	if e, ok := t.endpoints[id]; ok {
+		e.ended(at, answered)
+		t.match(t.group(e.told.Group))
 	}
 }
--- a/internal/table/work/job.go
+++ b/internal/table/work/job.go
@@ -81,9 +81,12 @@
 	NoProof
 	// NoEndpoint means that the group has no endpoint in use.
 	NoEndpoint
+	// NoReplica means that the primary acknowledges no writes: no replica
+	// receives them.
+	NoReplica
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
-	return [...]string{"NoCapacity", "NoPrimary", "NoProof", "NoEndpoint"}[r]
+	return [...]string{"NoCapacity", "NoPrimary", "NoProof", "NoEndpoint", "NoReplica"}[r]
 }
--- a/internal/table/work/work.go
+++ b/internal/table/work/work.go
@@ -55,6 +55,16 @@
 	waiting []*Job
 }
 
+// stalled reports whether the primary acknowledges no writes.
+func (g *group) stalled(now time.Time) bool {
+	for _, e := range g.endpoints {
+		if e.told.ID == g.lead.Endpoint {
+			return e.stalled(now)
+		}
+	}
+	return false
+}
+
 // New returns a table for a proxy in the data centre.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, dataCentre string) *Table {
 	made := &Table{
@@ -148,6 +158,8 @@
 		return patience.Capacity(w, t.ahead(g, j))
 	case NoProof:
 		return patience.Proof(w)
+	case NoReplica:
+		return patience.Unknown(w)
 	default:
 		return patience.Capacity(w, 0)
 	}
@@ -304,6 +316,8 @@
 		return NoPrimary
 	case j.Need.Proven() && !g.lead.Valid(t.clock.Boot()):
 		return NoProof
+	case j.Need.Write && g.stalled(t.timer.Now()):
+		return NoReplica
 	default:
 		return NoCapacity
 	}
