Replace a primary that cannot carry the reads of lagging replicas

Ruled out: choosing among the refused by their cost. It helps one kind of request at the expense of another; the slots stay too few.

Change: a replica that is promoted applies what it has received at once, and the primary before goes on as a replica that lacks nothing. The table counts a group's reads; if replicas serve less than a fifth of them in a second while a tenth is refused, and all replicas tell a lag of 2 s or more, the primary is replaced as for a planned change (Outpaced), at most every 10 s a group.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -54,12 +54,12 @@
 }
 
 // change replaces the primary of a group that was judged under a revision of
-// its record.
-func (k *Keeper) change(ctx context.Context, group string, judged uint64, reason policy.Reason, e policy.Evidence) {
+// its record, and reports whether it has begun to.
+func (k *Keeper) change(ctx context.Context, group string, judged uint64, reason policy.Reason, e policy.Evidence) bool {
 	l := k.table.Lead(group)
 	before := k.beliefs.Tenure(group)
 	if before.Revision != judged || l.Closed != (reason == policy.Abandoned) || ctx.Err() != nil {
-		return
+		return false
 	}
 	c := &change{keeper: k, group: group, reason: reason, dead: e.Refused && e.Failures >= 2}
 	c.old, _ = k.beliefs.Roster().Endpoint(l.Endpoint)
@@ -71,23 +71,24 @@
 	if err != nil {
 		klog.InfoS("Change of primary not begun", "Group", group, "Reason", reason.String(), "Error", err.Error())
 		timer.Pause(ctx, k.timer, retryPause)
-		return
+		return false
 	}
 	klog.InfoS("Change of primary begun", "Group", group, "Reason", reason.String(), "Primary", l.Endpoint,
 		"Term", l.Term, "Token", c.record.Revision, "SilentMs", e.Silent.Milliseconds(), "Failures", e.Failures,
-		"Refused", e.Refused, "StalledMs", e.Stalled.Milliseconds())
+		"Refused", e.Refused, "StalledMs", e.Stalled.Milliseconds(), "OutpacedMs", e.Outpaced.Milliseconds())
 	defer k.finished()
 	for ctx.Err() == nil && k.clock.Boot()-c.began < holdTime {
 		next, term, err := c.promote(ctx)
 		if err == nil {
 			c.open(ctx, next, term)
-			return
+			return true
 		}
 		klog.InfoS("Change of primary goes on", "Group", group, "Token", c.record.Revision, "Error", err.Error())
 		timer.Pause(ctx, k.timer, pollTime)
 	}
 	klog.InfoS("Change of primary given up", "Group", group, "Token", c.record.Revision)
 	c.release(ctx)
+	return true
 }
 
 // finished notes the end of a change.
@@ -118,35 +119,59 @@
 	}
 }
 
-// check makes sure that the change can succeed before anything is stopped for
-// it: all replicas answer and, for a primary whose commits are late, none of
-// them has what it has.
+// check makes sure that the change can succeed, and is of use, before anything
+// is stopped for it: all replicas answer and, for a primary whose commits are
+// late, none of them has what it has; for one that cannot carry all reads, all
+// of them apply its log late.
 func (c *change) check(ctx context.Context) error {
 	replicas := c.keeper.replicas(c.group, c.old.ID)
 	if len(replicas) == 0 {
 		return errors.New("the group has no replica")
 	}
-	asked := replicas
+	// The primary comes first: what it has then, a sound replica has by now.
+	old := answer{err: errors.New("not asked")}
 	if c.reason == policy.Stalled {
-		asked = append([]roster.Endpoint{c.old}, replicas...)
+		old = c.statuses(ctx, []roster.Endpoint{c.old})[0]
 	}
-	answers := c.statuses(ctx, asked)
+	answers := c.statuses(ctx, replicas)
 	for _, a := range answers {
-		if a.err != nil && a.endpoint.ID != c.old.ID {
+		if a.err != nil {
 			return errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
 		}
 	}
-	if c.reason != policy.Stalled || answers[0].err != nil {
+	switch c.reason {
+	case policy.Stalled:
+		return checkStalled(old, answers)
+	case policy.Outpaced:
+		return checkOutpaced(answers)
+	default:
 		return nil
 	}
-	for _, a := range answers[1:] {
-		if a.status.Received.Covers(answers[0].status.Received) && a.status.Suspended == 0 {
+}
+
+// checkStalled returns an error if a replica has all that the primary has.
+func checkStalled(old answer, replicas []answer) error {
+	if old.err != nil {
+		return nil // it does not answer either
+	}
+	for _, a := range replicas {
+		if a.status.Received.Covers(old.status.Received) && a.status.Suspended == 0 {
 			return errors.New("a replica has received all commits")
 		}
 	}
 	return nil
 }
 
+// checkOutpaced returns an error if a replica applies the log soon.
+func checkOutpaced(replicas []answer) error {
+	for _, a := range replicas {
+		if a.status.Lag < policy.OutpacedLag {
+			return errors.Errorf("endpoint %s lags by %v only", a.endpoint.ID, a.status.Lag)
+		}
+	}
+	return nil
+}
+
 // close takes the token and closes the group's record for all proxies.
 func (c *change) close(ctx context.Context, l lead.Lead, before tenure.Tenure) error {
 	k := c.keeper
@@ -180,7 +205,7 @@
 // it leads. It returns that member and its term.
 func (c *change) promote(ctx context.Context) (string, uint64, error) {
 	k := c.keeper
-	if c.reason == policy.Leaving {
+	if c.reason == policy.Leaving || c.reason == policy.Outpaced {
 		timer.Pause(ctx, k.timer, quiesceTime)
 	}
 	others := k.replicas(c.group, c.old.ID)
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -35,6 +35,9 @@
 	// that may come back with its log. An entry lapses after three heartbeats
 	// of 1.2 s, and crashed members are back within some seconds.
 	memberTime = 12 * time.Second
+	// keptTime is how long a primary is kept after its replicas were found to
+	// lag too little for a change.
+	keptTime = 2 * time.Second
 	// jitter spreads the proxies that see the same sign; the others then hear
 	// of the change that the first has begun.
 	jitter = 25 * time.Millisecond
@@ -95,6 +98,8 @@
 	members map[string]sighting
 	// orphaned is since when the group has no primary; zero if it has one.
 	orphaned time.Time
+	// kept is when it was last found that another primary would not help.
+	kept time.Time
 }
 
 // sighting is a member as the platform last listed it.
@@ -148,7 +153,9 @@
 		k.tasks.Detach("change of primary", func(ctx context.Context) {
 			defer k.rest(w)
 			timer.Pause(ctx, k.timer, rand.N(jitter))
-			k.change(ctx, group, judged.Revision, reason, e)
+			if !k.change(ctx, group, judged.Revision, reason, e) && reason == policy.Outpaced {
+				k.keep(w)
+			}
 		})
 		return
 	}
@@ -161,6 +168,13 @@
 	}
 }
 
+// keep notes that a change of primary would not help the group.
+func (k *Keeper) keep(w *watched) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w.kept = k.timer.Now()
+}
+
 // rest lets the group be looked at again.
 func (k *Keeper) rest(w *watched) {
 	k.mutex.Lock()
@@ -214,6 +228,9 @@
 	if !h.Waiting.IsZero() {
 		e.Stalled = now.Sub(h.Waiting)
 	}
+	if w.kept.IsZero() || now.Sub(w.kept) > keptTime {
+		e.Outpaced = k.table.Outpaced(group)
+	}
 	return e
 }
 
--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -31,6 +31,17 @@
 	// goneTime is how long the store's list may lack a primary; entries that
 	// lapsed with the store are back within 2 s.
 	goneTime = 2500 * time.Millisecond
+	// outpacedTime is how long a group's replicas may serve almost none of its
+	// reads while its primary refuses some.
+	outpacedTime = time.Second
+	// restTime is how long a primary leads before its group can be outpaced: a
+	// change costs it a second of writes.
+	restTime = 10 * time.Second
+	// OutpacedLag is how late all replicas must apply the log for a change of
+	// primary to be worth its cost: they take about as long to catch up. The
+	// one that is promoted applies all that it has at once, and the primary
+	// before goes on as a replica that lacks nothing.
+	OutpacedLag = 2 * time.Second
 	// orphanTime is how long a group may be without any primary.
 	orphanTime = time.Second
 )
@@ -56,11 +67,13 @@
 	Orphaned
 	// Abandoned means that a proxy began a change and did not end it.
 	Abandoned
+	// Outpaced means that its replicas lag, and it cannot carry all reads.
+	Outpaced
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
-	return [...]string{"None", "Down", "Dark", "Leaving", "Gone", "Stalled", "Orphaned", "Abandoned"}[r]
+	return [...]string{"None", "Down", "Dark", "Leaving", "Gone", "Stalled", "Orphaned", "Abandoned", "Outpaced"}[r]
 }
 
 // Evidence is what one proxy knows of a group's primary. It is immutable.
@@ -91,6 +104,9 @@
 	Probed bool
 	// Stalled is how long the oldest commit has waited for its answer.
 	Stalled time.Duration
+	// Outpaced is for how long the replicas have served almost no reads, and
+	// the primary not all of them.
+	Outpaced time.Duration
 	// Successors is how many other endpoints could lead.
 	Successors int
 }
@@ -114,6 +130,8 @@
 		return Gone
 	case e.Stalled > stallTime:
 		return Stalled
+	case e.Outpaced > outpacedTime && e.Since > restTime && e.Failures == 0:
+		return Outpaced
 	}
 	return None
 }
--- a/internal/policy/succession/succession_test.go
+++ b/internal/policy/succession/succession_test.go
@@ -36,6 +36,12 @@
 		}), succession.Dark},
 		"a leaving primary is replaced": {with(func(e *succession.Evidence) { e.Leaving = true }), succession.Leaving},
 		"late commits":                  {with(func(e *succession.Evidence) { e.Stalled = time.Second }), succession.Stalled},
+		"replicas that lag while the primary refuses reads": {with(func(e *succession.Evidence) {
+			e.Outpaced, e.Since = 1500*time.Millisecond, time.Minute
+		}), succession.Outpaced},
+		"a primary is not changed again at once": {with(func(e *succession.Evidence) {
+			e.Outpaced, e.Since = 1500*time.Millisecond, 5*time.Second
+		}), succession.None},
 		"nobody could lead": {with(func(e *succession.Evidence) {
 			e.Leaving, e.Successors = true, 0
 		}), succession.None},
--- a/internal/table/work/connections.go
+++ b/internal/table/work/connections.go
@@ -111,6 +111,9 @@
 	if !o.Lacked.IsZero() {
 		e.behind, e.behindUntil = o.Lacked, now.Add(min(behindTime<<min(e.lacks, 5), maxBehindTime))
 		e.lacks++
+		// The read that was sent there has not been served.
+		g := t.group(e.told.Group)
+		g.pressure.replica = max(g.pressure.replica-1, 0)
 	}
 }
 
--- a/internal/table/work/work.go
+++ b/internal/table/work/work.go
@@ -53,6 +53,8 @@
 	endpoints []*endpoint
 	// waiting is ordered with the job that goes first at the front.
 	waiting []*Job
+	// pressure counts reads.
+	pressure pressure
 }
 
 // stalled reports whether the primary acknowledges no writes.
@@ -110,8 +112,8 @@
 	if t.assign(g, j) {
 		return
 	}
-	if t.hopeless(g, j, t.timer.Now()) {
-		t.push(Assignment{Refused: true, Reason: t.reason(g, j), run: j.Run})
+	if now := t.timer.Now(); t.hopeless(g, j, now) {
+		t.refuse(g, j, now)
 		return
 	}
 	at, _ := slices.BinarySearchFunc(g.waiting, j, func(a, b *Job) int {
@@ -139,12 +141,21 @@
 			if !t.hopeless(g, j, now) {
 				return false
 			}
-			t.push(Assignment{Refused: true, Reason: t.reason(g, j), run: j.Run})
+			t.refuse(g, j, now)
 			return true
 		})
 	}
 }
 
+// refuse tells a job that waiting is of no use.
+func (t *Table) refuse(g *group, j *Job, now time.Time) {
+	r := t.reason(g, j)
+	if r == NoCapacity && j.counts() {
+		g.pressure.refuse(now)
+	}
+	t.push(Assignment{Refused: true, Reason: r, run: j.Run})
+}
+
 // hopeless reports whether a job that waits is refused.
 func (t *Table) hopeless(g *group, j *Job, now time.Time) bool {
 	w := j.wait(now)
@@ -272,9 +283,13 @@
 	}
 	e := g.endpoints[c.Place]
 	e.running++
+	primary := e.told.ID == g.lead.Endpoint && c.After.IsZero()
+	if j.counts() {
+		g.pressure.sent(now, primary)
+	}
 	t.push(Assignment{
 		Endpoint: e.told, After: c.After, Connection: e.take(), run: j.Run,
-		Primary: e.told.ID == g.lead.Endpoint && c.After.IsZero(), Term: g.lead.Term, Chosen: boot,
+		Primary: primary, Term: g.lead.Term, Chosen: boot,
 	})
 	return true
 }
--- a/internal/table/work/work_test.go
+++ b/internal/table/work/work_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// give runs the next assignment and gives its connection back. It reports
+// whether there was one.
+func (b *bench) give() bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	a, ok := b.table.Take(ctx)
+	if !ok {
+		return false
+	}
+	a.Do()
+	if !a.Refused {
+		b.table.Return(a.Endpoint.ID, connection{closed: &b.closed}, work.Outcome{Answered: true})
+	}
+	return true
+}
+
 // borrow takes a connection of an endpoint for control.
 func (b *bench) borrow(id string) bool {
 	_, ok := b.table.Borrow(id)
@@ -328,3 +344,32 @@
 	read("fourth")
 	assert.Equal(t, taken[4], "fourth at r")
 }
+
+// TestAGroupIsOutpacedWhileItsPrimaryRefusesReadsAlone refuses a part of the
+// reads of a group, once with replicas that serve none and once with a replica
+// that serves half of them.
+func TestAGroupIsOutpacedWhileItsPrimaryRefusesReadsAlone(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lagging bool
+	}{{"replicas lag", true}, {"a replica serves", false}} {
+		b := newBench(t, 2, 1)
+		var taken []string
+		for range 40 {
+			b.timer.Advance(100 * time.Millisecond)
+			b.prove()
+			if c.lagging {
+				b.table.Note("r", work.Outcome{Answered: true, Lacked: position.Position{Term: 1, Log: 5}})
+			}
+			for range 6 {
+				b.submit("read", 0, placement.Need{Consistency: route.ReadYourWrites}, &taken)
+			}
+			b.clock.now += 100 * time.Millisecond
+			b.timer.Advance(100 * time.Millisecond)
+			b.table.Sweep()
+			for b.give() {
+			}
+		}
+		assert.Equal(t, b.table.Outpaced("g") > 2*time.Second, c.lagging, "%s: %v", c.name, b.table.Outpaced("g"))
+	}
+}
