Refuse a commit while the primary is being replaced

Ruled out: a longer pause before the replicas are suspended. Transactions last longer than any pause that writes can wait for.

Change: 50 ms after a change has begun, or once another endpoint leads, the COMMIT of a transaction that wrote is not sent; the transaction is rolled back and the client told so.

--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -48,6 +48,10 @@
 		t.wrote = true
 	}
 	commits := a.statement.Kind == statement.Commit && t.wrote
+	if commits && g.table.Lead(t.route.Group).Replaced(t.endpoint.ID, asked) {
+		a.abort(c, work.Outcome{Answered: true}, "the primary is being replaced")
+		return
+	}
 	reply, err := a.send(c, t.endpoint.ID, a.deadline, position.Position{}, commits)
 	took := g.timer.Now().Sub(began)
 	if err != nil {
@@ -127,5 +131,5 @@
 		Statement: a.statement, Endpoint: t.endpoint.ID, Reason: reason, Sent: true,
 		Took: a.gateway.timer.Now().Sub(a.arrived),
 	})
-	a.finish(statement.Fail(statement.Aborted, "the connection to the endpoint was lost"))
+	a.finish(statement.Fail(statement.Aborted, "the transaction was rolled back: "+reason))
 }
--- a/internal/trade/lead/lead.go
+++ b/internal/trade/lead/lead.go
@@ -21,6 +21,10 @@
 	// renewAge is the age from which a proof is renewed: a question to a
 	// replica takes some milliseconds, or a quarter of a second if it fails.
 	renewAge = ProofLifetime * 7 / 10
+	// commitTime is how long after the beginning of a change of primary a commit
+	// is still sent to the old one: half of what a planned change leaves to work
+	// in flight before it suspends the replicas.
+	commitTime = 50 * time.Millisecond
 	// sampleSpacing is the least time between two kept samples.
 	sampleSpacing = 40 * time.Millisecond
 	// maxSamples bounds the memory of a group; with the spacing it covers
@@ -120,6 +124,12 @@
 	return l
 }
 
+// Replaced reports whether commits that are sent to an endpoint now are
+// likely to wait in vain: it is being replaced, or no longer leads.
+func (l Lead) Replaced(endpoint string, now time.Duration) bool {
+	return l.Endpoint != endpoint || (l.Closed && now-l.Since > commitTime)
+}
+
 // Open reports whether new work may be sent to the primary.
 func (l Lead) Open() bool { return l.Endpoint != "" && !l.Closed }
 
