Keep fewer connections open to endpoints, and reads where one is open

Change: an endpoint without an idle connection costs 12 ms more in the choice of a replica, and a spare connection is kept for good at primaries alone.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -16,6 +16,11 @@
 	// primaryPenalty keeps reads that a replica can serve away from the
 	// primary, whose slots writes need.
 	primaryPenalty = 45 * time.Millisecond
+	// openPenalty is the time that the opening of a connection takes. It also
+	// keeps a proxy's reads at the replicas that it is connected to: an endpoint
+	// takes too few connections for all proxies, and after a power loss those of
+	// the dead ones stay for seconds.
+	openPenalty = 12 * time.Millisecond
 	// boundMargin is taken off a staleness bound. It covers the way from the
 	// choice of an endpoint to the first byte that the endpoint reads.
 	boundMargin = 120 * time.Millisecond
@@ -54,6 +59,8 @@
 	Local bool
 	// Free is true if a connection is idle or may be opened.
 	Free bool
+	// Connected is true if a connection is idle.
+	Connected bool
 	// Slots is how many statements run there at one time; at least one.
 	Slots int
 	// Running is how many statements this proxy has there.
@@ -158,6 +165,9 @@
 	if leads {
 		c += primaryPenalty
 	}
+	if !p.Connected {
+		c += openPenalty
+	}
 	if p.ID == n.Avoid {
 		c += time.Second
 	}
--- a/internal/table/work/connections.go
+++ b/internal/table/work/connections.go
@@ -128,12 +128,19 @@
 	}
 }
 
-// trim closes connections that were not used for long.
+// trim closes connections that were not used for long. One to each primary is
+// kept: nothing can take its place.
 func (t *Table) trim(now time.Time) {
 	for _, e := range t.endpoints {
-		if len(e.idle) > keptSpares && now.Sub(e.idle[0].since) > spareTime {
-			t.closeIdle(e, len(e.idle)-1)
+		kept := 0
+		if t.group(e.told.Group).lead.Endpoint == e.told.ID {
+			kept = 1
 		}
+		unused := 0
+		for unused < len(e.idle)-kept && now.Sub(e.idle[unused].since) > spareTime {
+			unused++
+		}
+		t.closeIdle(e, len(e.idle)-unused)
 	}
 }
 
--- a/internal/table/work/endpoint.go
+++ b/internal/table/work/endpoint.go
@@ -37,11 +37,10 @@
 	// provenFailures is how many failures in a row show that it is not just one
 	// connection that broke.
 	provenFailures = 2
-	// spareTime is how long a connection may be unused before it is closed,
-	// and keptSpares how many are kept all the same. When all proxies lose
-	// power, their connections fill the endpoints' limit for 3 s more.
-	spareTime  = time.Second
-	keptSpares = 1
+	// spareTime is how long a connection may be unused before it is closed.
+	// When all proxies lose power, their connections fill the endpoints' limit
+	// for 3 s more.
+	spareTime = time.Second
 	// stalledTime is how long a write may wait before the endpoint gets no
 	// others. A commit takes some milliseconds, and behind full slots some
 	// hundred.
@@ -108,14 +107,15 @@
 		running -= len(e.writes)
 	}
 	p := placement.Place{
-		ID:      e.told.ID,
-		Usable:  !e.gone && !e.told.Leaving && e.sound(now),
-		Local:   e.told.DataCentre == dataCentre,
-		Free:    running < int(e.limit) && (len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil))),
-		Slots:   max(e.told.Slots, 1),
-		Running: running,
-		Service: e.service,
-		Stalled: stalled && len(e.writes) > 0,
+		ID:        e.told.ID,
+		Usable:    !e.gone && !e.told.Leaving && e.sound(now),
+		Local:     e.told.DataCentre == dataCentre,
+		Free:      running < int(e.limit) && (len(e.idle) > 0 || (e.open < e.share && !now.Before(e.fullUntil))),
+		Connected: len(e.idle) > 0,
+		Slots:     max(e.told.Slots, 1),
+		Running:   running,
+		Service:   e.service,
+		Stalled:   stalled && len(e.writes) > 0,
 	}
 	if now.Before(e.behindUntil) && !e.applied.Covers(e.behind) {
 		p.Behind = e.behind
--- a/internal/table/work/work_test.go
+++ b/internal/table/work/work_test.go
@@ -239,6 +239,32 @@
 	assert.Equal(t, b.closed, 2, "one is kept")
 }
 
+// TestReadsStayAtTheReplicaThatIsConnected has two replicas that are alike. The
+// connection to the one that is not used is closed, and no read opens it again.
+func TestReadsStayAtTheReplicaThatIsConnected(t *testing.T) {
+	b := newBench(t, 4, 1)
+	b.table.SetRoster(b.roster.With(
+		roster.Endpoint{ID: "s", Group: "g", Address: "3", DataCentre: "here", Slots: 2}))
+	var taken []string
+	read := placement.Need{Consistency: route.ReadYourWrites}
+	b.submit("read", 1, read, &taken)
+	b.submit("read", 1, read, &taken)
+	b.drain(t, 2)
+	assert.DeepEqual(t, taken, []string{"read at r", "read at s"})
+	b.table.Return("s", connection{closed: &b.closed}, work.Outcome{Answered: true})
+	b.timer.Advance(1100 * time.Millisecond)
+	b.table.Return("r", connection{closed: &b.closed}, work.Outcome{Answered: true})
+	b.table.Sweep()
+	assert.Equal(t, b.closed, 1)
+	for range 5 {
+		b.prove()
+		b.submit("again", 1, read, &taken)
+		b.drain(t, 1)
+		assert.Equal(t, taken[len(taken)-1], "again at r")
+		b.table.Return("r", connection{closed: &b.closed}, work.Outcome{Answered: true})
+	}
+}
+
 func TestAnInstanceThatIsGoneIsClosed(t *testing.T) {
 	b := newBench(t, 4, 1)
 	var taken []string
