--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -1,10 +1,12 @@
 package metrics
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
@@ -53,6 +55,13 @@
 	return n
 }
 
+// Handler serves the measures at the path /metrics.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
 // Answered counts an answer to a client.
 func (n *Node) Answered(a gateway.Answered) {
 	consistency, code := a.Route.Consistency.String(), a.Reply.Code.String()
--- a/internal/host/node/listeners.go
+++ b/internal/host/node/listeners.go
@@ -12,6 +12,7 @@
 type listeners struct {
 	callers   net.Listener
 	readiness net.Listener
+	metrics   net.Listener
 	siblings  net.Listener
 }
 
@@ -21,7 +22,7 @@
 	for _, one := range []struct {
 		address string
 		target  *net.Listener
-	}{{s.Callers, &l.callers}, {s.Readiness, &l.readiness}, {s.Sibling, &l.siblings}} {
+	}{{s.Callers, &l.callers}, {s.Readiness, &l.readiness}, {s.Metrics, &l.metrics}, {s.Sibling, &l.siblings}} {
 		opened, err := net.Listen("tcp4", one.address)
 		if err != nil {
 			l.close()
@@ -34,7 +35,7 @@
 
 // close closes the listeners that are open.
 func (l listeners) close() {
-	for _, one := range []net.Listener{l.callers, l.readiness, l.siblings} {
+	for _, one := range []net.Listener{l.callers, l.readiness, l.metrics, l.siblings} {
 		if one != nil {
 			_ = one.Close()
 		}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -69,8 +69,10 @@
 	Measures Measures
 	// Front returns the clients' front end of a gateway.
 	Front func(*gateway.Gateway, eelgrassladder.Timer, *task.Group) Front
-	// Readiness returns the handler of the readiness probe and of metrics.
+	// Readiness returns the handler of the readiness probe.
 	Readiness func(ready func() bool) http.Handler
+	// Metrics serves counters and latency histograms.
+	Metrics http.Handler
 }
 
 // Node is one proxy process. Use New, then Run.
@@ -136,6 +138,9 @@
 // Callers returns the address that clients connect to.
 func (n *Node) Callers() string { return n.listeners.callers.Addr().String() }
 
+// Metrics returns the address that metrics are served at.
+func (n *Node) Metrics() string { return n.listeners.metrics.Addr().String() }
+
 // Run runs the process until it has left after stopping has ended.
 func (n *Node) Run(stopping context.Context) error {
 	debug.SetGCPercent(garbagePercent)
@@ -152,7 +157,8 @@
 	n.tasks.Go("checkup", n.checkup.Run)
 	n.tasks.Go("registration", n.register)
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.front.Serve(ctx, n.listeners.callers) })
-	n.tasks.Go("readiness", func(ctx context.Context) error { return n.serveReadiness(ctx, n.listeners.readiness) })
+	n.tasks.Go("readiness", func(ctx context.Context) error { return serve(ctx, n.listeners.readiness, n.parts.Readiness(n.Ready)) })
+	n.tasks.Go("metrics", func(ctx context.Context) error { return serve(ctx, n.listeners.metrics, n.parts.Metrics) })
 	n.tasks.Go("stop", func(ctx context.Context) error { return n.awaitStop(ctx, stopping) })
 	klog.InfoS("Proxy started", "Proxy", n.settings.Name, "DataCentre", n.settings.DataCentre)
 	err := n.tasks.Wait()
@@ -165,9 +171,9 @@
 	return n.listed.Load() && !n.leaving.Load() && n.beliefs.Routes().Version > 0
 }
 
-// serveReadiness answers the readiness probe until ctx ends.
-func (n *Node) serveReadiness(ctx context.Context, l net.Listener) error {
-	server := &http.Server{Handler: n.parts.Readiness(n.Ready), ReadHeaderTimeout: time.Second}
+// serve answers HTTP requests until ctx ends.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/host/settings/node.go
+++ b/internal/host/settings/node.go
@@ -18,8 +18,11 @@
 	DataCentre string
 	// Callers is the address that clients connect to.
 	Callers string
-	// Readiness is the address of the readiness probe and of metrics.
+	// Readiness is the address of the readiness probe.
 	Readiness string
+	// Metrics is the address at whose path /metrics counters and latency
+	// histograms are served.
+	Metrics string
 	// Sibling is the address that other proxies connect to.
 	Sibling string
 	// Store is the address of the platform's store.
@@ -62,6 +65,7 @@
 	required(d, "/DataCentre", n.DataCentre)
 	address(d, "/Callers", n.Callers)
 	address(d, "/Readiness", n.Readiness)
+	address(d, "/Metrics", n.Metrics)
 	address(d, "/Sibling", n.Sibling)
 	address(d, "/Store", n.Store)
 	address(d, "/Promotion", n.Promotion)
--- a/internal/lab/estate/estate.go
+++ b/internal/lab/estate/estate.go
@@ -192,7 +192,7 @@
 func (e *Estate) Settings(name string) settings.Node {
 	const free = "127.0.0.1:0"
 	return settings.Node{
-		Name: name, DataCentre: "zone-0", Callers: free, Readiness: free, Sibling: free,
+		Name: name, DataCentre: "zone-0", Callers: free, Readiness: free, Metrics: free, Sibling: free,
 		Store: e.Address, Promotion: e.Promotion,
 		GraceSeconds: 4, Descriptors: 4096, MemoryMegabytes: 512,
 	}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -42,7 +42,7 @@
 func newProcess(s settings.Node, store, binary, folder string) (*process, error) {
 	name := s.Name
 	s.Store = store
-	for _, a := range []*string{&s.Callers, &s.Readiness, &s.Sibling} {
+	for _, a := range []*string{&s.Callers, &s.Readiness, &s.Metrics, &s.Sibling} {
 		address, err := freeAddress()
 		if err != nil {
 			return nil, err
