Compute the digest of records when they change

Cause: each beat, sent and answered, hashed all records anew, although they change with a change of primary only.

Change: beliefs keep the message with its digest; a beat adds the sender.

--- a/internal/host/node/beliefs.go
+++ b/internal/host/node/beliefs.go
@@ -46,9 +46,9 @@
 	// opened holds primaries that lead although the store still has the closed
 	// record of the revision. It is replaced, never changed.
 	opened map[string]tenure.Tenure
-	// records are tenures and opened as they are told to other proxies. It is
-	// replaced, never changed.
-	records []beat.Record
+	// said holds tenures and opened as they are told to other proxies, with
+	// their digest. It is replaced, never changed.
+	said beat.Beat
 	// proxies holds the addresses of the other registered proxies by name. It
 	// is replaced, never changed.
 	proxies map[string]string
@@ -137,7 +137,7 @@
 func (b *beliefs) Beat() beat.Beat {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return beat.Beat{Sender: b.name, Version: b.routes.Load().Version}.WithRecords(b.records)
+	return b.said.WithSender(b.name, b.routes.Load().Version)
 }
 
 // gather puts the records together that are told to other proxies. The caller
@@ -150,7 +150,7 @@
 			all = append(all, beat.Record{Group: t.Group, Revision: t.Revision, Value: o.Bytes(), Unwritten: true})
 		}
 	}
-	b.records = all
+	b.said = beat.Beat{}.WithRecords(all)
 }
 
 // Heard takes what another proxy has told.
--- a/internal/trade/beat/beat.go
+++ b/internal/trade/beat/beat.go
@@ -57,6 +57,12 @@
 	Unwritten bool
 }
 
+// WithSender returns the beat of a proxy with the version of its routes.
+func (b Beat) WithSender(name string, version uint64) Beat {
+	b.Sender, b.Version = name, version
+	return b
+}
+
 // WithRecords returns the beat with all records of its sender.
 func (b Beat) WithRecords(all []Record) Beat {
 	b.Records, b.Digest = all, digest(all)
