Judge a group outpaced after half a second, and from a lag of 1.5 s

Cause: reads that may be 1.5 s old are refused as soon as the replicas lag by more, and the change that helps began one to two seconds later.

Change: the window of the count is 500 ms, the group is outpaced after one of them, and a lag of 1.5 s at all replicas is enough.

--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -33,7 +33,7 @@
 	goneTime = 2500 * time.Millisecond
 	// outpacedTime is how long a group's replicas may serve almost none of its
 	// reads while its primary refuses some.
-	outpacedTime = time.Second
+	outpacedTime = 500 * time.Millisecond
 	// restTime is how long a primary leads before its group can be outpaced: a
 	// change costs it a second of writes.
 	restTime = 10 * time.Second
@@ -41,7 +41,7 @@
 	// primary to be worth its cost: they take about as long to catch up. The
 	// one that is promoted applies all that it has at once, and the primary
 	// before goes on as a replica that lacks nothing.
-	OutpacedLag = 2 * time.Second
+	OutpacedLag = 1500 * time.Millisecond
 	// orphanTime is how long a group may be without any primary.
 	orphanTime = time.Second
 )
--- a/internal/table/work/pressure.go
+++ b/internal/table/work/pressure.go
@@ -8,9 +8,9 @@
 
 const (
 	// pressureWindow is the time over which the reads of a group are counted.
-	pressureWindow = time.Second
+	pressureWindow = 500 * time.Millisecond
 	// leastRefused is how many refused reads in a window show more than chance.
-	leastRefused = 5
+	leastRefused = 3
 	// refusedShare and replicaShare are the parts of a group's reads that must
 	// be refused, and that replicas may serve, for it to be outpaced: a primary
 	// that is alone with its reads refuses about a fifth of them.
