--- /dev/null
+++ b/internal/host/succession/check.go
@@ -0,0 +1,63 @@
+package succession
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+// check makes sure that the change can succeed, and is of use, before anything
+// is stopped for it: all replicas answer and, for a primary whose commits are
+// late, none of them has what it has; for one that cannot carry all reads, all
+// of them apply its log late.
+func (c *change) check(ctx context.Context) error {
+	replicas := c.keeper.replicas(c.group, c.old.ID)
+	if len(replicas) == 0 {
+		return errors.New("the group has no replica")
+	}
+	// The primary comes first: what it has then, a sound replica has by now.
+	old := answer{err: errors.New("not asked")}
+	if c.reason == policy.Stalled {
+		old = c.statuses(ctx, []roster.Endpoint{c.old})[0]
+	}
+	answers := c.statuses(ctx, replicas)
+	for _, a := range answers {
+		if a.err != nil {
+			return errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
+		}
+	}
+	switch c.reason {
+	case policy.Stalled:
+		return checkStalled(old, answers)
+	case policy.Outpaced:
+		return checkOutpaced(answers)
+	default:
+		return nil
+	}
+}
+
+// checkStalled returns an error if a replica has all that the primary has.
+func checkStalled(old answer, replicas []answer) error {
+	if old.err != nil {
+		return nil // it does not answer either
+	}
+	for _, a := range replicas {
+		if a.status.Received.Covers(old.status.Received) && a.status.Suspended == 0 {
+			return errors.New("a replica has received all commits")
+		}
+	}
+	return nil
+}
+
+// checkOutpaced returns an error if a replica applies the log soon.
+func checkOutpaced(replicas []answer) error {
+	for _, a := range replicas {
+		if a.status.Lag < policy.OutpacedLag {
+			return errors.Errorf("endpoint %s lags by %v only", a.endpoint.ID, a.status.Lag)
+		}
+	}
+	return nil
+}
