Begin no change of primary from a list that was just read

Change: a proxy judges no primary until it has had the list for 3 s; entries are back within 2 s of the store's return.

--- a/internal/host/owner/term.go
+++ b/internal/host/owner/term.go
@@ -302,11 +302,14 @@
 	return p, err
 }
 
-// close gives all connections up.
+// close gives all connections up, each once the command that uses it has
+// ended. The context of the commands has ended before.
 func (c *commands) close() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, one := range c.controls {
+		one.mutex.Lock()
 		one.control.Close()
+		one.mutex.Unlock()
 	}
 }
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -77,6 +77,8 @@
 	mutex sync.Mutex
 	// watched is keyed by group.
 	watched map[string]*watched
+	// listed is when the keeper first saw an endpoint; zero for never.
+	listed time.Time
 	// changing counts the changes that this proxy has under way.
 	changing int
 }
@@ -190,7 +192,10 @@
 		*w = watched{primary: l.Endpoint, began: now, members: w.members}
 	}
 	w.see(r, group, now)
-	e := policy.Evidence{Known: l.Endpoint != "", Closed: l.Closed, Since: k.clock.Boot() - l.Since}
+	if k.listed.IsZero() && len(w.members) > 0 {
+		k.listed = now
+	}
+	e := policy.Evidence{HasList: k.hasList(now), Known: l.Endpoint != "", Closed: l.Closed, Since: k.clock.Boot() - l.Since}
 	e.Own = l.Closed && k.beliefs.Tenure(group).Holder == k.name
 	for _, one := range r.Group(group) {
 		if one.ID != l.Endpoint && !one.Leaving {
@@ -234,6 +239,15 @@
 	return e
 }
 
+// hasList returns how long this proxy has had the store's list. The caller
+// holds the mutex.
+func (k *Keeper) hasList(now time.Time) time.Duration {
+	if k.listed.IsZero() {
+		return 0
+	}
+	return now.Sub(k.listed)
+}
+
 // see notes the members of a group that are listed. It forgets those that are
 // gone for good: not listed for long, or replaced at their address.
 func (w *watched) see(r roster.Roster, group string, now time.Time) {
--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -42,6 +42,11 @@
 	// one that is promoted applies all that it has at once, and the primary
 	// before goes on as a replica that lacks nothing.
 	OutpacedLag = 1500 * time.Millisecond
+	// listTime is how long a proxy must have had the store's list before it may
+	// replace a primary. Entries that lapsed with the store are back within 2 s
+	// of its return; until then a replica that is not listed may hold commits
+	// that the listed ones lack.
+	listTime = 3 * time.Second
 	// orphanTime is how long a group may be without any primary.
 	orphanTime = time.Second
 )
@@ -78,6 +83,8 @@
 
 // Evidence is what one proxy knows of a group's primary. It is immutable.
 type Evidence struct {
+	// HasList is how long this proxy has had the store's list of endpoints.
+	HasList time.Duration
 	// Known is false if no endpoint is known to lead.
 	Known bool
 	// Since is how long the present state has lasted.
@@ -114,7 +121,7 @@
 // Judge decides whether the primary is replaced.
 func Judge(e Evidence) Reason {
 	switch {
-	case e.Successors == 0:
+	case e.Successors == 0 || e.HasList < listTime:
 		return None
 	case e.Closed:
 		return when(e.Own || e.Since > abandonedTime, Abandoned)
--- a/internal/policy/succession/succession_test.go
+++ b/internal/policy/succession/succession_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestJudge(t *testing.T) {
-	healthy := succession.Evidence{Known: true, Listed: true, Successors: 2, Silent: 20 * time.Millisecond}
+	healthy := succession.Evidence{HasList: time.Minute, Known: true, Listed: true, Successors: 2, Silent: 20 * time.Millisecond}
 	with := func(f func(*succession.Evidence)) succession.Evidence {
 		e := healthy
 		f(&e)
@@ -60,7 +60,15 @@
 		"an entry that stays away is gone": {with(func(e *succession.Evidence) {
 			e.Listed, e.Unlisted, e.Failures = false, 3*time.Second, 1
 		}), succession.Gone},
-		"a group without a primary": {succession.Evidence{Successors: 3, Since: 2 * time.Second}, succession.Orphaned},
+		"a group without a primary": {succession.Evidence{
+			HasList: time.Minute, Successors: 3, Since: 2 * time.Second,
+		}, succession.Orphaned},
+		"a proxy that has just read the list may lack a replica": {with(func(e *succession.Evidence) {
+			e.HasList, e.Refused, e.Failures, e.Silent = 2500*time.Millisecond, true, 2, 200*time.Millisecond
+		}), succession.None},
+		"a group without a primary in a list that was just read": {succession.Evidence{
+			HasList: 2 * time.Second, Successors: 2, Since: 2 * time.Second,
+		}, succession.None},
 	} {
 		assert.Equal(t, succession.Judge(c.evidence), c.want, name)
 	}
