--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -69,11 +69,20 @@
 	portTries = 100
 )
 
-// freeAddress returns an address of loopback that nobody listens on.
+// given holds the ports that freeAddress has returned; a process that has one
+// may not listen on it yet.
+var given sync.Map
+
+// freeAddress returns an address of loopback that nobody listens on, and that
+// it has not returned before.
 func freeAddress() (string, error) {
-	var last error
+	last := errors.New("all ports are taken")
 	for range portTries {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			last = err
 			continue
