End a change only with a member that leads a later term

What callers saw: after an abandoned change whose primary came back under another ID, writes were refused for many seconds, and the group changed its primary again and again.

Cause: a member that leads the same term as the closed record was taken for its successor. It is the old primary: the replicas that were suspended under it stayed suspended, and the record was opened under the newest term that any member was suspended for, which nobody leads. So no position and no proof of that primary counted, and a member that was promoted later led a term below the record's and was never recognised.

Change: only a member that leads a later term than the closed record ends the change, with its own term. A primary of the same term is made a replica, is compared with the others, and leads anew. The stand-in counts terms that were led, as the platform does, not those of suspensions.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -160,8 +160,8 @@
 	if err != nil {
 		return "", 0, err
 	}
-	if leading != "" {
-		return leading, term, c.settle(ctx, k.clock.Boot())
+	if leading != nil {
+		return leading.endpoint.ID, leading.status.Term, c.settle(ctx, k.clock.Boot())
 	}
 	candidates, err := c.suspend(ctx, others, term+1)
 	if err != nil {
@@ -188,22 +188,25 @@
 	return next.ID, led, c.settle(ctx, suspended)
 }
 
-// newest returns the newest term that the members know, and the one besides
-// the old primary that already leads.
-func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, string, error) {
-	term, leading := c.record.Term, ""
+// newest returns the newest term that the members know or are suspended for,
+// and the status of one that has replaced the old primary already. A member
+// that leads the old primary's own term is that primary under another ID: it
+// has replaced nobody, and the replicas may be suspended under it.
+func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, *answer, error) {
+	term := c.record.Term
+	var leading *answer
 	answers := c.statuses(ctx, others)
-	for _, a := range answers {
+	for i, a := range answers {
 		if a.err != nil {
 			continue
 		}
-		if a.status.Primary && a.status.Term >= c.record.Term {
-			leading = a.endpoint.ID
+		if a.status.Primary && a.status.Term > c.record.Term {
+			leading = &answers[i]
 		}
 		term = max(term, a.status.Term, a.status.Suspended)
 	}
 	if len(answers) == 0 {
-		return 0, "", errors.New("the group has no replica")
+		return 0, nil, errors.New("the group has no replica")
 	}
 	return term, leading, nil
 }
--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -88,18 +88,18 @@
 	return candidates, nil
 }
 
-// halt suspends one member. A primary of an earlier term that has not heard of
-// the later one cannot be suspended, and would receive again as soon as it
-// has: it is made a replica first.
+// halt suspends one member. A primary cannot be suspended: one that came back
+// under another ID, or that has not heard of a later term and would receive
+// again as soon as it has, is made a replica first.
 func (c *change) halt(n *control.Connection, term uint64) (roster.Status, statement.Reply, error) {
 	end := c.keeper.timer.Now().Add(orderTime)
 	s, reply, err := n.Suspend(end, term)
 	if err != nil || reply.Code != statement.OK || !s.Primary {
 		return s, reply, err
 	}
-	klog.InfoS("Primary of an earlier term is made a replica", "Group", c.group, "Term", s.Term, "Newest", c.record.Term,
+	klog.InfoS("Primary is made a replica", "Group", c.group, "Term", s.Term, "Newest", term-1,
 		"Received", s.Received.String())
-	s, reply, err = n.Demote(end, c.record.Term)
+	s, reply, err = n.Demote(end, term)
 	if err != nil || reply.Code != statement.OK {
 		return s, reply, err
 	}
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -115,7 +115,7 @@
 	defer g.mutex.Unlock()
 	term := uint64(0)
 	for _, other := range g.members {
-		term = max(term, other.term, other.suspended)
+		term = max(term, other.term)
 	}
 	if len(m.log) == 0 || g.acknowledged.Log > m.end().Log {
 		g.lost++
