Test that a member which lacks acknowledged commits never leads

Cause: nothing in the tests' estate could bring a group to where its primary alone holds what was acknowledged, so that no test asked what a change of primary compares the next one with.

down_and_back (5.84s): kept_test.go:130: assertion failed: 12 (lost int) != 0 (int): acknowledged commits were lost: group-0 [m-0-0 primary=true term=1 end=1.13 fault={Down:true}] [m-0-1 primary=true term=3 end=1.1 fault={Cut:true}]

likewise "down and back under another ID", "silent", "stalled", "leaving", "gone" and "abandoned". The cases of a crash need traffic: without a statement under way a silent primary is asked only after five seconds.

Change: members of the stand-in can leave for good with log and entry, give their address to a member of another group, join a group that serves, restart without their suspension, and come back after a crash with their log, leading if nobody was promoted. A member that is down writes no entry, receives nothing, and resets connections. A replica of a newer term receives nothing of an older primary. Lost commits are counted one by one, by membership in the log of the newest primary.

--- a/internal/lab/estate/estate.go
+++ b/internal/lab/estate/estate.go
@@ -93,25 +93,53 @@
 func (e *Estate) addGroup(i int) error {
 	g := member.NewGroup(fmt.Sprintf("group-%d", i), 1, e.plan.PromoteTime)
 	for k := range 3 {
-		m, err := g.Add(e.tasks, fmt.Sprintf("m-%d-%d", i, k), e.plan.Slots, e.plan.Connections, e.plan.Work)
+		m, err := e.Join(g, fmt.Sprintf("m-%d-%d", i, k))
 		if err != nil {
 			return err
 		}
-		listed := m.Address
-		if e.plan.Listed != nil {
-			if listed, err = e.plan.Listed(m.ID, m.Address); err != nil {
-				return err
-			}
+		if err := e.List(m, k); err != nil {
+			return err
 		}
-		zone := "zone-" + strconv.Itoa(k)
-		m.Announce = func(primary, leaving bool) { e.announce(g.Name, m, listed, zone, primary, leaving) }
-		primary, _ := m.State()
-		m.Announce(primary, false)
 	}
 	e.Groups = append(e.Groups, g)
 	return nil
 }
 
+// Join starts a member of a group that is not listed yet.
+func (e *Estate) Join(g *member.Group, id string, options ...member.Option) (*member.Member, error) {
+	return g.Add(e.tasks, id, e.plan.Slots, e.plan.Connections, e.plan.Work, options...)
+}
+
+// List has a member register in the store, in the zone with the number.
+func (e *Estate) List(m *member.Member, zone int) error {
+	listed := m.Address
+	if e.plan.Listed != nil {
+		var err error
+		if listed, err = e.plan.Listed(m.ID, m.Address); err != nil {
+			return err
+		}
+	}
+	m.Register(func(primary, leaving bool) {
+		e.announce(m.Group(), m, listed, "zone-"+strconv.Itoa(zone), primary, leaving)
+	})
+	return nil
+}
+
+// Depart ends a member for good. A new member of another group takes its
+// address at once, which shows that the first one does not come back.
+func (e *Estate) Depart(m *member.Member, to *member.Group, id string) error {
+	m.End()
+	next, err := e.Join(to, id, member.At(m.Address))
+	if err != nil {
+		return err
+	}
+	if err := e.List(next, 0); err != nil {
+		return err
+	}
+	e.Remove(m)
+	return nil
+}
+
 // announce writes the entry of a member.
 func (e *Estate) announce(group string, m *member.Member, address, zone string, primary, leaving bool) {
 	e.mutex.Lock()
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -30,13 +30,18 @@
 	Synchronous int
 	// PromoteTime is how long a promotion takes.
 	PromoteTime time.Duration
+	// Halted is called when the last replica that runs has been suspended, and
+	// Named when a replica is named as the next primary, before it leads; both
+	// may be nil. They are set before the group is used.
+	Halted func()
+	Named  func(next *Member)
 
 	mutex   sync.Mutex
 	changed *sync.Cond
 	members []*Member
-	// acknowledged is the newest position that was acknowledged, and lost
-	// counts acknowledged commits that a promotion dropped.
-	acknowledged position.Position
+	// acknowledged holds the commits that were acknowledged and not lost since,
+	// and lost counts those that the primary of a newer term lacked.
+	acknowledged map[position.Position]bool
 	lost         int
 	// fence is the highest token that was seen.
 	fence uint64
@@ -46,7 +51,7 @@
 
 // NewGroup returns a group without members.
 func NewGroup(name string, synchronous int, promote time.Duration) *Group {
-	g := &Group{Name: name, Synchronous: synchronous, PromoteTime: promote}
+	g := &Group{Name: name, Synchronous: synchronous, PromoteTime: promote, acknowledged: map[position.Position]bool{}}
 	g.changed = sync.NewCond(&g.mutex)
 	return g
 }
@@ -62,6 +67,12 @@
 func (g *Group) Primary() *Member {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	return g.leader()
+}
+
+// leader returns the member that leads the newest term, running or not. The
+// caller holds the mutex.
+func (g *Group) leader() *Member {
 	var best *Member
 	for _, m := range g.members {
 		if m.primary && (best == nil || m.term > best.term) {
@@ -79,15 +90,22 @@
 	return g.lost, g.lowered
 }
 
-// Acknowledged returns the newest acknowledged position.
-func (g *Group) Acknowledged() position.Position {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.acknowledged
-}
-
 // Promote makes a member the primary of the next term, after PromoteTime.
 func (g *Group) Promote(id string, token uint64) error {
+	next, err := g.name(id, token)
+	if next == nil {
+		return err
+	}
+	if g.Named != nil {
+		g.Named(next)
+	}
+	time.AfterFunc(g.PromoteTime, func() { g.lead(next) })
+	return nil
+}
+
+// name checks a promotion and returns the replica that it names, or nil if the
+// member leads already.
+func (g *Group) name(id string, token uint64) (*Member, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if token < g.fence {
@@ -99,30 +117,35 @@
 			continue
 		}
 		if m.fault.Down || m.fault.Silent {
-			return errors.New("the member is not running")
+			return nil, errors.New("the member is not running")
 		}
-		if !m.primary {
-			time.AfterFunc(g.PromoteTime, func() { g.lead(m) })
+		if m.primary {
+			return nil, nil
 		}
-		return nil
+		return m, nil
 	}
-	return errors.Errorf("no member %s", id)
+	return nil, errors.Errorf("no member %s", id)
 }
 
 // lead makes m the primary of the next term.
 func (g *Group) lead(m *Member) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if m.ended {
+		return
+	}
 	term := uint64(0)
 	for _, other := range g.members {
 		term = max(term, other.term)
 	}
-	if len(m.log) == 0 || g.acknowledged.Log > m.end().Log {
-		g.lost++
-	}
 	m.term, m.primary, m.suspended = term+1, true, 0
+	for p := range g.acknowledged {
+		if !m.holds(p) {
+			g.lose(p)
+		}
+	}
 	for _, other := range g.members {
-		if other != m && !other.fault.Cut {
+		if other != m && !other.fault.Cut && !other.fault.Down {
 			other.follow(m)
 		}
 	}
@@ -130,6 +153,24 @@
 	g.changed.Broadcast()
 }
 
+// lose counts an acknowledged commit that is lost. The caller holds the mutex.
+func (g *Group) lose(p position.Position) {
+	delete(g.acknowledged, p)
+	g.lost++
+}
+
+// halted reports whether no member that runs receives, but for the primaries.
+func (g *Group) halted() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, m := range g.members {
+		if !m.primary && !m.fault.Down && m.suspended <= m.term {
+			return false
+		}
+	}
+	return true
+}
+
 // follow makes a member a replica of the primary. The caller holds the mutex.
 func (m *Member) follow(primary *Member) {
 	if m.primary && m.fault.Alone {
@@ -165,7 +206,10 @@
 			return position.Position{}, errors.New("the member lost the lead")
 		}
 		if g.holders(m, e) >= g.Synchronous {
-			g.acknowledged = g.acknowledged.Later(p)
+			g.acknowledged[p] = true
+			if newest := g.leader(); !newest.holds(p) {
+				g.lose(p)
+			}
 			return p, nil
 		}
 		g.changed.Wait()
@@ -177,21 +221,43 @@
 func (g *Group) holders(primary *Member, e entry) int {
 	count := 0
 	for _, r := range g.members {
-		if r == primary || r.primary || r.fault.Down || r.fault.Cut || primary.fault.Alone || r.suspended > primary.term {
+		if !r.receives(primary) {
 			continue
 		}
 		r.follow(primary)
-		if r.end().Log >= e.position.Log {
+		if r.holds(e.position) {
 			count++
 		}
 	}
 	return count
 }
 
-// announce reports all members' entries. The caller holds the mutex.
+// receives reports whether a member receives the log of a primary. The caller
+// holds the mutex.
+func (m *Member) receives(primary *Member) bool {
+	if m == primary || m.primary || m.fault.Down || m.fault.Cut || primary.fault.Down || primary.fault.Alone {
+		return false
+	}
+	return m.suspended <= primary.term && m.term <= primary.term
+}
+
+// replicate sends the log of the primary to all who receive it. The caller
+// holds the mutex.
+func (g *Group) replicate() {
+	if primary := g.leader(); primary != nil {
+		for _, m := range g.members {
+			if m.receives(primary) {
+				m.follow(primary)
+			}
+		}
+	}
+}
+
+// announce reports the entries of all members that run. The caller holds the
+// mutex.
 func (g *Group) announce() {
 	for _, m := range g.members {
-		if m.Announce != nil {
+		if m.Announce != nil && !m.fault.Down {
 			m.Announce(m.primary, m.leaving)
 		}
 	}
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +60,10 @@
 	// when a change of primary drops entries.
 	visible int
 	fault   Fault
+	// ended is true once it has left for good, with its log; its listener is
+	// closed then.
+	ended    bool
+	listener net.Listener
 	// open holds the open connections.
 	open map[net.Conn]bool
 	// rejected counts connections over the limit, and ran statements that ran.
@@ -65,49 +71,115 @@
 	ran      int
 }
 
-// Add starts a member of the group on loopback.
-func (g *Group) Add(tasks *task.Group, id string, slots, connections int, work time.Duration) (*Member, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
+// Option changes a member that is being made.
+type Option func(*Member)
+
+// At makes the member listen at an address, as one that takes the place of
+// another.
+func At(address string) Option { return func(m *Member) { m.Address = address } }
+
+// Add starts a member of the group on loopback. The first one leads; a later
+// one receives the log of the primary.
+func (g *Group) Add(tasks *task.Group, id string, slots, connections int, work time.Duration, options ...Option) (*Member, error) {
 	m := &Member{
-		ID: id, Address: l.Addr().String(), Slots: slots, Connections: connections, Work: work,
+		ID: id, Address: "127.0.0.1:0", Slots: slots, Connections: connections, Work: work,
 		group: g, tasks: tasks, slots: make(chan struct{}, slots), open: map[net.Conn]bool{},
 	}
+	for _, o := range options {
+		o(m)
+	}
+	l, err := net.Listen("tcp4", m.Address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	m.Address, m.listener = l.Addr().String(), l
 	g.mutex.Lock()
 	m.primary = len(g.members) == 0
 	m.term = 1
 	m.log = []entry{{position: position.Position{Term: 1, Log: 1}}}
 	g.members = append(g.members, m)
+	g.replicate()
+	g.changed.Broadcast()
 	g.mutex.Unlock()
 	tasks.Go("member "+id, m.listen(l))
 	return m, nil
 }
 
-// SetFault brings a fault into force. A member that comes back after Down is
-// a replica if another one leads.
+// Register lists the member by a function that is told of each change of its
+// role or state from now on.
+func (m *Member) Register(announce func(primary, leaving bool)) {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.Announce = announce
+	announce(m.primary, m.leaving)
+}
+
+// SetFault brings a fault into force. A member that comes back after Down has
+// its log and no suspension; it is a replica if another one was promoted.
 func (m *Member) SetFault(f Fault) {
 	g := m.group
-	leader := g.Primary()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if m.fault.Down && !f.Down && leader != nil && leader != m {
-		m.follow(leader)
+	leader := g.leader()
+	if m.fault.Down && !f.Down {
+		m.suspended = 0
+		m.primary = m.primary && leader == m
 	}
 	m.fault = f
 	if f.Down {
-		for c := range m.open {
-			_ = c.Close()
-		}
+		m.disconnect()
 	}
-	if !f.Alone && leader != nil && leader != m && m.primary {
+	if !f.Alone && m.primary && leader != m && !leader.fault.Down {
 		m.follow(leader)
 	}
+	g.replicate()
+	g.announce()
+	g.changed.Broadcast()
+}
+
+// Restart starts the member's process again, with its log. A replica is no
+// longer suspended, and receives from whoever leads.
+func (m *Member) Restart() {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m.suspended, m.rejected, m.ran = 0, 0, 0
+	m.disconnect()
+	g.replicate()
 	g.announce()
 	g.changed.Broadcast()
 }
 
+// End ends the member for good, and its log with it. Another instance may
+// take its address.
+func (m *Member) End() {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.members = slices.DeleteFunc(slices.Clone(g.members), func(other *Member) bool { return other == m })
+	m.ended, m.primary, m.log = true, false, nil
+	m.fault.Down = true
+	_ = m.listener.Close()
+	m.disconnect()
+	g.changed.Broadcast()
+}
+
+// disconnect breaks all connections, as the end of a process does. The caller
+// holds the mutex.
+func (m *Member) disconnect() {
+	for c := range m.open {
+		reset(c)
+	}
+}
+
+// reset breaks a connection so that the other side hears of it at once.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Rename gives the member another ID and returns the one that it had.
 func (m *Member) Rename(id string) string {
 	m.group.mutex.Lock()
@@ -117,6 +189,9 @@
 	return old
 }
 
+// Group returns the name of the member's group.
+func (m *Member) Group() string { return m.group.Name }
+
 // Leave marks the member as leaving.
 func (m *Member) Leave() {
 	g := m.group
@@ -141,6 +216,21 @@
 	return m.ran, m.rejected
 }
 
+// Received returns the end of the member's log.
+func (m *Member) Received() position.Position {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	return m.end()
+}
+
+// holds reports whether the log has a commit. The caller holds the mutex.
+func (m *Member) holds(p position.Position) bool {
+	i, found := slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
+		return cmp.Compare(e.position.Log, p.Log)
+	})
+	return found && m.log[i].position == p
+}
+
 // end returns the end of the log. The caller holds the mutex.
 func (m *Member) end() position.Position {
 	if len(m.log) == 0 {
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -25,6 +25,9 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
+			if err != nil && m.hasEnded() {
+				return nil
+			}
 			if err != nil {
 				return errors.WithStack(err)
 			}
@@ -37,6 +40,13 @@
 	}
 }
 
+// hasEnded reports whether the member has left for good.
+func (m *Member) hasEnded() bool {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	return m.ended
+}
+
 // session is one connection to a member.
 type session struct {
 	member *Member
@@ -67,6 +77,7 @@
 	}
 	g.mutex.Unlock()
 	if down {
+		reset(c)
 		return
 	}
 	defer func() {
@@ -265,6 +276,9 @@
 	}
 	m.group.changed.Broadcast()
 	m.group.mutex.Unlock()
+	if fields[0] == "SUSPEND" && m.group.Halted != nil && m.group.halted() {
+		m.group.Halted()
+	}
 	return s.ok("-", s.status())
 }
 
