--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -210,6 +210,8 @@
 		return s.ok("-", s.status())
 	case "SUSPEND", "DEMOTE":
 		return s.order(fields)
+	case "RESUME":
+		return s.resume()
 	case "RESET":
 		s.values, s.prepared = map[string]string{}, map[string]string{}
 		return s.ok("-")
@@ -282,6 +284,17 @@
 	return s.ok("-", s.status())
 }
 
+// resume ends a suspension.
+func (s *session) resume() bool {
+	m := s.member
+	m.group.mutex.Lock()
+	m.suspended = 0
+	m.group.replicate()
+	m.group.changed.Broadcast()
+	m.group.mutex.Unlock()
+	return s.ok("-", s.status())
+}
+
 // begin opens a transaction.
 func (s *session) begin(readOnly bool) bool {
 	primary, term := s.member.State()
