Ask of the next primary what callers were told is kept

Cause: a change compared the replicas that it found with each other, and never with what had been acknowledged. A member that leaves for good takes its log along. If it was the one that received the commits, the primary alone holds them, and the replica that is left leads however much it lacks. Each reason to replace a primary goes through the same choice.

Change: each proxy keeps, for each group, the newest position that an answer to a commit has told (lead.Kept). It outlasts the primary, travels with the beats, and lies in the group's record from the close and the opening of each change. No member whose log does not hold it is elected: it is asked before the group is closed, so that a primary that comes back is found open, and again after all members are suspended. Where no proxy remembers an answer, all that the old primary has counts, if it answers. A primary that was stopped in an abandoned change may lead again. A record whose primary lacks what was kept is an error in the log (Primary lacks acknowledged commits).

Why it works: an acknowledged commit is held by every log that ends at or after it in the order of terms, and by none that ends before.

Replica chosen tells what it was measured against: Kept, KeptFrom, KeptAgeMs, KeptTold and the log of each member.

--- a/internal/host/gateway/attempt.go
+++ b/internal/host/gateway/attempt.go
@@ -254,12 +254,17 @@
 
 // drain waits for an answer that comes too late, so that the connection can
 // be used again and the endpoint's work is not broken off.
-func (g *Gateway) drain(w work.Assignment, c eelgrassladder.Connection, deadline time.Time) {
+func (a *attempt) drain(w work.Assignment, c eelgrassladder.Connection) {
+	g := a.gateway
 	g.tasks.Detach("late answer", func(context.Context) {
-		if _, err := c.Await(deadline.Add(lateAnswer)); err != nil {
+		reply, err := c.Await(a.deadline.Add(lateAnswer))
+		if err != nil {
 			g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: control.Refused(err)})
 			return
 		}
+		if a.statement.Writes() {
+			g.learnLate(a.route.Group, reply)
+		}
 		g.table.Return(w.Endpoint.ID, c, work.Outcome{Answered: true})
 	})
 }
--- a/internal/host/gateway/learn.go
+++ b/internal/host/gateway/learn.go
@@ -14,12 +14,40 @@
 	if !w.Primary || r.Position.IsZero() {
 		return
 	}
-	known, _ := g.routes.Routes().Group(group)
+	acknowledged := wrote && g.replicated(group)
 	g.table.Change(group, func(l lead.Lead) lead.Lead {
-		return learned(l, w.Endpoint.ID, asked, r.Position, wrote && known.Synchronous > 0)
+		l = learned(l, w.Endpoint.ID, asked, r.Position, acknowledged)
+		if acknowledged {
+			l = l.WithKept(g.kept(r.Position))
+		}
+		return l
 	})
 }
 
+// learnLate notes a commit that was acknowledged after its client was told that
+// the outcome is not known.
+func (g *Gateway) learnLate(group string, r statement.Reply) {
+	if r.Code != statement.OK || r.Position.IsZero() || !g.replicated(group) {
+		return
+	}
+	g.table.Change(group, func(l lead.Lead) lead.Lead { return l.WithKept(g.kept(r.Position)) })
+}
+
+// kept is a position that the answer to a commit has just told.
+func (g *Gateway) kept(p position.Position) lead.Kept {
+	return lead.Kept{Position: p, Told: true, Source: sourceAnswer, At: g.clock.Boot()}
+}
+
+// sourceAnswer is the source of a position that this proxy was told itself.
+const sourceAnswer = "Answer"
+
+// replicated reports whether a commit of the group is acknowledged only once a
+// replica holds it. Otherwise a change of primary may lose it.
+func (g *Gateway) replicated(group string) bool {
+	known, _ := g.routes.Routes().Group(group)
+	return known.Synchronous > 0
+}
+
 // learned is the lead after its endpoint has answered a request sent at
 // asked. An acknowledged write proves that no change of primary was under
 // way, because a change suspends the replicas that must acknowledge it.
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -35,7 +35,7 @@
 func (a *attempt) unanswered(w work.Assignment, c eelgrassladder.Connection, err error, took time.Duration) {
 	g := a.gateway
 	if timedOut(err) {
-		g.drain(w, c, a.deadline)
+		a.drain(w, c)
 	} else {
 		g.table.Discard(w.Endpoint.ID, c, work.Outcome{Refused: control.Refused(err)})
 	}
--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -137,20 +137,15 @@
 	return name, proxies[name]
 }
 
-// sights returns what this proxy knows of primaries that it has proven.
+// sights returns what this proxy knows of primaries that it has proven, and of
+// commits that were acknowledged.
 func (g *Gossip) sights() []beat.Sight {
 	now := g.clock.Boot()
 	var all []beat.Sight
 	for group := range g.beliefs.Groups() {
-		l := g.table.Lead(group)
-		if !l.Open() || !l.Valid(now) {
-			continue
+		if s, ok := sight(group, g.table.Lead(group), now); ok {
+			all = append(all, s)
 		}
-		s := beat.Sight{Group: group, Endpoint: l.Endpoint, Term: l.Term, Proven: now - l.Proven}
-		if asked, p, ok := l.Last(); ok {
-			s.Asked, s.Position = now-asked, p
-		}
-		all = append(all, s)
 	}
 	if len(all) > maxSights {
 		rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
@@ -159,29 +154,50 @@
 	return all
 }
 
+// sight returns what is told of a group, if there is anything to tell.
+func sight(group string, l lead.Lead, now time.Duration) (beat.Sight, bool) {
+	s := beat.Sight{Group: group, Proven: -1}
+	if l.Kept.Told {
+		s.Kept, s.KeptAge = l.Kept.Position, now-l.Kept.At
+	}
+	if !l.Open() || !l.Valid(now) {
+		return s, l.Kept.Told
+	}
+	s.Endpoint, s.Term, s.Proven = l.Endpoint, l.Term, now-l.Proven
+	if asked, p, ok := l.Last(); ok {
+		s.Asked, s.Position = now-asked, p
+	}
+	return s, true
+}
+
 // see takes what an answer to a beat sent at some time tells of primaries.
 // The ages in it were counted after that time, so that what they are taken
 // off from it is on the safe side.
 func (g *Gossip) see(b beat.Beat, sent time.Duration) {
 	for _, s := range b.Sights {
-		if s.Proven < 0 || s.Asked < 0 || s.Term == 0 {
-			continue
-		}
 		g.table.Change(s.Group, func(l lead.Lead) lead.Lead {
-			if l.Endpoint != s.Endpoint || !l.Open() {
-				return l
-			}
-			if l.Term == 0 {
-				l = l.WithTerm(s.Term)
+			if !s.Kept.IsZero() {
+				l = l.WithKept(lead.Kept{Position: s.Kept, Told: true, Source: b.Sender, At: sent - s.KeptAge})
 			}
-			if l.Term != s.Term {
-				return l
-			}
-			l = l.WithProof(sent - s.Proven)
-			if s.Position.IsZero() {
-				return l
-			}
-			return l.WithSample(sent-s.Asked, s.Position)
+			return proven(l, s, sent)
 		})
 	}
 }
+
+// proven is the lead with what a sight proves of its primary.
+func proven(l lead.Lead, s beat.Sight, sent time.Duration) lead.Lead {
+	if s.Proven < 0 || s.Asked < 0 || s.Term == 0 || l.Endpoint != s.Endpoint || !l.Open() {
+		return l
+	}
+	if l.Term == 0 {
+		l = l.WithTerm(s.Term)
+	}
+	if l.Term != s.Term {
+		return l
+	}
+	l = l.WithProof(sent - s.Proven)
+	if s.Position.IsZero() {
+		return l
+	}
+	return l.WithSample(sent-s.Asked, s.Position)
+}
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -4,6 +4,7 @@
 	"maps"
 	"strings"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -146,6 +147,9 @@
 	f.node.beliefs.LearnDuty(d.WithRevision(i.Revision, f.node.parts.Clock.Boot()))
 }
 
+// errLost says that a change of primary has lost commits.
+var errLost = errors.New("commits that callers were told are kept are not in the log of the new primary")
+
 // lead brings into force who leads a group: the record says so, and before
 // the first record the endpoints themselves do.
 func (n *Node) lead(group string) {
@@ -156,7 +160,13 @@
 			claimant = e.ID
 		}
 	}
+	lost := false
 	before, after := n.table.Change(group, func(l lead.Lead) lead.Lead {
+		if t.Closed {
+			l = l.WithKept(lead.Kept{Position: t.Kept, Source: lead.SourceRecord, At: now})
+		} else {
+			l, lost = l.WithRecord(t.Term, t.Kept, now)
+		}
 		switch {
 		case t.Closed:
 			return l.WithClosed(now)
@@ -167,6 +177,11 @@
 		}
 		return l
 	})
+	if lost {
+		klog.ErrorS(errLost, "Primary lacks acknowledged commits", "Group", group, "Endpoint", t.Endpoint, "Term", t.Term,
+			"Log", t.Kept.String(), "Kept", before.Kept.Position.String(), "KeptFrom", before.Kept.Source,
+			"Revision", t.Revision, "Holder", t.Holder)
+	}
 	if before.Endpoint != after.Endpoint || before.Closed != after.Closed {
 		klog.InfoS("Primary changed", "Group", group, "Endpoint", after.Endpoint, "Term", after.Term,
 			"Closed", after.Closed, "Before", before.Endpoint, "Revision", t.Revision, "Holder", t.Holder)
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -51,6 +51,13 @@
 	record tenure.Tenure
 	// began is when the change took its token.
 	began time.Duration
+	// assumed is what the old primary holds, where no answer to a commit is
+	// remembered.
+	assumed lead.Kept
+	// term is the newest term that a replica knew before the change.
+	term uint64
+	// stopped is true once the old primary is a replica.
+	stopped bool
 }
 
 // change replaces the primary of a group that was judged under a revision of
@@ -78,9 +85,9 @@
 		"Refused", e.Refused, "StalledMs", e.Stalled.Milliseconds(), "OutpacedMs", e.Outpaced.Milliseconds())
 	defer k.finished()
 	for ctx.Err() == nil && k.clock.Boot()-c.began < holdTime {
-		next, term, err := c.promote(ctx)
+		next, err := c.promote(ctx)
 		if err == nil {
-			c.open(ctx, next, term)
+			c.open(ctx, next)
 			return true
 		}
 		klog.InfoS("Change of primary goes on", "Group", group, "Token", c.record.Revision, "Error", err.Error())
@@ -127,7 +134,13 @@
 		return errors.Errorf("proxy %s holds the duty", duty.Holder)
 	}
 	taken := duty.WithHolder(k.name, true)
-	record := tenure.Tenure{Group: c.group, Endpoint: l.Endpoint, Term: max(l.Term, before.Term)}.WithClosed(k.name)
+	term := max(l.Term, before.Term)
+	if term == 0 {
+		term = c.term
+	}
+	record := tenure.Tenure{
+		Group: c.group, Endpoint: l.Endpoint, Term: term, Kept: before.Kept,
+	}.WithKept(c.kept().Position).WithClosed(k.name)
 	c.began = k.clock.Boot()
 	revision, err := k.store.Apply(ctx,
 		[]eelgrassladder.Expectation{
@@ -148,9 +161,9 @@
 	return nil
 }
 
-// promote suspends the replicas, has the best one promoted and waits until
-// it leads. It returns that member and its term.
-func (c *change) promote(ctx context.Context) (string, uint64, error) {
+// promote suspends the replicas, has the best member promoted and waits until
+// it leads. It returns that member's ID, its term, and the end of its log.
+func (c *change) promote(ctx context.Context) (successor, error) {
 	k := c.keeper
 	if c.reason == policy.Leaving || c.reason == policy.Outpaced {
 		timer.Pause(ctx, k.timer, quiesceTime)
@@ -158,75 +171,45 @@
 	others := k.replicas(c.group, c.old.ID)
 	term, leading, err := c.newest(ctx, others)
 	if err != nil {
-		return "", 0, err
+		return successor{}, err
 	}
 	if leading != nil {
-		return leading.endpoint.ID, leading.status.Term, c.settle(ctx, k.clock.Boot())
+		return made(*leading), c.settle(ctx, k.clock.Boot())
 	}
-	candidates, err := c.suspend(ctx, others, term+1)
+	replicas, old, err := c.suspend(ctx, others, term+1)
 	if err != nil {
-		return "", 0, err
+		return successor{}, err
 	}
 	suspended := k.clock.Boot()
-	next, ok := policy.Elect(candidates, position.Position{})
-	if !ok {
-		return "", 0, errors.New("no replica answers")
+	next, err := c.elect(replicas, old)
+	if err != nil {
+		return successor{}, err
 	}
 	duty := k.beliefs.Duty()
 	if k.clock.Boot()-c.began > holdTime || duty.Holder != k.name {
-		return "", 0, errors.Errorf("proxy %s holds the duty", duty.Holder)
+		return successor{}, errors.Errorf("proxy %s holds the duty", duty.Holder)
 	}
-	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
-		"Candidates", len(candidates), "Token", c.record.Revision)
 	if err := k.promoter.Promote(ctx, c.group, next.ID, duty.Revision); err != nil {
 		klog.InfoS("Promotion without an answer", "Group", c.group, "Endpoint", next.ID, "Error", err.Error())
 	}
-	led, err := c.awaitLead(ctx, next.ID, term)
+	led, err := c.awaitLead(ctx, next)
 	if err != nil {
-		return "", 0, err
+		return successor{}, err
 	}
-	return next.ID, led, c.settle(ctx, suspended)
+	return made(led), c.settle(ctx, suspended)
 }
 
-// newest returns the newest term that the members know or are suspended for,
-// and the status of one that has replaced the old primary already. A member
-// that leads the old primary's own term is that primary under another ID: it
-// has replaced nobody, and the replicas may be suspended under it.
-func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, *answer, error) {
-	term := c.record.Term
-	var leading *answer
-	answers := c.statuses(ctx, others)
-	for i, a := range answers {
-		if a.err != nil {
-			continue
-		}
-		if a.status.Primary && a.status.Term > c.record.Term {
-			leading = &answers[i]
-		}
-		term = max(term, a.status.Term, a.status.Suspended)
-	}
-	if len(answers) == 0 {
-		return 0, nil, errors.New("the group has no replica")
-	}
-	return term, leading, nil
+// successor is the member that leads next.
+type successor struct {
+	id   string
+	term uint64
+	// log is where its log ended when it was seen to lead.
+	log position.Position
 }
 
-// awaitLead asks a member until it leads a term above the old one.
-func (c *change) awaitLead(ctx context.Context, id string, old uint64) (uint64, error) {
-	k := c.keeper
-	end := k.clock.Boot() + promoteTime
-	for k.clock.Boot() < end && ctx.Err() == nil {
-		timer.Pause(ctx, k.timer, pollTime)
-		e, ok := k.beliefs.Roster().Endpoint(id)
-		if !ok {
-			return 0, errors.Errorf("endpoint %s is gone", id)
-		}
-		answers := c.statuses(ctx, []roster.Endpoint{e})
-		if a := answers[0]; a.err == nil && a.status.Primary && a.status.Term > c.record.Term {
-			return a.status.Term, nil
-		}
-	}
-	return 0, errors.Errorf("endpoint %s does not lead after term %d", id, old)
+// made is the successor that an answer shows to lead.
+func made(a answer) successor {
+	return successor{id: a.endpoint.ID, term: a.status.Term, log: a.status.Received}
 }
 
 // settle waits until no proxy can still hold the old primary for the current
@@ -254,10 +237,11 @@
 	return control.Refused(err)
 }
 
-// open opens the record for the new primary, and tells the old one.
-func (c *change) open(ctx context.Context, id string, term uint64) {
+// open opens the record for the new primary, and tells the old one. All that
+// the new primary holds is kept from now on.
+func (c *change) open(ctx context.Context, next successor) {
 	k := c.keeper
-	record := c.record.WithPrimary(id, term)
+	record := c.record.WithPrimary(next.id, next.term).WithKept(next.log)
 	k.beliefs.LearnOpened(record)
 	for ctx.Err() == nil {
 		now := k.beliefs.Tenure(c.group)
@@ -278,12 +262,12 @@
 			if len(puts) > 1 {
 				k.beliefs.LearnDuty(duty.WithRevision(revision, k.clock.Boot()))
 			}
-			klog.InfoS("Change of primary done", "Group", c.group, "Primary", id, "Term", term,
-				"Reason", c.reason.String(), "TookMs", (k.clock.Boot() - c.began).Milliseconds())
+			klog.InfoS("Change of primary done", "Group", c.group, "Primary", next.id, "Term", next.term,
+				"Log", next.log.String(), "Reason", c.reason.String(), "TookMs", (k.clock.Boot() - c.began).Milliseconds())
 			break
 		}
 		klog.InfoS("Record not opened yet", "Group", c.group, "Error", err.Error())
 		timer.Pause(ctx, k.timer, openPause)
 	}
-	c.demote(ctx, term)
+	c.demote(ctx, next.term)
 }
--- /dev/null
+++ b/internal/host/succession/election.go
@@ -0,0 +1,135 @@
+package succession
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+// kept returns what the next primary must hold. Where no answer to a commit is
+// remembered, all that the old primary has may have been acknowledged.
+func (c *change) kept() lead.Kept {
+	k := c.keeper.table.Lead(c.group).Kept
+	if !k.Told {
+		k = k.With(c.assumed)
+	}
+	return k
+}
+
+// assume takes the log of the old primary for acknowledged.
+func (c *change) assume(old answer) {
+	if old.err == nil {
+		c.assumed = lead.Kept{Position: old.status.Received, Source: c.old.ID, At: c.keeper.clock.Boot()}
+	}
+}
+
+// stoppable reports whether the old primary is likely to answer orders.
+func (c *change) stoppable() bool {
+	switch c.reason {
+	case policy.Leaving, policy.Stalled, policy.Outpaced, policy.Abandoned:
+		return c.old.Address != ""
+	default:
+		return false
+	}
+}
+
+// candidate is an endpoint that could lead next.
+func candidate(a answer) policy.Candidate {
+	return policy.Candidate{ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving}
+}
+
+// candidates are the endpoints that have answered and could lead next.
+func candidates(answers []answer) []policy.Candidate {
+	all := make([]policy.Candidate, 0, len(answers))
+	for _, a := range answers {
+		if a.err == nil {
+			all = append(all, candidate(a))
+		}
+	}
+	return all
+}
+
+// elect returns the endpoint that leads next: a replica, or the old primary
+// where no replica holds what is kept.
+func (c *change) elect(replicas []answer, old answer) (roster.Endpoint, error) {
+	kept := c.kept()
+	next, ok := policy.Elect(candidates(replicas), kept.Position)
+	if !ok {
+		next, ok = policy.Elect(candidates([]answer{old}), kept.Position)
+	}
+	if !ok {
+		return roster.Endpoint{}, c.lacking(replicas, kept)
+	}
+	all := append(replicas[:len(replicas):len(replicas)], old)
+	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
+		"Kept", kept.Position.String(), "KeptFrom", kept.Source, "KeptAgeMs", (c.keeper.clock.Boot() - kept.At).Milliseconds(),
+		"KeptTold", kept.Told, "Members", logs(all), "Token", c.record.Revision)
+	for _, a := range all {
+		if a.endpoint.ID == next.ID {
+			return a.endpoint, nil
+		}
+	}
+	return roster.Endpoint{}, errors.Errorf("endpoint %s is no member", next.ID)
+}
+
+// lacking says that no member holds what is kept.
+func (c *change) lacking(members []answer, kept lead.Kept) error {
+	return errors.Errorf("no member holds %v, which is kept according to %s: %v", kept.Position, kept.Source, logs(members))
+}
+
+// logs returns where the logs of members end, for a line of the log.
+func logs(members []answer) []string {
+	all := make([]string, 0, len(members))
+	for _, a := range members {
+		if a.err == nil {
+			all = append(all, a.endpoint.ID+"="+a.status.Received.String())
+		}
+	}
+	return all
+}
+
+// newest returns the newest term that the members know or are suspended for,
+// and the status of one that has replaced the old primary already. A member
+// that leads the old primary's own term is that primary under another ID: it
+// has replaced nobody, and the replicas may be suspended under it.
+func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, *answer, error) {
+	term := c.record.Term
+	var leading *answer
+	answers := c.statuses(ctx, others)
+	for i, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		if a.status.Primary && a.status.Term > c.record.Term {
+			leading = &answers[i]
+		}
+		term = max(term, a.status.Term, a.status.Suspended)
+	}
+	if len(answers) == 0 {
+		return 0, nil, errors.New("the group has no replica")
+	}
+	return term, leading, nil
+}
+
+// awaitLead asks a member until it leads a term above the old one.
+func (c *change) awaitLead(ctx context.Context, next roster.Endpoint) (answer, error) {
+	k := c.keeper
+	end := k.clock.Boot() + promoteTime
+	for k.clock.Boot() < end && ctx.Err() == nil {
+		timer.Pause(ctx, k.timer, pollTime)
+		a := c.statuses(ctx, []roster.Endpoint{next})[0]
+		if a.err == nil && a.status.Primary && a.status.Term > c.record.Term {
+			return a, nil
+		}
+		if _, ok := k.beliefs.Roster().Endpoint(next.ID); !ok && a.err != nil {
+			return answer{}, errors.Errorf("endpoint %s is gone", next.ID)
+		}
+	}
+	return answer{}, errors.Errorf("endpoint %s does not lead after term %d", next.ID, c.record.Term)
+}
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -248,15 +248,20 @@
 	return now.Sub(k.listed)
 }
 
-// see notes the members of a group that are listed. It forgets those that are
-// gone for good: not listed for long, or replaced at their address.
-func (w *watched) see(r roster.Roster, group string, now time.Time) {
+// add notes members that are listed.
+func (w *watched) add(listed []roster.Endpoint, now time.Time) {
 	if w.members == nil {
 		w.members = map[string]sighting{}
 	}
-	for _, e := range r.Group(group) {
+	for _, e := range listed {
 		w.members[e.ID] = sighting{endpoint: e, at: now}
 	}
+}
+
+// see notes the members of a group that are listed. It forgets those that are
+// gone for good: not listed for long, or replaced at their address.
+func (w *watched) see(r roster.Roster, group string, now time.Time) {
+	w.add(r.Group(group), now)
 	for id, s := range w.members {
 		if s.at.Equal(now) {
 			continue
--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -69,23 +69,33 @@
 
 // suspend stops all replicas from receiving. All of them must answer and be
 // suspended: one that goes on could acknowledge writes of the old primary.
-func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) ([]policy.Candidate, error) {
-	answers := c.each(ctx, others, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) (replicas []answer, old answer, err error) {
+	asked := others
+	if c.reason == policy.Abandoned && c.old.Address != "" {
+		asked = append(others[:len(others):len(others)], c.old)
+	}
+	answers := c.each(ctx, asked, func(n *control.Connection) (roster.Status, statement.Reply, error) {
 		return c.halt(n, term)
 	})
-	candidates := make([]policy.Candidate, 0, len(answers))
-	for _, a := range answers {
+	for i, a := range answers {
 		if a.err == nil && !a.status.Halted(term) {
-			a.err = errors.Errorf("primary=%v of term %d, suspended for %d", a.status.Primary, a.status.Term, a.status.Suspended)
+			answers[i].err = errors.Errorf("primary=%v of term %d, suspended for %d", a.status.Primary, a.status.Term, a.status.Suspended)
+		}
+	}
+	replicas, old = answers[:len(others)], answer{endpoint: c.old, err: errors.New("not asked")}
+	if len(answers) > len(others) {
+		old = answers[len(others)]
+		c.stopped = old.err == nil
+		if old.err != nil {
+			klog.InfoS("Old primary not stopped", "Group", c.group, "Endpoint", c.old.ID, "Error", old.err.Error())
 		}
+	}
+	for _, a := range replicas {
 		if a.err != nil {
-			return nil, errors.WithMessagef(a.err, "endpoint %s not suspended", a.endpoint.ID)
+			return nil, old, errors.WithMessagef(a.err, "endpoint %s not suspended", a.endpoint.ID)
 		}
-		candidates = append(candidates, policy.Candidate{
-			ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving,
-		})
 	}
-	return candidates, nil
+	return replicas, old, nil
 }
 
 // halt suspends one member. A primary cannot be suspended: one that came back
@@ -108,7 +118,7 @@
 
 // demote makes the old primary a replica, if it can be reached.
 func (c *change) demote(ctx context.Context, term uint64) {
-	if c.old.Address == "" || c.dead {
+	if c.old.Address == "" || c.dead || c.stopped {
 		return
 	}
 	a := c.give(ctx, c.old, func(n *control.Connection) (roster.Status, statement.Reply, error) {
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -20,7 +20,7 @@
 		m.Sights = append(m.Sights, &peer.Sight{
 			Group: s.Group, Endpoint: s.Endpoint, Term: s.Term,
 			ProvenMicros: s.Proven.Microseconds(), PositionMicros: s.Asked.Microseconds(),
-			Position: &peer.Position{Term: s.Position.Term, Log: s.Position.Log},
+			Position: encodePosition(s.Position), Kept: encodePosition(s.Kept), KeptMicros: s.KeptAge.Microseconds(),
 		})
 	}
 	for _, r := range b.Records {
@@ -43,7 +43,8 @@
 			Group: s.GetGroup(), Endpoint: s.GetEndpoint(), Term: s.GetTerm(),
 			Proven:   time.Duration(s.GetProvenMicros()) * time.Microsecond,
 			Asked:    time.Duration(s.GetPositionMicros()) * time.Microsecond,
-			Position: position.Position{Term: s.GetPosition().GetTerm(), Log: s.GetPosition().GetLog()},
+			Position: decodePosition(s.GetPosition()), Kept: decodePosition(s.GetKept()),
+			KeptAge: time.Duration(s.GetKeptMicros()) * time.Microsecond,
 		})
 	}
 	for _, r := range m.GetRecords() {
@@ -53,3 +54,16 @@
 	}
 	return b
 }
+
+// encodePosition turns a position into its message; nil for the start of the log.
+func encodePosition(p position.Position) *peer.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &peer.Position{Term: p.Term, Log: p.Log}
+}
+
+// decodePosition turns a message into a position.
+func decodePosition(m *peer.Position) position.Position {
+	return position.Position{Term: m.GetTerm(), Log: m.GetLog()}
+}
--- a/internal/trade/beat/beat.go
+++ b/internal/trade/beat/beat.go
@@ -37,11 +37,16 @@
 	// Endpoint is the ID of the primary, and Term its term.
 	Endpoint string
 	Term     uint64
-	// Proven is how long ago the endpoint was surely the only primary.
+	// Proven is how long ago the endpoint was surely the only primary; negative
+	// if the sender cannot prove it, and the endpoint is then left out.
 	Proven time.Duration
 	// Asked is how long ago the request was sent whose answer told Position.
 	Asked    time.Duration
 	Position position.Position
+	// Kept is the newest position that is known to be acknowledged, and KeptAge
+	// how long ago it was told; zero while no answer has told one.
+	Kept    position.Position
+	KeptAge time.Duration
 }
 
 // Record is the store's record of a group. It is immutable.
--- a/internal/trade/lead/lead.go
+++ b/internal/trade/lead/lead.go
@@ -55,6 +55,8 @@
 	// Proven is the latest time at which the endpoint is known to have been
 	// the only primary; zero for never.
 	Proven time.Duration
+	// Kept is what is known to be acknowledged; it outlasts the primary.
+	Kept Kept
 	// samples are ordered by time and never written after they were set.
 	samples []sample
 	// pending is a position that waits for a proof; zero for none.
@@ -68,7 +70,7 @@
 		l.Term = term
 		return l
 	}
-	return Lead{Endpoint: endpoint, Term: term, Since: now}
+	return Lead{Endpoint: endpoint, Term: term, Since: now, Kept: l.Kept}
 }
 
 // WithTerm returns the lead with a term that was not known before.
--- a/internal/trade/tenure/tenure.go
+++ b/internal/trade/tenure/tenure.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 )
 
 const (
@@ -33,6 +35,9 @@
 	Closed bool
 	// Holder is the proxy that wrote the record.
 	Holder string
+	// Kept is a position up to which commits are known to be acknowledged; zero
+	// for none. No member whose log lacks it may lead.
+	Kept position.Position `json:",omitzero"`
 }
 
 // Key returns the key of a group's record.
@@ -79,6 +84,15 @@
 	return t
 }
 
+// WithKept returns the record with a position up to which commits are known to
+// be acknowledged, unless it has a newer one.
+func (t Tenure) WithKept(p position.Position) Tenure {
+	if !t.Kept.Holds(p) {
+		t.Kept = p
+	}
+	return t
+}
+
 // WithRevision returns the record under a revision of the store.
 func (t Tenure) WithRevision(revision uint64) Tenure {
 	t.Revision = revision
