Stop the old primary before a replica is promoted

Cause: a restart ends a suspension. Between the suspension of the replicas and the moment the chosen one leads, a replica that restarts receives again, and the old primary acknowledges a commit that waits there. It was told to follow only once the record was open.

Change: an old primary that is likely to answer (planned changes, stalled commits, abandoned changes) is made a replica together with the suspension of the others, and its log is then compared like theirs. A commit that waits there is not acknowledged any more.

What remains: a primary that does not answer the proxy that replaces it cannot be stopped; a replica would have to restart within the time of the promotion.

--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -9,7 +9,6 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
-	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 )
@@ -68,10 +67,12 @@
 }
 
 // suspend stops all replicas from receiving. All of them must answer and be
-// suspended: one that goes on could acknowledge writes of the old primary.
+// suspended: one that goes on could acknowledge writes of the old primary. The
+// old primary is stopped with them if it answers, so that a replica that
+// starts again, and receives again, acknowledges none of its commits.
 func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) (replicas []answer, old answer, err error) {
 	asked := others
-	if c.reason == policy.Abandoned && c.old.Address != "" {
+	if c.stoppable() {
 		asked = append(others[:len(others):len(others)], c.old)
 	}
 	answers := c.each(ctx, asked, func(n *control.Connection) (roster.Status, statement.Reply, error) {
