Hold the stand-in of members to what the platform's members do

Cause: the tests of what a change of primary keeps rest on a stand-in that ends members, restarts them, and counts lost commits; nothing checked it.

Change: three tests of it. A member that ends takes its log along and frees its address, and both commits that it alone had received count as lost; a restart and RESUME end a suspension; a primary that comes back leads unless another one was promoted.

--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,3 +43,112 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a.Rows, []string{"1"})
 }
+
+// start returns a group of so many members, the first of which leads.
+func start(t *testing.T, members int) (*member.Group, []*member.Member, *task.Group) {
+	t.Helper()
+	g := task.New(context.Background())
+	t.Cleanup(func() {
+		g.Stop()
+		_ = g.Wait()
+	})
+	group := member.NewGroup("g", 1, time.Millisecond)
+	for i := range members {
+		_, err := group.Add(g, fmt.Sprintf("m-%d", i), 2, 8, 0)
+		assert.NilError(t, err)
+	}
+	return group, group.Members(), g
+}
+
+// dial opens a session at a member.
+func dial(t *testing.T, m *member.Member) *estate.Client {
+	t.Helper()
+	c, err := estate.Dial(m.Address, "g")
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// do runs a statement that must succeed.
+func do(t *testing.T, m *member.Member, text string) estate.Answer {
+	t.Helper()
+	a, err := dial(t, m).Do(text)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, "", "%s", text)
+	return a
+}
+
+// waiting commits at a member and returns where the answer will come.
+func waiting(t *testing.T, g *task.Group, m *member.Member, text string) chan string {
+	t.Helper()
+	before, c, code := m.Received(), dial(t, m), make(chan string, 1)
+	g.Detach("caller", func(context.Context) {
+		a, err := c.Do(text)
+		if err != nil {
+			a.Code = err.Error()
+		}
+		code <- a.Code
+	})
+	assert.NilError(t, estate.Until(context.Background(), time.Second, func() bool { return m.Received() != before }))
+	return code
+}
+
+// leads waits until a member leads.
+func leads(t *testing.T, m *member.Member) {
+	t.Helper()
+	assert.NilError(t, estate.Until(context.Background(), time.Second, func() bool {
+		primary, _ := m.State()
+		return primary
+	}))
+}
+
+func TestAMemberThatEndsTakesItsLogAlong(t *testing.T) {
+	group, all, g := start(t, 3)
+	all[1].SetFault(member.Fault{Cut: true})
+	do(t, all[0], "WRITE x 1")
+	all[2].End()
+	code := waiting(t, g, all[0], "WRITE x 2")
+	assert.Equal(t, len(group.Members()), 2)
+	taken, err := group.Add(g, "m-new", 2, 8, 0, member.At(all[2].Address))
+	assert.NilError(t, err)
+	assert.Equal(t, <-code, "", "the new member receives")
+	assert.Equal(t, taken.Received(), all[0].Received())
+	assert.NilError(t, group.Promote("m-1", 1))
+	leads(t, all[1])
+	lost, _ := group.Violations()
+	assert.Equal(t, lost, 2)
+}
+
+func TestARestartEndsASuspension(t *testing.T) {
+	group, all, g := start(t, 2)
+	do(t, all[1], "SUSPEND 2")
+	code := waiting(t, g, all[0], "WRITE x 1")
+	assert.Assert(t, all[1].Received() != all[0].Received())
+	all[1].Restart()
+	assert.Equal(t, <-code, "")
+	do(t, all[1], "SUSPEND 2")
+	code = waiting(t, g, all[0], "WRITE x 2")
+	do(t, all[1], "RESUME")
+	assert.Equal(t, <-code, "")
+	lost, _ := group.Violations()
+	assert.Equal(t, lost, 0)
+}
+
+func TestAPrimaryThatComesBackLeadsUnlessAnotherWasPromoted(t *testing.T) {
+	group, all, _ := start(t, 3)
+	do(t, all[0], "WRITE x 1")
+	all[0].SetFault(member.Fault{Down: true})
+	all[0].SetFault(member.Fault{})
+	do(t, all[0], "WRITE x 2")
+	all[0].SetFault(member.Fault{Down: true})
+	assert.NilError(t, group.Promote("m-1", 1))
+	leads(t, all[1])
+	do(t, all[1], "WRITE x 3")
+	assert.Assert(t, all[0].Received() != all[1].Received(), "a member that is down receives nothing")
+	all[0].SetFault(member.Fault{})
+	primary, _ := all[0].State()
+	assert.Assert(t, !primary)
+	assert.Equal(t, all[0].Received(), all[1].Received())
+	lost, _ := group.Violations()
+	assert.Equal(t, lost, 0)
+}
