Compare the members that the store lists once the group is closed

Cause: a change acted on the members that this proxy's watch had shown. A watch that misses changes, or a list read seconds ago, lacks a member that joined and acknowledges already; the change neither compared nor suspended it.

Change: once the record is closed the change reads the group's members from the store, and suspends and compares those together with the ones seen lately. A read that fails is tried again while the change may go on; without the list nobody is promoted. Replica chosen tells the revision of the list (Listed).

What remains: a member that receives before it has registered is not known.

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -111,11 +111,12 @@
 	n.table = work.New(n.timer, p.Clock, s.DataCentre)
 	n.gateway = gateway.New(n.timer, p.Clock, n.table, p.Connector, n.beliefs, p.Observer, n.tasks)
 	dialer := control.NewDialer(n.timer, n.table, p.Connector)
-	n.prober = proof.New(n.timer, p.Clock, n.table, dialer, ledger{beliefs: n.beliefs, store: p.Store}, n.tasks, func(group string) []roster.Endpoint {
+	records := ledger{beliefs: n.beliefs, store: p.Store}
+	n.prober = proof.New(n.timer, p.Clock, n.table, dialer, records, n.tasks, func(group string) []roster.Endpoint {
 		return n.beliefs.Roster().Group(group)
 	})
 	n.beliefs.changed = n.lead
-	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, dialer, p.Store, p.Promoter, n.beliefs, n.tasks)
+	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, dialer, p.Store, p.Promoter, records, n.tasks)
 	n.checkup = checkup.New(n.timer, n.table, dialer, n.tasks)
 	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -38,11 +38,22 @@
 	openPause = 60 * time.Millisecond
 )
 
+// judgement is the decision to replace the primary of a group.
+type judgement struct {
+	group string
+	// revision is that of the group's record when it was judged.
+	revision uint64
+	reason   policy.Reason
+	evidence policy.Evidence
+	// again is true if a change could not begin before: the evidence may be
+	// older than an answer of the primary.
+	again bool
+}
+
 // change is one change of primary.
 type change struct {
+	judgement
 	keeper *Keeper
-	group  string
-	reason policy.Reason
 	// dead is true if the old primary's process is known to be down.
 	dead bool
 	// old is the primary that is replaced; its ID may be empty.
@@ -60,15 +71,16 @@
 	stopped bool
 }
 
-// change replaces the primary of a group that was judged under a revision of
-// its record, and reports whether it has begun to.
-func (k *Keeper) change(ctx context.Context, group string, judged uint64, reason policy.Reason, e policy.Evidence) bool {
+// change replaces the primary of a group that was judged, and reports whether
+// it has begun to.
+func (k *Keeper) change(ctx context.Context, j judgement) bool {
+	group, reason, e := j.group, j.reason, j.evidence
 	l := k.table.Lead(group)
 	before := k.beliefs.Tenure(group)
-	if before.Revision != judged || l.Closed != (reason == policy.Abandoned) || ctx.Err() != nil {
+	if before.Revision != j.revision || l.Closed != (reason == policy.Abandoned) || ctx.Err() != nil {
 		return false
 	}
-	c := &change{keeper: k, group: group, reason: reason, dead: e.Refused && e.Failures >= 2}
+	c := &change{judgement: j, keeper: k, dead: e.Refused && e.Failures >= 2}
 	c.old, _ = k.beliefs.Roster().Endpoint(l.Endpoint)
 	c.old.ID = l.Endpoint
 	err := c.check(ctx)
@@ -168,7 +180,10 @@
 	if c.reason == policy.Leaving || c.reason == policy.Outpaced {
 		timer.Pause(ctx, k.timer, quiesceTime)
 	}
-	others := k.replicas(c.group, c.old.ID)
+	others, revision, err := c.members(ctx)
+	if err != nil {
+		return successor{}, err
+	}
 	term, leading, err := c.newest(ctx, others)
 	if err != nil {
 		return successor{}, err
@@ -181,7 +196,7 @@
 		return successor{}, err
 	}
 	suspended := k.clock.Boot()
-	next, err := c.elect(replicas, old)
+	next, err := c.elect(replicas, old, revision)
 	if err != nil {
 		return successor{}, err
 	}
--- a/internal/host/succession/check.go
+++ b/internal/host/succession/check.go
@@ -35,6 +35,8 @@
 		return err
 	}
 	switch c.reason {
+	case policy.Down, policy.Dark, policy.Gone:
+		return c.checkSilent(ctx)
 	case policy.Stalled:
 		return checkStalled(old, answers)
 	case policy.Outpaced:
@@ -58,6 +60,18 @@
 	return nil
 }
 
+// checkSilent returns an error if the primary answers again. It is asked after
+// the replicas: what they lacked before, they may have from it.
+func (c *change) checkSilent(ctx context.Context) error {
+	if !c.again || c.old.Address == "" {
+		return nil
+	}
+	if old := c.statuses(ctx, []roster.Endpoint{c.old})[0]; old.err == nil && old.status.Primary {
+		return errors.New("the primary answers again")
+	}
+	return nil
+}
+
 // checkStalled returns an error if a replica has all that the primary has.
 func checkStalled(old answer, replicas []answer) error {
 	if old.err != nil {
--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -12,6 +13,9 @@
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 )
 
+// readTime bounds one reading of the store's list; the store answers in 4 ms.
+const readTime = 400 * time.Millisecond
+
 // kept returns what the next primary must hold. Where no answer to a commit is
 // remembered, all that the old primary has may have been acknowledged.
 func (c *change) kept() lead.Kept {
@@ -29,6 +33,21 @@
 	}
 }
 
+// members returns the members of the group besides the old primary: those that
+// the store lists once the record is closed, and those that were listed a
+// moment ago. A member that has joined since this proxy's list may have
+// acknowledged commits.
+func (c *change) members(ctx context.Context) ([]roster.Endpoint, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	listed, revision, err := c.keeper.beliefs.Members(ctx, c.group)
+	if err != nil {
+		return nil, 0, errors.WithMessage(err, "members cannot be read")
+	}
+	c.keeper.sight(c.group, listed)
+	return c.keeper.replicas(c.group, c.old.ID), revision, nil
+}
+
 // stoppable reports whether the old primary is likely to answer orders.
 func (c *change) stoppable() bool {
 	switch c.reason {
@@ -57,7 +76,7 @@
 
 // elect returns the endpoint that leads next: a replica, or the old primary
 // where no replica holds what is kept.
-func (c *change) elect(replicas []answer, old answer) (roster.Endpoint, error) {
+func (c *change) elect(replicas []answer, old answer, revision uint64) (roster.Endpoint, error) {
 	kept := c.kept()
 	next, ok := policy.Elect(candidates(replicas), kept.Position)
 	if !ok {
@@ -69,7 +88,7 @@
 	all := append(replicas[:len(replicas):len(replicas)], old)
 	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
 		"Kept", kept.Position.String(), "KeptFrom", kept.Source, "KeptAgeMs", (c.keeper.clock.Boot() - kept.At).Milliseconds(),
-		"KeptTold", kept.Told, "Members", logs(all), "Token", c.record.Revision)
+		"KeptTold", kept.Told, "Members", logs(all), "Listed", revision, "Token", c.record.Revision)
 	for _, a := range all {
 		if a.endpoint.ID == next.ID {
 			return a.endpoint, nil
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -49,6 +49,9 @@
 	Roster() roster.Roster
 	// Groups returns the names of the groups that routes lead to.
 	Groups() map[string]bool
+	// Members reads the members of a group from the store, none older than the
+	// call, and the store's revision.
+	Members(ctx context.Context, group string) ([]roster.Endpoint, uint64, error)
 	// Tenure returns the record of a group, as the store last told it.
 	Tenure(group string) tenure.Tenure
 	// Duty returns who may order promotions, as the store last told it.
@@ -87,6 +90,8 @@
 type watched struct {
 	// busy is true while a question or a change is under way.
 	busy bool
+	// refused is true if a change of the primary could not begin.
+	refused bool
 	// failed is when the primary last left a question of the keeper without
 	// an answer.
 	failed time.Time
@@ -151,13 +156,10 @@
 	e := k.evidence(group, w)
 	if reason := policy.Judge(e); reason != policy.None {
 		w.busy = true
-		judged := k.beliefs.Tenure(group)
+		j := judgement{group: group, revision: k.beliefs.Tenure(group).Revision, reason: reason, evidence: e, again: w.refused}
 		k.tasks.Detach("change of primary", func(ctx context.Context) {
-			defer k.rest(w)
 			timer.Pause(ctx, k.timer, rand.N(jitter))
-			if !k.change(ctx, group, judged.Revision, reason, e) && reason == policy.Outpaced {
-				k.keep(w)
-			}
+			k.judged(w, reason, k.change(ctx, j))
 		})
 		return
 	}
@@ -170,11 +172,15 @@
 	}
 }
 
-// keep notes that a change of primary would not help the group.
-func (k *Keeper) keep(w *watched) {
+// judged notes whether a change of primary has begun, and lets the group be
+// looked at again.
+func (k *Keeper) judged(w *watched, reason policy.Reason, begun bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	w.kept = k.timer.Now()
+	w.busy, w.refused = false, !begun
+	if !begun && reason == policy.Outpaced {
+		w.kept = k.timer.Now()
+	}
 }
 
 // rest lets the group be looked at again.
@@ -272,6 +278,24 @@
 	}
 }
 
+// sight notes the members of a group that the store lists. It forgets those
+// that were replaced at their address.
+func (k *Keeper) sight(group string, listed []roster.Endpoint) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w, ok := k.watched[group]
+	if !ok {
+		return
+	}
+	w.add(listed, k.timer.Now())
+	r := roster.New(listed...)
+	for id, s := range w.members {
+		if r.Replaced(s.endpoint) {
+			delete(w.members, id)
+		}
+	}
+}
+
 // replicas returns the members of a group besides its primary, those included
 // that were listed a moment ago: they may hold commits that no other replica
 // holds, and may still acknowledge more.
