Keep in the store what no proxy may remember

Cause: who was a member while commits were acknowledged, and how far they went, was known to running proxies alone. Proxies that start anew took the members that they found for the whole group.

Change: a group's record names its members by ID and address. When the list differs for a time, one proxy, by turns, writes the members and the kept position; a member that has left is dropped only with a position that covers what it received. Each opening of the record does so for free. A proxy that remembers no answer begins no change while a recorded member is missed and the old primary, under whichever ID, does not tell its log.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -150,9 +150,8 @@
 	if term == 0 {
 		term = c.term
 	}
-	record := tenure.Tenure{
-		Group: c.group, Endpoint: l.Endpoint, Term: term, Kept: before.Kept,
-	}.WithKept(c.kept().Position).WithClosed(k.name)
+	before.Group = c.group
+	record := before.WithPrimary(l.Endpoint, term).WithKept(c.kept().Position).WithClosed(k.name)
 	c.began = k.clock.Boot()
 	revision, err := k.store.Apply(ctx,
 		[]eelgrassladder.Expectation{
@@ -189,7 +188,7 @@
 		return successor{}, err
 	}
 	if leading != nil {
-		return made(*leading), c.settle(ctx, k.clock.Boot())
+		return c.made(*leading, others), c.settle(ctx, k.clock.Boot())
 	}
 	replicas, old, err := c.suspend(ctx, others, term+1)
 	if err != nil {
@@ -211,7 +210,7 @@
 	if err != nil {
 		return successor{}, err
 	}
-	return made(led), c.settle(ctx, suspended)
+	return c.made(led, others), c.settle(ctx, suspended)
 }
 
 // successor is the member that leads next.
@@ -220,11 +219,17 @@
 	term uint64
 	// log is where its log ended when it was seen to lead.
 	log position.Position
+	// members are those that were compared with it.
+	members map[string]string
 }
 
 // made is the successor that an answer shows to lead.
-func made(a answer) successor {
-	return successor{id: a.endpoint.ID, term: a.status.Term, log: a.status.Received}
+func (c *change) made(a answer, others []roster.Endpoint) successor {
+	members := addresses(others)
+	if c.old.Address != "" {
+		members[c.old.ID] = c.old.Address
+	}
+	return successor{id: a.endpoint.ID, term: a.status.Term, log: a.status.Received, members: members}
 }
 
 // settle waits until no proxy can still hold the old primary for the current
@@ -256,7 +261,7 @@
 // the new primary holds is kept from now on.
 func (c *change) open(ctx context.Context, next successor) {
 	k := c.keeper
-	record := c.record.WithPrimary(next.id, next.term).WithKept(next.log)
+	record := c.record.WithPrimary(next.id, next.term).WithKept(next.log).WithMembers(next.members)
 	k.beliefs.LearnOpened(record)
 	for ctx.Err() == nil {
 		now := k.beliefs.Tenure(c.group)
--- a/internal/host/succession/check.go
+++ b/internal/host/succession/check.go
@@ -30,6 +30,12 @@
 			return errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
 		}
 		c.term = max(c.term, a.status.Term)
+		if a.status.Primary && a.status.Term >= c.keeper.beliefs.Tenure(c.group).Term {
+			c.assume(a)
+		}
+	}
+	if left := c.unaccounted(); len(left) > 0 {
+		return errors.Errorf("nobody knows what members that have left had received: %v", left)
 	}
 	if err := c.checkKept(old, answers); err != nil {
 		return err
--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -26,13 +26,26 @@
 	return k
 }
 
-// assume takes the log of the old primary for acknowledged.
+// assume takes the log of the old primary for acknowledged, whichever ID it
+// answers under. One that started anew may have lost its log.
 func (c *change) assume(old answer) {
-	if old.err == nil {
-		c.assumed = lead.Kept{Position: old.status.Received, Source: c.old.ID, At: c.keeper.clock.Boot()}
+	recorded := c.keeper.beliefs.Tenure(c.group).Kept
+	if old.err == nil && old.status.Received.Holds(recorded) {
+		c.assumed = lead.Kept{Position: old.status.Received, Source: old.endpoint.ID, At: c.keeper.clock.Boot()}
 	}
 }
 
+// unaccounted returns the recorded members that have left while nobody knows
+// what they had received: no answer to a commit is remembered, and the old
+// primary does not tell how far its log goes.
+func (c *change) unaccounted() []string {
+	k := c.keeper
+	if k.table.Lead(c.group).Kept.Told || !c.assumed.Position.IsZero() {
+		return nil
+	}
+	return policy.Compare(k.beliefs.Tenure(c.group).Members, k.beliefs.Roster().Group(c.group)).Left
+}
+
 // members returns the members of the group besides the old primary: those that
 // the store lists once the record is closed, and those that were listed a
 // moment ago. A member that has joined since this proxy's list may have
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -22,7 +22,6 @@
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
-	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
@@ -52,6 +51,8 @@
 	// Members reads the members of a group from the store, none older than the
 	// call, and the store's revision.
 	Members(ctx context.Context, group string) ([]roster.Endpoint, uint64, error)
+	// Proxies returns the addresses of the other proxies by name.
+	Proxies() map[string]string
 	// Tenure returns the record of a group, as the store last told it.
 	Tenure(group string) tenure.Tenure
 	// Duty returns who may order promotions, as the store last told it.
@@ -105,6 +106,11 @@
 	members map[string]sighting
 	// orphaned is since when the group has no primary; zero if it has one.
 	orphaned time.Time
+	// membership is how the listed members differ from the recorded, since
+	// differs. While recording is true they are written to the record.
+	membership policy.Membership
+	differs    time.Time
+	recording  bool
 	// kept is when it was last found that another primary would not help.
 	kept time.Time
 }
@@ -150,6 +156,15 @@
 		w = &watched{}
 		k.watched[group] = w
 	}
+	if d := k.difference(group, w, k.timer.Now()); d.Records() && !w.recording {
+		w.recording = true
+		k.tasks.Detach("members", func(ctx context.Context) {
+			k.record(ctx, group, d)
+			k.mutex.Lock()
+			defer k.mutex.Unlock()
+			w.recording = false
+		})
+	}
 	if w.busy {
 		return
 	}
@@ -195,7 +210,10 @@
 func (k *Keeper) evidence(group string, w *watched) policy.Evidence {
 	now, l, r := k.timer.Now(), k.table.Lead(group), k.beliefs.Roster()
 	if w.primary != l.Endpoint {
-		*w = watched{primary: l.Endpoint, began: now, members: w.members}
+		*w = watched{
+			primary: l.Endpoint, began: now, members: w.members,
+			membership: w.membership, differs: w.differs, recording: w.recording,
+		}
 	}
 	w.see(r, group, now)
 	if k.listed.IsZero() && len(w.members) > 0 {
@@ -322,12 +340,7 @@
 	if !ok {
 		return
 	}
-	c, err := k.dialer.Order(ctx, told)
-	if err == nil {
-		var reply statement.Reply
-		_, reply, err = c.Status(k.timer.Now().Add(probeTime))
-		c.Release(err, reply.Position)
-	}
+	_, _, err := k.status(ctx, told)
 	if err != nil {
 		klog.InfoS("Primary did not answer", "Group", group, "Endpoint", told.ID, "Reason", err.Error())
 		k.mutex.Lock()
--- /dev/null
+++ b/internal/policy/succession/membership_test.go
@@ -0,0 +1,59 @@
+package succession_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/policy/succession"
+	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+)
+
+func TestMembersAreComparedWithTheRecord(t *testing.T) {
+	recorded := map[string]string{"a": "1", "b": "2", "c": "3"}
+	m := succession.Compare(recorded, []roster.Endpoint{{ID: "a", Address: "1"}, {ID: "new", Address: "2"}})
+	assert.DeepEqual(t, m.Joined, []string{"new"})
+	assert.DeepEqual(t, m.Left, []string{"c"}) // the new member has the log of b
+	assert.Assert(t, !m.Equal(succession.Membership{}))
+	assert.Assert(t, succession.Compare(recorded, []roster.Endpoint{
+		{ID: "a", Address: "1"}, {ID: "b", Address: "2"}, {ID: "c", Address: "3"},
+	}).Equal(succession.Membership{}))
+}
+
+func TestMembersAreRecordedInTurn(t *testing.T) {
+	joined, left := succession.Membership{Joined: []string{"a"}}, succession.Membership{Left: []string{"b"}}
+	for name, c := range map[string]struct {
+		difference succession.Difference
+		want       bool
+	}{
+		"others may join at the same time":        {succession.Difference{Membership: joined, Lasted: 500 * time.Millisecond}, false},
+		"one has joined":                          {succession.Difference{Membership: joined, Lasted: time.Second}, true},
+		"another proxy comes first":               {succession.Difference{Membership: joined, Lasted: time.Second, Turn: 1}, false},
+		"answers to other proxies are on the way": {succession.Difference{Membership: left, Lasted: time.Second, HasList: time.Minute}, false},
+		"the entry may come back":                 {succession.Difference{Membership: left, Lasted: 2 * time.Second, HasList: 2 * time.Second}, false},
+		"one has left":                            {succession.Difference{Membership: left, Lasted: 2 * time.Second, HasList: time.Minute}, true},
+		"those before it have not acted":          {succession.Difference{Membership: left, Lasted: time.Minute, HasList: time.Minute, Turn: 10}, true},
+		"no difference":                           {succession.Difference{Lasted: time.Minute, HasList: time.Minute}, false},
+	} {
+		assert.Equal(t, c.difference.Records(), c.want, name)
+	}
+}
+
+func TestProxiesTakeTurns(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e"}
+	firsts := map[string]bool{}
+	for _, group := range []string{"g1", "g2", "g3", "g4", "g5", "g6", "g7", "g8"} {
+		seen := map[int]bool{}
+		for i, self := range all {
+			others := append(append([]string{}, all[:i]...), all[i+1:]...)
+			turn := succession.Turn(self, others, group)
+			assert.Assert(t, !seen[turn], "two proxies have turn %d", turn)
+			seen[turn] = true
+			if turn == 0 {
+				firsts[self] = true
+			}
+		}
+	}
+	assert.Assert(t, len(firsts) > 1, "one proxy works for all groups")
+}
--- a/internal/trade/tenure/tenure.go
+++ b/internal/trade/tenure/tenure.go
@@ -38,6 +38,9 @@
 	// Kept is a position up to which commits are known to be acknowledged; zero
 	// for none. No member whose log lacks it may lead.
 	Kept position.Position `json:",omitzero"`
+	// Members holds the addresses of the members by ID, those included that have
+	// left since Kept was known. It is never written after it was set.
+	Members map[string]string `json:",omitempty"`
 }
 
 // Key returns the key of a group's record.
@@ -93,6 +96,12 @@
 	return t
 }
 
+// WithMembers returns the record with the addresses of the members by ID.
+func (t Tenure) WithMembers(members map[string]string) Tenure {
+	t.Members = members
+	return t
+}
+
 // WithRevision returns the record under a revision of the store.
 func (t Tenure) WithRevision(revision uint64) Tenure {
 	t.Revision = revision
