Tell of a change that cannot begin once a second, and count changes

Cause: a change of primary that cannot begin is judged again every 80 to 130 ms, and each time wrote a line, at every proxy.

Change: a refusal is a line at once if its reason or its error is new for the group, and then at most once a second with the number left out. The ports, positions and times in an error do not make it new. A change that begins resets this. The metric eelgrassladder_node_changes_total counts every outcome (NotBegun, Begun, Done, GivenUp) by group and reason; groups are those that routes lead to, endpoints are no label.

--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
+	"eelgrassladder.example/eelgrassladder/internal/host/succession"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
 )
 
@@ -28,6 +30,9 @@
 	tries *prometheus.CounterVec
 	// reads counts reads that were served, by Consistency and Place.
 	reads *prometheus.CounterVec
+	// changes counts changes of primary by Group, Reason and Outcome. Only
+	// groups that routes lead to have any.
+	changes *prometheus.CounterVec
 }
 
 // NewNode returns the measures of a proxy.
@@ -50,8 +55,11 @@
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_reads_total", Help: "Reads served, by where they ran.",
 		}, []string{"Consistency", "Place"}),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_node_changes_total", Help: "Changes of primary that this proxy judged due.",
+		}, []string{"Group", "Reason", "Outcome"}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.requests, n.seconds, n.tries, n.reads)
+	n.Registry.MustRegister(n.PlatformCalls, n.requests, n.seconds, n.tries, n.reads, n.changes)
 	return n
 }
 
@@ -86,6 +94,11 @@
 	n.tries.WithLabelValues(t.Endpoint, code, strconv.FormatBool(t.Sent)).Inc()
 }
 
+// Changed counts an outcome of a change of primary.
+func (n *Node) Changed(group string, reason policy.Reason, outcome succession.Outcome) {
+	n.changes.WithLabelValues(group, reason.String(), outcome.String()).Inc()
+}
+
 // Beliefs shows what the process takes to be in force, and how old it is.
 func (n *Node) Beliefs(version, clients func() float64, leads func() map[string]lead.Lead, now func() time.Duration) {
 	for _, g := range []struct {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -52,8 +52,10 @@
 	Connections() int
 }
 
-// Measures shows what a process takes to be in force, and how old it is.
+// Measures shows what a process takes to be in force, and how old it is, and
+// counts changes of primary.
 type Measures interface {
+	succession.Observer
 	Beliefs(version, clients func() float64, leads func() map[string]lead.Lead, now func() time.Duration)
 }
 
@@ -65,7 +67,8 @@
 	Registry  Registry
 	Clock     eelgrassladder.Clock
 	Observer  gateway.Observer
-	// Measures shows what the process takes to be in force.
+	// Measures shows what the process takes to be in force, and counts changes
+	// of primary.
 	Measures Measures
 	// Front returns the clients' front end of a gateway.
 	Front func(*gateway.Gateway, eelgrassladder.Timer, *task.Group) Front
@@ -115,7 +118,7 @@
 		return n.beliefs.Roster().Group(group)
 	})
 	n.beliefs.changed = n.lead
-	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, dialer, p.Store, p.Promoter, n.beliefs, n.tasks)
+	n.keeper = succession.New(s.Name, n.timer, p.Clock, n.table, dialer, p.Store, p.Promoter, n.beliefs, n.tasks, p.Measures)
 	n.checkup = checkup.New(n.timer, n.table, dialer, n.tasks)
 	n.gossip = gossip.New(n.timer, p.Clock, n.table, sibling.NewClient(), n.beliefs)
 	n.table.OnUnproven(n.prober.Want)
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -69,13 +69,14 @@
 		err = c.close(ctx, l, before)
 	}
 	if err != nil {
-		klog.InfoS("Change of primary not begun", "Group", group, "Reason", reason.String(), "Error", err.Error())
+		k.notes.Refused(k.timer.Now(), group, reason, err)
 		timer.Pause(ctx, k.timer, retryPause)
 		return false
 	}
 	klog.InfoS("Change of primary begun", "Group", group, "Reason", reason.String(), "Primary", l.Endpoint,
 		"Term", l.Term, "Token", c.record.Revision, "SilentMs", e.Silent.Milliseconds(), "Failures", e.Failures,
 		"Refused", e.Refused, "StalledMs", e.Stalled.Milliseconds(), "OutpacedMs", e.Outpaced.Milliseconds())
+	k.notes.Begun(group, reason)
 	defer k.finished()
 	for ctx.Err() == nil && k.clock.Boot()-c.began < holdTime {
 		next, term, err := c.promote(ctx)
@@ -87,6 +88,7 @@
 		timer.Pause(ctx, k.timer, pollTime)
 	}
 	klog.InfoS("Change of primary given up", "Group", group, "Token", c.record.Revision)
+	k.notes.Ended(group, reason, GivenUp)
 	c.release(ctx)
 	return true
 }
@@ -277,6 +279,7 @@
 			}
 			klog.InfoS("Change of primary done", "Group", c.group, "Primary", id, "Term", term,
 				"Reason", c.reason.String(), "TookMs", (k.clock.Boot() - c.began).Milliseconds())
+			k.notes.Ended(c.group, c.reason, Done)
 			break
 		}
 		klog.InfoS("Record not opened yet", "Group", c.group, "Error", err.Error())
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -72,6 +72,7 @@
 	promoter eelgrassladder.Promoter
 	beliefs  Beliefs
 	tasks    *task.Group
+	notes    *Notes
 
 	// mutex guards the fields below. It is a leaf.
 	mutex sync.Mutex
@@ -113,10 +114,11 @@
 // New returns a keeper for the proxy with the name.
 func New(name string, t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table,
 	dialer *control.Dialer, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, b Beliefs, g *task.Group,
+	o Observer,
 ) *Keeper {
 	return &Keeper{
 		name: name, timer: t, clock: c, table: table, dialer: dialer, store: store, promoter: p, beliefs: b, tasks: g,
-		watched: map[string]*watched{},
+		watched: map[string]*watched{}, notes: NewNotes(o),
 	}
 }
 
