--- a/cmd/eelgrassladder/main.go
+++ b/cmd/eelgrassladder/main.go
@@ -17,7 +17,7 @@
 	Check     checkCommand     `command:"check" description:"Check settings and configuration files without starting anything"`
 	Configure configureCommand `command:"configure" description:"Read and set the configuration of the whole system"`
 	Report    reportCommand    `command:"report" description:"Report what the system does"`
-	Explain   explainCommand   `command:"explain" description:"Print what log files tell of a request, and of what was decided around it"`
+	Explain   explainCommand   `command:"explain" description:"Print what log files tell of a request or of the primaries of a group"`
 	Groups    groupsCommand    `command:"groups" description:"List groups, owners, members and terms as one proxy observes them"`
 	Verifier  verifierCommand  `command:"verifier" description:"Read a password from standard input and print its verifier for a configuration"`
 }
@@ -29,6 +29,7 @@
   eelgrassladder configure get --operator 127.0.0.1:8080 --token-file token > configuration.hujson
   eelgrassladder configure put --operator 127.0.0.1:8080 --token-file token --based 4 configuration.hujson
   eelgrassladder explain --request 5c0e7a21d94b36f8 proxy-1.log proxy-2.log
+  eelgrassladder explain --group commission-orders-1 --from 2026-01-31T09:00:00Z proxy-1.log proxy-2.log
   eelgrassladder report burn --operator 127.0.0.1:8080 --operator 127.0.0.1:8081 --token-file token
 `
 
--- a/cmd/eelgrassladder/main_test.go
+++ b/cmd/eelgrassladder/main_test.go
@@ -233,3 +233,24 @@
 	assert.Equal(t, run([]string{"serve", "--unknown"}), command.ExitUsage)
 	assert.Equal(t, run([]string{"configure", "get", "--operator", "127.0.0.1:1", "--token-file", bad}), command.ExitFailure)
 }
+
+func TestExplainTakesEitherARequestOrAGroup(t *testing.T) {
+	log := write(t, filepath.Join(t.TempDir(), "log"),
+		`{"Time":"2026-01-01T09:00:10Z","Message":"Change of primary begun","Group":"g"}`+"\n")
+	for _, one := range []struct {
+		arguments []string
+		code      int
+	}{
+		{[]string{"--group", "g"}, 0},
+		{[]string{"--group", "g", "--from", "2026-01-01T09:00:10Z", "--to", "2026-01-01T10:00:10.5+01:00"}, 0},
+		{[]string{"--group", "g", "--from", "2026-01-01T09:00:11Z"}, command.ExitFailure},
+		{[]string{"--group", "other"}, command.ExitFailure},
+		{[]string{"--request", "q"}, command.ExitFailure},
+		{nil, command.ExitUsage},
+		{[]string{"--group", "g", "--request", "q"}, command.ExitUsage},
+		{[]string{"--request", "q", "--to", "2026-01-01T09:00:11Z"}, command.ExitUsage},
+		{[]string{"--group", "g", "--from", "nine"}, command.ExitUsage},
+	} {
+		assert.Equal(t, run(append([]string{"explain", log}, one.arguments...)), one.code, "%v", one.arguments)
+	}
+}
