--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -25,6 +25,9 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
+			if err != nil && m.hasEnded() {
+				return nil
+			}
 			if err != nil {
 				return errors.WithStack(err)
 			}
@@ -37,6 +40,13 @@
 	}
 }
 
+// hasEnded reports whether the member has left for good.
+func (m *Member) hasEnded() bool {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	return m.ended
+}
+
 // session is one connection to a member.
 type session struct {
 	member *Member
@@ -67,6 +77,7 @@
 	}
 	g.mutex.Unlock()
 	if down {
+		reset(c)
 		return
 	}
 	defer func() {
@@ -199,6 +210,8 @@
 		return s.ok("-", s.status())
 	case "SUSPEND", "DEMOTE":
 		return s.order(fields)
+	case "RESUME":
+		return s.resume()
 	case "RESET":
 		s.values, s.prepared = map[string]string{}, map[string]string{}
 		return s.ok("-")
@@ -265,6 +278,20 @@
 	}
 	m.group.changed.Broadcast()
 	m.group.mutex.Unlock()
+	if fields[0] == "SUSPEND" && m.group.Halted != nil && m.group.halted() {
+		m.group.Halted()
+	}
+	return s.ok("-", s.status())
+}
+
+// resume ends a suspension.
+func (s *session) resume() bool {
+	m := s.member
+	m.group.mutex.Lock()
+	m.suspended = 0
+	m.group.replicate()
+	m.group.changed.Broadcast()
+	m.group.mutex.Unlock()
 	return s.ok("-", s.status())
 }
 
