Compare errors by one reduction, for the log and for explain

Cause: the error of an election names each member with its position, in no fixed order, and positions grow: such a refusal would have been new at each try, and explain would not have folded it.

--- a/internal/host/journal/journal_test.go
+++ b/internal/host/journal/journal_test.go
@@ -56,3 +56,20 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, omitted, 2)
 }
+
+func TestErrorsAreComparedWithoutTheirNumbers(t *testing.T) {
+	for _, one := range []struct {
+		text, other string
+		same        bool
+	}{
+		{"read tcp4 10.0.0.9:40001->10.0.0.1:8509: i/o timeout", "read tcp4 10.0.0.9:40002->10.0.0.1:8509: i/o timeout", true},
+		{"m1 lags by 1.2s only", "m1 lags by 87ms only", true},
+		{"no member holds 1.18: [m1=1.14 m2=1.15]", "no member holds 2.19: [m2=2.17 m1=1.14]", true},
+		{"no member holds 1.18: [m1=1.14 m2=1.15]", "no member holds 1.18: [m1=1.14]", false},
+		{"endpoint i-1a2b is gone", "endpoint i-1a2c is gone", false},
+		{"proxy front-1 holds the duty", "proxy front-2 holds the duty", false},
+		{"connection refused", "i/o timeout", false},
+	} {
+		assert.Equal(t, journal.Substance(one.text) == journal.Substance(one.other), one.same, "%s; %s", one.text, one.other)
+	}
+}
--- a/internal/host/report/fold.go
+++ b/internal/host/report/fold.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"io"
 	"maps"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/journal"
 )
 
 const (
@@ -65,10 +66,6 @@
 	return all
 }
 
-// numbers matches the words of a text that are ports, addresses, positions or
-// times.
-var numbers = regexp.MustCompile(`(^|[\s(])[0-9][0-9.:>\-]*(ns|µs|ms|s|m|h)?([\s,;:)]|$)`)
-
 // key returns what a line says: its message and its fields without measures.
 // Lines with one key differ in who wrote them and when.
 func (l line) key() string {
@@ -86,7 +83,7 @@
 				continue
 			}
 		case "Error", "Reason", "Detail":
-			v = numbers.ReplaceAllString(fmt.Sprint(v), "$1#$3")
+			v = journal.Substance(fmt.Sprint(v))
 		default:
 			if _, ok := v.(float64); ok {
 				continue
--- a/internal/host/report/line.go
+++ b/internal/host/report/line.go
@@ -73,11 +73,11 @@
 func never(line) bool { return false }
 
 // steps reports whether the line is a step of a change of primary that has
-// begun.
+// begun, or tells what it has lost.
 func (l line) steps() bool {
 	switch l.message {
 	case begun, done, "Change of primary goes on", "Change of primary given up", "Replica chosen",
-		"Promotion without an answer", "Term raised":
+		"Promotion without an answer", "Primary lacks acknowledged commits", "Term raised":
 		return true
 	default:
 		return false
--- a/internal/host/succession/notes.go
+++ b/internal/host/succession/notes.go
@@ -1,7 +1,6 @@
 package succession
 
 import (
-	"strings"
 	"sync"
 	"time"
 
@@ -70,7 +69,7 @@
 // Refused notes that a change could not begin.
 func (n *Notes) Refused(now time.Time, group string, reason policy.Reason, err error) {
 	n.observer.Changed(group, reason, NotBegun)
-	omitted, ok := n.sampler(group).Allow(now, reason.String()+" "+substance(err.Error()))
+	omitted, ok := n.sampler(group).Allow(now, reason.String()+" "+journal.Substance(err.Error()))
 	if !ok {
 		return
 	}
@@ -102,28 +101,3 @@
 	}
 	return s
 }
-
-// substance returns what an error says without the numbers in it: ports,
-// positions and times differ from one try to the next. An endpoint or a proxy
-// is named with letters and stays.
-func substance(text string) string {
-	words := strings.Fields(text)
-	for i, w := range words {
-		if number(w) {
-			words[i] = "#"
-		}
-	}
-	return strings.Join(words, " ")
-}
-
-// number reports whether a word is a number, an address, a position or a
-// time, with its punctuation.
-func number(word string) bool {
-	for _, unit := range []string{"ms", "µs", "ns", "s", "m", "h"} {
-		if rest, ok := strings.CutSuffix(strings.TrimRight(word, ",;:"), unit); ok && rest != "" {
-			word = rest
-			break
-		}
-	}
-	return strings.ContainsAny(word, "0123456789") && strings.Trim(word, "0123456789.:,;+-()[]/>") == ""
-}
--- a/internal/host/succession/notes_test.go
+++ b/internal/host/succession/notes_test.go
@@ -80,7 +80,7 @@
 	for _, pair := range [][2]string{
 		{"endpoint i-1: read tcp4 10.0.0.9:40001->10.0.0.1:8509: i/o timeout", "endpoint i-1: read tcp4 10.0.0.9:40002->10.0.0.1:8509: i/o timeout"},
 		{"endpoint i-1 lags by 1.2s only", "endpoint i-1 lags by 873ms only"},
-		{"the longest log ends at 1.146, and 1.181 is kept", "the longest log ends at 1.146, and 2.190 is kept"},
+		{"no member holds 1.181, which is kept according to Record: [i-1=1.146 i-2=1.150]", "no member holds 2.190, which is kept according to Record: [i-2=2.170 i-1=1.146]"},
 	} {
 		var r recorder
 		n, now := notes(&r)
