--- a/internal/host/report/line.go
+++ b/internal/host/report/line.go
@@ -63,7 +63,7 @@
 // its process.
 func (l line) concernsAll() bool {
 	return strings.HasPrefix(l.message, "Store ") || strings.HasPrefix(l.message, "Routes ") ||
-		strings.HasPrefix(l.message, "Proxy ")
+		strings.HasPrefix(l.message, "Proxy ") || strings.HasPrefix(l.message, "Reload ")
 }
 
 // ofRequest reports whether the line is about a single request.
