--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,7 +113,7 @@
 
 // lacking says that no member holds what is kept.
 func (c *change) lacking(members []answer, kept lead.Kept) error {
-	return errors.Errorf("no member holds %v, which is kept according to %s: %v", kept.Position, kept.Source, logs(members))
+	return errors.Errorf("no member holds %v, which is kept: %v", kept.Position, logs(members))
 }
 
 // logs returns where the logs of members end, for a line of the log.
@@ -123,6 +124,7 @@
 			all = append(all, a.endpoint.ID+"="+a.status.Received.String())
 		}
 	}
+	slices.Sort(all)
 	return all
 }
 
