Stop the old primary before members are listed, and ask them once more

Cause: the old primary was stopped together with the replicas. Until its order arrived it could acknowledge through a member that joined after the list was read, or through a replica that had restarted since it was suspended.

Change: a change closes the record, stops the old primary if it is likely to answer, reads the list, and suspends the members. Right before the promotion it asks all of them once more: each must still be suspended, with the same log, and the old primary must not lead again.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -181,6 +181,7 @@
 	if c.reason == policy.Leaving || c.reason == policy.Outpaced {
 		timer.Pause(ctx, k.timer, quiesceTime)
 	}
+	old := c.stop(ctx)
 	others, revision, err := c.members(ctx)
 	if err != nil {
 		return successor{}, err
@@ -192,11 +193,14 @@
 	if leading != nil {
 		return c.made(*leading, others), c.settle(ctx, k.clock.Boot())
 	}
-	replicas, old, err := c.suspend(ctx, others, term+1)
+	replicas, err := c.suspend(ctx, others, term+1)
 	if err != nil {
 		return successor{}, err
 	}
 	suspended := k.clock.Boot()
+	if err := c.recheck(ctx, replicas, old, term+1); err != nil {
+		return successor{}, err
+	}
 	next, err := c.elect(replicas, old, revision)
 	if err != nil {
 		return successor{}, err
--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -66,37 +66,78 @@
 	})
 }
 
+// errNotAsked stands for an answer of a member that is not asked.
+var errNotAsked = errors.New("not asked")
+
+// stop makes the old primary a replica, if it is likely to answer. Nothing can
+// be acknowledged then, neither through a member that joins from now on nor
+// through a suspended one that restarts.
+func (c *change) stop(ctx context.Context) answer {
+	if !c.stoppable() {
+		return answer{endpoint: c.old, err: errNotAsked}
+	}
+	term := c.record.Term + 1
+	a := c.give(ctx, c.old, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+		return c.halt(n, term)
+	})
+	if a.err == nil && a.status.Primary {
+		a.err = errors.Errorf("it leads term %d", a.status.Term)
+	}
+	c.stopped = a.err == nil
+	if a.err != nil {
+		klog.InfoS("Old primary not stopped", "Group", c.group, "Endpoint", c.old.ID, "Error", a.err.Error())
+	}
+	return a
+}
+
 // suspend stops all replicas from receiving. All of them must answer and be
-// suspended: one that goes on could acknowledge writes of the old primary. The
-// old primary is stopped with them if it answers, so that a replica that
-// starts again, and receives again, acknowledges none of its commits.
-func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) (replicas []answer, old answer, err error) {
-	asked := others
-	if c.stoppable() {
-		asked = append(others[:len(others):len(others)], c.old)
-	}
-	answers := c.each(ctx, asked, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+// suspended: one that goes on could acknowledge writes of the old primary.
+func (c *change) suspend(ctx context.Context, others []roster.Endpoint, term uint64) ([]answer, error) {
+	answers := c.each(ctx, others, func(n *control.Connection) (roster.Status, statement.Reply, error) {
 		return c.halt(n, term)
 	})
+	return answers, halted(answers, term)
+}
+
+// recheck asks once more, right before a member is promoted: a replica that has
+// restarted since its suspension receives again, and an old primary that did
+// not answer may lead again.
+func (c *change) recheck(ctx context.Context, replicas []answer, old answer, term uint64) error {
+	members := make([]roster.Endpoint, 0, len(replicas)+1)
+	for _, a := range replicas {
+		members = append(members, a.endpoint)
+	}
+	answers := c.statuses(ctx, members)
+	if err := halted(answers, term); err != nil {
+		return err
+	}
 	for i, a := range answers {
-		if a.err == nil && !a.status.Halted(term) {
-			answers[i].err = errors.Errorf("primary=%v of term %d, suspended for %d", a.status.Primary, a.status.Term, a.status.Suspended)
+		if a.status.Received != replicas[i].status.Received {
+			return errors.Errorf("endpoint %s received until %v after its suspension at %v", a.endpoint.ID,
+				a.status.Received, replicas[i].status.Received)
 		}
 	}
-	replicas, old = answers[:len(others)], answer{endpoint: c.old, err: errors.New("not asked")}
-	if len(answers) > len(others) {
-		old = answers[len(others)]
-		c.stopped = old.err == nil
-		if old.err != nil {
-			klog.InfoS("Old primary not stopped", "Group", c.group, "Endpoint", c.old.ID, "Error", old.err.Error())
-		}
+	if old.err != nil {
+		return nil
 	}
-	for _, a := range replicas {
+	if a := c.statuses(ctx, []roster.Endpoint{c.old})[0]; a.err == nil && a.status.Primary {
+		return errors.Errorf("endpoint %s leads again", c.old.ID)
+	}
+	return nil
+}
+
+// halted returns an error for a member that does not say that it is suspended
+// for the term.
+func halted(answers []answer, term uint64) error {
+	for _, a := range answers {
+		if a.err == nil && !a.status.Halted(term) {
+			a.err = errors.Errorf("primary=%v of term %d, suspended for %d", a.status.Primary, a.status.Term, a.status.Suspended)
+		}
 		if a.err != nil {
-			return nil, old, errors.WithMessagef(a.err, "endpoint %s not suspended", a.endpoint.ID)
+			return errors.WithMessagef(a.err, "endpoint %s not suspended", a.endpoint.ID)
 		}
 	}
-	return replicas, old, nil
+	return nil
 }
 
 // halt suspends one member. A primary cannot be suspended: one that came back
