Ask for what a member that has left can have acknowledged, and no more

What callers saw: a group whose replicas were cut off in the moment of a commit could wait for commits that nobody had acknowledged; one with a member that was cut off from the store alone could lose some.

Cause: the position in the answer to a commit is the end of the primary's log. It was asked of the next primary without end, although the longest log of all members holds what was acknowledged as long as none has left. And a member that was not listed for 12 s was taken for gone, whether it lived or not.

Change: the decision is policy.Knowledge.Floor. While the record names the members and none has left, what was told is waited for 4 s only. Once one has left, what was told and the old primary's log count without end; if the primary is silent, for at least the time that gossip takes. A departure is settled, and the member dropped from the record, when a replica holds the primary's log as it was afterwards. Members that are forgotten are asked for a minute whether they live, and are compared if they do.

--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -147,8 +147,9 @@
 	f.node.beliefs.LearnDuty(d.WithRevision(i.Revision, f.node.parts.Clock.Boot()))
 }
 
-// errLost says that a change of primary has lost commits.
-var errLost = errors.New("commits that callers were told are kept are not in the log of the new primary")
+// errLost says that a change of primary may have lost commits. The position that
+// was told may be some commits ahead of what was acknowledged.
+var errLost = errors.New("the log of the new primary ends before a position that callers were told")
 
 // lead brings into force who leads a group: the record says so, and before
 // the first record the endpoints themselves do.
@@ -178,7 +179,7 @@
 		return l
 	})
 	if lost {
-		klog.ErrorS(errLost, "Primary lacks acknowledged commits", "Group", group, "Endpoint", t.Endpoint, "Term", t.Term,
+		klog.ErrorS(errLost, "Primary lacks commits that may be acknowledged", "Group", group, "Endpoint", t.Endpoint, "Term", t.Term,
 			"Log", t.Kept.String(), "Kept", before.Kept.Position.String(), "KeptFrom", before.Kept.Source,
 			"Revision", t.Revision, "Holder", t.Holder)
 	}
--- a/internal/host/report/line.go
+++ b/internal/host/report/line.go
@@ -77,7 +77,7 @@
 func (l line) steps() bool {
 	switch l.message {
 	case begun, done, "Change of primary goes on", "Change of primary given up", "Replica chosen",
-		"Promotion without an answer", "Primary lacks acknowledged commits", "Term raised":
+		"Promotion without an answer", "Primary lacks commits that may be acknowledged", "Term raised":
 		return true
 	default:
 		return false
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -45,6 +45,8 @@
 	revision uint64
 	reason   policy.Reason
 	evidence policy.Evidence
+	// judgedAt is the boot time of the evidence.
+	judgedAt time.Duration
 	// again is true if a change could not begin before: the evidence may be
 	// older than an answer of the primary.
 	again bool
@@ -62,9 +64,8 @@
 	record tenure.Tenure
 	// began is when the change took its token.
 	began time.Duration
-	// assumed is what the old primary holds, where no answer to a commit is
-	// remembered.
-	assumed lead.Kept
+	// primary is what the old primary holds; zero if it does not tell.
+	primary lead.Kept
 	// term is the newest term that a replica knew before the change.
 	term uint64
 	// stopped is true once the old primary is a replica.
@@ -153,7 +154,7 @@
 		term = c.term
 	}
 	before.Group = c.group
-	record := before.WithPrimary(l.Endpoint, term).WithKept(c.kept().Position).WithClosed(k.name)
+	record := before.WithPrimary(l.Endpoint, term).WithClosed(k.name)
 	c.began = k.clock.Boot()
 	revision, err := k.store.Apply(ctx,
 		[]eelgrassladder.Expectation{
--- a/internal/host/succession/check.go
+++ b/internal/host/succession/check.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
@@ -14,29 +15,27 @@
 // a primary whose commits are late, no replica has what it has; for one that
 // cannot carry all reads, all of them apply its log late.
 func (c *change) check(ctx context.Context) error {
-	replicas := c.keeper.replicas(c.group, c.old.ID)
+	replicas, lapsed := c.keeper.replicas(c.group, c.old.ID), c.keeper.lapsed(c.group)
 	if len(replicas) == 0 {
 		return errors.New("the group has no replica")
 	}
 	// The primary comes first: what it has then, a sound replica has by now.
-	old := answer{err: errors.New("not asked")}
+	old := answer{err: errNotAsked}
 	if c.stoppable() {
 		old = c.statuses(ctx, []roster.Endpoint{c.old})[0]
-		c.assume(old)
+		c.tells(old)
 	}
-	answers := c.statuses(ctx, replicas)
+	answers := c.statuses(ctx, append(replicas, lapsed...))
+	answers = append(answers[:len(replicas)], c.alive(answers[len(replicas):])...)
 	for _, a := range answers {
 		if a.err != nil {
 			return errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
 		}
 		c.term = max(c.term, a.status.Term)
 		if a.status.Primary && a.status.Term >= c.keeper.beliefs.Tenure(c.group).Term {
-			c.assume(a)
+			c.tells(a)
 		}
 	}
-	if left := c.unaccounted(); len(left) > 0 {
-		return errors.Errorf("nobody knows what members that have left had received: %v", left)
-	}
 	if err := c.checkKept(old, answers); err != nil {
 		return err
 	}
@@ -52,6 +51,20 @@
 	}
 }
 
+// alive returns the answers of members that are not listed and live on. They
+// are members until they are silent: they may acknowledge still.
+func (c *change) alive(lapsed []answer) []answer {
+	var found []answer
+	for _, a := range lapsed {
+		if a.err == nil {
+			klog.InfoS("Member is not listed and answers", "Group", c.group, "Endpoint", a.endpoint.ID)
+			c.keeper.sight(c.group, []roster.Endpoint{a.endpoint})
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
 // checkKept returns an error if nobody could lead without losing commits. A
 // primary that was stopped in an abandoned change may lead again.
 func (c *change) checkKept(old answer, replicas []answer) error {
@@ -59,7 +72,10 @@
 	if c.reason == policy.Abandoned {
 		members = append(members[:len(members):len(members)], old)
 	}
-	kept := c.kept()
+	kept, err := c.floor()
+	if err != nil {
+		return err
+	}
 	if _, ok := policy.Elect(candidates(members), kept.Position); !ok {
 		return c.lacking(members, kept)
 	}
--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -17,36 +17,30 @@
 // readTime bounds one reading of the store's list; the store answers in 4 ms.
 const readTime = 400 * time.Millisecond
 
-// kept returns what the next primary must hold. Where no answer to a commit is
-// remembered, all that the old primary has may have been acknowledged.
-func (c *change) kept() lead.Kept {
-	k := c.keeper.table.Lead(c.group).Kept
-	if !k.Told {
-		k = k.With(c.assumed)
+// floor returns what the next primary must hold.
+func (c *change) floor() (lead.Kept, error) {
+	k := c.keeper
+	record := k.beliefs.Tenure(c.group)
+	left := append(policy.Compare(record.Members, k.beliefs.Roster().Group(c.group)).Left, k.unrecorded(c.group, record.Kept)...)
+	floor, known := policy.Knowledge{
+		Recorded: record.Kept, Told: k.table.Lead(c.group).Kept, Primary: c.primary, Named: len(record.Members) > 0,
+		Left: left, Lacked: k.lacked(c.group), Silent: c.evidence.Silent + k.clock.Boot() - c.judgedAt,
+	}.Floor()
+	if !known {
+		return lead.Kept{}, errors.Errorf("it is not known yet what members that have left had received: %v", left)
 	}
-	return k
+	return floor, nil
 }
 
-// assume takes the log of the old primary for acknowledged, whichever ID it
-// answers under. One that started anew may have lost its log.
-func (c *change) assume(old answer) {
+// tells notes the log of the old primary, whichever ID it answers under. One
+// that started anew may have lost its log.
+func (c *change) tells(old answer) {
 	recorded := c.keeper.beliefs.Tenure(c.group).Kept
 	if old.err == nil && old.status.Received.Holds(recorded) {
-		c.assumed = lead.Kept{Position: old.status.Received, Source: old.endpoint.ID, At: c.keeper.clock.Boot()}
+		c.primary = lead.Kept{Position: old.status.Received, Source: old.endpoint.ID, At: c.keeper.clock.Boot()}
 	}
 }
 
-// unaccounted returns the recorded members that have left while nobody knows
-// what they had received: no answer to a commit is remembered, and the old
-// primary does not tell how far its log goes.
-func (c *change) unaccounted() []string {
-	k := c.keeper
-	if k.table.Lead(c.group).Kept.Told || !c.assumed.Position.IsZero() {
-		return nil
-	}
-	return policy.Compare(k.beliefs.Tenure(c.group).Members, k.beliefs.Roster().Group(c.group)).Left
-}
-
 // members returns the members of the group besides the old primary: those that
 // the store lists once the record is closed, and those that were listed a
 // moment ago. A member that has joined since this proxy's list may have
@@ -91,7 +85,10 @@
 // elect returns the endpoint that leads next: a replica, or the old primary
 // where no replica holds what is kept.
 func (c *change) elect(replicas []answer, old answer, revision uint64) (roster.Endpoint, error) {
-	kept := c.kept()
+	kept, err := c.floor()
+	if err != nil {
+		return roster.Endpoint{}, err
+	}
 	next, ok := policy.Elect(candidates(replicas), kept.Position)
 	if !ok {
 		next, ok = policy.Elect(candidates([]answer{old}), kept.Position)
@@ -102,7 +99,7 @@
 	all := append(replicas[:len(replicas):len(replicas)], old)
 	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
 		"Kept", kept.Position.String(), "KeptFrom", kept.Source, "KeptAgeMs", (c.keeper.clock.Boot() - kept.At).Milliseconds(),
-		"KeptTold", kept.Told, "Members", logs(all), "Listed", revision, "Token", c.record.Revision)
+		"KeptTold", kept.Told, "Told", c.keeper.table.Lead(c.group).Kept.Position.String(), "Members", logs(all), "Listed", revision, "Token", c.record.Revision)
 	for _, a := range all {
 		if a.endpoint.ID == next.ID {
 			return a.endpoint, nil
@@ -111,8 +108,9 @@
 	return roster.Endpoint{}, errors.Errorf("endpoint %s is no member", next.ID)
 }
 
-// lacking says that no member holds what is kept.
+// lacking notes that no member holds what is kept.
 func (c *change) lacking(members []answer, kept lead.Kept) error {
+	c.keeper.lack(c.group)
 	return errors.Errorf("no member holds %v, which is kept: %v", kept.Position, logs(members))
 }
 
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
@@ -34,6 +36,9 @@
 	// that may come back with its log. An entry lapses after three heartbeats
 	// of 1.2 s, and crashed members are back within some seconds.
 	memberTime = 12 * time.Second
+	// lapsedTime is how long after it was last listed a member is still asked
+	// whether it lives, before a change.
+	lapsedTime = time.Minute
 	// keptTime is how long a primary is kept after its replicas were found to
 	// lag too little for a change.
 	keptTime = 2 * time.Second
@@ -92,8 +97,10 @@
 type watched struct {
 	// busy is true while a question or a change is under way.
 	busy bool
-	// refused is true if a change of the primary could not begin.
+	// refused is true if a change of the primary could not begin, and lacked
+	// since when no member has held what is kept; zero if one does.
 	refused bool
+	lacked  time.Time
 	// failed is when the primary last left a question of the keeper without
 	// an answer.
 	failed time.Time
@@ -105,6 +112,8 @@
 	unlisted time.Time
 	// members holds when each member was last listed.
 	members map[string]sighting
+	// left holds members that were forgotten, by ID.
+	left map[string]missed
 	// orphaned is since when the group has no primary; zero if it has one.
 	orphaned time.Time
 	// membership is how the listed members differ from the recorded, since
@@ -122,6 +131,15 @@
 	at       time.Time
 }
 
+// missed is a member that has left, as far as this proxy knows.
+type missed struct {
+	sighting
+	// kept is the position that was known to be kept when it was forgotten.
+	kept position.Position
+	// ended is true if another instance has its address.
+	ended bool
+}
+
 // New returns a keeper for the proxy with the name.
 func New(name string, t eelgrassladder.Timer, c eelgrassladder.Clock, table *work.Table,
 	dialer *control.Dialer, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, b Beliefs, g *task.Group,
@@ -173,13 +191,14 @@
 	e := k.evidence(group, w)
 	if reason := policy.Judge(e); reason != policy.None {
 		w.busy = true
-		j := judgement{group: group, revision: k.beliefs.Tenure(group).Revision, reason: reason, evidence: e, again: w.refused}
+		j := judgement{group: group, revision: k.beliefs.Tenure(group).Revision, reason: reason, evidence: e, again: w.refused, judgedAt: k.clock.Boot()}
 		k.tasks.Detach("change of primary", func(ctx context.Context) {
 			timer.Pause(ctx, k.timer, rand.N(jitter))
 			k.judged(w, reason, k.change(ctx, j))
 		})
 		return
 	}
+	w.lacked = time.Time{}
 	if policy.Asks(e) {
 		w.busy = true
 		k.tasks.Detach("question to a primary", func(ctx context.Context) {
@@ -195,6 +214,9 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	w.busy, w.refused = false, !begun
+	if begun {
+		w.lacked = time.Time{}
+	}
 	if !begun && reason == policy.Outpaced {
 		w.kept = k.timer.Now()
 	}
@@ -213,11 +235,11 @@
 	now, l, r := k.timer.Now(), k.table.Lead(group), k.beliefs.Roster()
 	if w.primary != l.Endpoint {
 		*w = watched{
-			primary: l.Endpoint, began: now, members: w.members,
+			primary: l.Endpoint, began: now, members: w.members, left: w.left,
 			membership: w.membership, differs: w.differs, recording: w.recording,
 		}
 	}
-	w.see(r, group, now)
+	w.see(r, group, l.Kept.Position, now)
 	if k.listed.IsZero() && len(w.members) > 0 {
 		k.listed = now
 	}
@@ -233,6 +255,7 @@
 			w.orphaned = now
 		}
 		e.Since = now.Sub(w.orphaned)
+		e.Silent = e.Since
 		return e
 	}
 	w.orphaned = time.Time{}
@@ -276,6 +299,9 @@
 
 // add notes members that are listed.
 func (w *watched) add(listed []roster.Endpoint, now time.Time) {
+	for _, e := range listed {
+		delete(w.left, e.ID)
+	}
 	if w.members == nil {
 		w.members = map[string]sighting{}
 	}
@@ -286,7 +312,7 @@
 
 // see notes the members of a group that are listed. It forgets those that are
 // gone for good: not listed for long, or replaced at their address.
-func (w *watched) see(r roster.Roster, group string, now time.Time) {
+func (w *watched) see(r roster.Roster, group string, kept position.Position, now time.Time) {
 	w.add(r.Group(group), now)
 	for id, s := range w.members {
 		if s.at.Equal(now) {
@@ -294,8 +320,55 @@
 		}
 		if now.Sub(s.at) > memberTime || r.Replaced(s.endpoint) {
 			delete(w.members, id)
+			w.miss(missed{sighting: s, kept: kept, ended: r.Replaced(s.endpoint)}, r.Group(group))
+		}
+	}
+}
+
+// miss notes a member that has left, unless one of its group has taken its
+// address and with it its log.
+func (w *watched) miss(m missed, listed []roster.Endpoint) {
+	if slices.ContainsFunc(listed, func(e roster.Endpoint) bool { return e.Address == m.endpoint.Address }) {
+		return
+	}
+	if w.left == nil {
+		w.left = map[string]missed{}
+	}
+	w.left[m.endpoint.ID] = m
+}
+
+// lapsed returns members of a group that were forgotten lately and may live on
+// without an entry, cut off from the store.
+func (k *Keeper) lapsed(group string) []roster.Endpoint {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var all []roster.Endpoint
+	if w, ok := k.watched[group]; ok {
+		for _, m := range w.left {
+			if !m.ended && k.timer.Now().Sub(m.at) < lapsedTime {
+				all = append(all, m.endpoint)
+			}
+		}
+	}
+	return all
+}
+
+// unrecorded returns the members of a group that have left since the position
+// in its record was known.
+func (k *Keeper) unrecorded(group string, recorded position.Position) []string {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w, ok := k.watched[group]
+	if !ok {
+		return nil
+	}
+	var left []string
+	for id, m := range w.left {
+		if !recorded.Holds(m.kept) {
+			left = append(left, id)
 		}
 	}
+	return left
 }
 
 // sight notes the members of a group that the store lists. It forgets those
@@ -316,6 +389,26 @@
 	}
 }
 
+// lack notes that no member of a group holds what is kept, and lacked returns
+// for how long that has been so.
+func (k *Keeper) lack(group string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if w, ok := k.watched[group]; ok && w.lacked.IsZero() {
+		w.lacked = k.timer.Now()
+	}
+}
+
+func (k *Keeper) lacked(group string) time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	w, ok := k.watched[group]
+	if !ok || w.lacked.IsZero() {
+		return 0
+	}
+	return k.timer.Now().Sub(w.lacked)
+}
+
 // replicas returns the members of a group besides its primary, those included
 // that were listed a moment ago: they may hold commits that no other replica
 // holds, and may still acknowledge more.
--- a/internal/host/succession/membership.go
+++ b/internal/host/succession/membership.go
@@ -14,6 +14,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/trade/lead"
+	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
 	"eelgrassladder.example/eelgrassladder/internal/trade/statement"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
@@ -28,7 +29,7 @@
 // come one after the other. The caller holds the mutex.
 func (k *Keeper) difference(group string, w *watched, now time.Time) policy.Difference {
 	m := policy.Compare(k.beliefs.Tenure(group).Members, k.beliefs.Roster().Group(group))
-	if l := k.table.Lead(group); !m.Equal(w.membership) || !l.Open() || l.Term == 0 {
+	if !m.Equal(w.membership) || !k.table.Lead(group).Open() {
 		w.membership, w.differs = m, now
 	}
 	others := slices.Collect(maps.Keys(k.beliefs.Proxies()))
@@ -37,50 +38,69 @@
 	}
 }
 
-// record writes the members of a group to its record, and what is known to be
-// kept, for proxies that start when nobody is left that remembers. A member
-// that has left is dropped once that position covers all that it received.
+// record writes the members of a group to its record, for proxies that start
+// when nobody is left that remembers. A member that has left is dropped once a
+// replica holds all that the primary has had since: that is all that the member
+// can have acknowledged.
 func (k *Keeper) record(ctx context.Context, group string, d policy.Difference) {
 	before, l := k.beliefs.Tenure(group), k.table.Lead(group)
-	members := addresses(k.beliefs.Roster().Group(group))
-	kept, err := k.remembered(ctx, l)
-	if err != nil || !d.Settled() {
+	listed := k.beliefs.Roster().Group(group)
+	members := addresses(listed)
+	term, log, err := k.primary(ctx, l)
+	after := before
+	if err == nil && d.Settled() && k.held(ctx, listed, l.Endpoint, log) {
+		after = after.WithKept(log)
+	} else {
 		for _, id := range d.Left {
 			members[id] = before.Members[id]
 		}
 	}
-	after := before.WithMembers(members).WithKept(kept.Position)
 	if before.Revision == 0 {
-		after = after.WithPrimary(l.Endpoint, l.Term)
+		after = after.WithPrimary(l.Endpoint, term)
 		after.Group, after.Holder = group, k.name
 	}
-	if err = k.write(ctx, after); err != nil {
+	switch {
+	case maps.Equal(members, before.Members):
+		err = errors.New("no replica holds what members that have left may have received")
+	case after.Term > 0:
+		err = k.write(ctx, after.WithMembers(members))
+	}
+	if err != nil {
 		klog.InfoS("Members not recorded", "Group", group, "Error", err.Error())
 		timer.Pause(ctx, k.timer, recordPause)
 		return
 	}
 	klog.InfoS("Members recorded", "Group", group, "Joined", strings.Join(d.Joined, " "), "Left", strings.Join(d.Left, " "),
-		"Members", len(members), "Kept", after.Kept.String(), "KeptFrom", kept.Source)
+		"Members", len(members), "Log", log.String(), "Kept", after.Kept.String())
 }
 
-// remembered returns what is known to be kept. Where no answer to a commit is
-// remembered, it is all that the primary has.
-func (k *Keeper) remembered(ctx context.Context, l lead.Lead) (lead.Kept, error) {
-	if l.Kept.Told {
-		return l.Kept, nil
-	}
+// primary asks the primary for its term and the end of its log.
+func (k *Keeper) primary(ctx context.Context, l lead.Lead) (uint64, position.Position, error) {
 	e, ok := k.beliefs.Roster().Endpoint(l.Endpoint)
 	if !ok {
-		return lead.Kept{}, errors.Errorf("endpoint %s is not listed", l.Endpoint)
+		return l.Term, position.Position{}, errors.Errorf("endpoint %s is not listed", l.Endpoint)
 	}
 	s, reply, err := k.status(ctx, e)
 	if err != nil {
-		return lead.Kept{}, err
+		return l.Term, position.Position{}, err
+	}
+	if reply.Code != statement.OK || !s.Primary || (l.Term > 0 && s.Term != l.Term) {
+		return l.Term, position.Position{}, errors.Errorf("endpoint %s does not say that it leads term %d", e.ID, l.Term)
 	}
-	if reply.Code != statement.OK || !s.Primary || s.Term != l.Term {
-		return lead.Kept{}, errors.Errorf("endpoint %s does not say that it leads term %d", e.ID, l.Term)
+	return s.Term, s.Received, nil
+}
+
+// held reports whether a replica holds a position of the primary's log.
+func (k *Keeper) held(ctx context.Context, listed []roster.Endpoint, primary string, p position.Position) bool {
+	for _, e := range listed {
+		if e.ID == primary {
+			continue
+		}
+		if s, reply, err := k.status(ctx, e); err == nil && reply.Code == statement.OK && s.Received.Holds(p) {
+			return true
+		}
 	}
-	return lead.Kept{Position: s.Received, Source: e.ID, At: k.clock.Boot()}, nil
+	return false
 }
 
 // write replaces the record of a group if nobody has since it was read.
