Elect nobody who lacks what is known to be kept

Cause: a change of primary compares replicas with each other only, so the only replica that answers leads however much its log lacks. Seen: a log that ended at 1.146 was chosen after 3.209 had been acknowledged. Change: Elect takes the position that is known to be kept. A log holds it by term first, then by number; better uses the same order. The caller passes the start of the log, so nothing changes in the product yet.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -168,7 +168,7 @@
 		return "", 0, err
 	}
 	suspended := k.clock.Boot()
-	next, ok := policy.Elect(candidates)
+	next, ok := policy.Elect(candidates, position.Position{})
 	if !ok {
 		return "", 0, errors.New("no replica answers")
 	}
--- a/internal/policy/succession/model_test.go
+++ b/internal/policy/succession/model_test.go
@@ -327,7 +327,7 @@
 		p.change = nil
 		return
 	}
-	best, ok := succession.Elect(c.candidates)
+	best, ok := succession.Elect(c.candidates, position.Position{})
 	if !ok {
 		p.change = nil
 		return
--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -177,26 +177,23 @@
 	Leaving bool
 }
 
-// Elect returns the candidate that leads next: the one whose log holds the
-// most, and of two equal logs the one that stays.
-func Elect(all []Candidate) (Candidate, bool) {
-	if len(all) == 0 {
-		return Candidate{}, false
-	}
-	best := all[0]
-	for _, c := range all[1:] {
-		if better(c, best) {
-			best = c
+// Elect returns the candidate that leads next: of those whose log holds all
+// commits that are known to be kept, the one whose log holds the most, and of
+// two equal logs the one that stays.
+func Elect(all []Candidate, kept position.Position) (Candidate, bool) {
+	best, found := Candidate{}, false
+	for _, c := range all {
+		if c.Received.Holds(kept) && (!found || better(c, best)) {
+			best, found = c, true
 		}
 	}
-	return best, true
+	return best, found
 }
 
 // better reports whether c leads rather than d.
 func better(c, d Candidate) bool {
 	if c.Received != d.Received {
-		return c.Received.Term > d.Received.Term ||
-			(c.Received.Term == d.Received.Term && c.Received.Log > d.Received.Log)
+		return c.Received.Holds(d.Received)
 	}
 	return d.Leaving && !c.Leaving
 }
--- a/internal/policy/succession/succession_test.go
+++ b/internal/policy/succession/succession_test.go
@@ -81,13 +81,26 @@
 		{ID: "stays", Received: position.Position{Term: 2, Log: 12}},
 		{ID: "older term", Received: position.Position{Term: 1, Log: 99}},
 	}
-	best, ok := succession.Elect(all)
+	best, ok := succession.Elect(all, position.Position{})
 	assert.Assert(t, ok)
 	assert.Equal(t, best.ID, "stays")
-	_, ok = succession.Elect(nil)
+	_, ok = succession.Elect(nil, position.Position{})
 	assert.Assert(t, !ok)
 }
 
+func TestNobodyLeadsWithoutWhatIsKept(t *testing.T) {
+	all := []succession.Candidate{
+		{ID: "longer, of an earlier term", Received: position.Position{Term: 1, Log: 500}},
+		{ID: "short", Received: position.Position{Term: 3, Log: 208}},
+	}
+	_, ok := succession.Elect(all, position.Position{Term: 3, Log: 209})
+	assert.Assert(t, !ok)
+	all = append(all, succession.Candidate{ID: "holds it", Received: position.Position{Term: 3, Log: 209}, Leaving: true})
+	best, ok := succession.Elect(all, position.Position{Term: 3, Log: 209})
+	assert.Assert(t, ok)
+	assert.Equal(t, best.ID, "holds it")
+}
+
 func TestOneProxyHoldsTheDuty(t *testing.T) {
 	assert.Assert(t, succession.Takes("a", "", false, 0))
 	assert.Assert(t, succession.Takes("a", "a", true, 0))
