--- /dev/null
+++ b/internal/policy/succession/turn_bench_test.go
@@ -0,0 +1,30 @@
+package succession_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"eelgrassladder.example/eelgrassladder/internal/policy/succession"
+)
+
+// BenchmarkTurnsOfATick is what one tick of the keeper spends on turns in the
+// largest estate.
+func BenchmarkTurnsOfATick(b *testing.B) {
+	proxies := map[string]string{}
+	for i := range 430 {
+		proxies[fmt.Sprintf("front-miskolc-b-%d", i)] = "10.0.0.1:1"
+	}
+	groups := make([]string, 610)
+	for i := range groups {
+		groups[i] = fmt.Sprintf("fibo%04db", i)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, g := range groups {
+			others := slices.Collect(maps.Keys(proxies))
+			succession.Turn("front-miskolc-b-self", others, g)
+		}
+	}
+}
