Let members receive again that a change has left suspended

Cause: each try of a change suspended for a term above the last suspension, up to 8 or 9; the platform promotes for the next term that is led, 4. A replica that is suspended for a later term receives nothing from that primary, and nothing ended the suspension.

Once a member leads, those suspended beyond its term are resumed. A stalled primary whose replica was left suspended is made to lead anew, which resumes it.

--- a/connection.go
+++ b/connection.go
@@ -37,6 +37,8 @@
 	Status(deadline time.Time) (roster.Status, statement.Reply, error)
 	// Suspend stops a replica from receiving before the term.
 	Suspend(deadline time.Time, term uint64) (roster.Status, statement.Reply, error)
+	// Resume ends a suspension.
+	Resume(deadline time.Time) (roster.Status, statement.Reply, error)
 	// Demote makes a primary of a lower term a replica.
 	Demote(deadline time.Time, term uint64) (roster.Status, statement.Reply, error)
 	// Await goes on waiting for the answer that Run gave up waiting for.
--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -192,6 +192,7 @@
 		return successor{}, err
 	}
 	if leading != nil {
+		c.resume(ctx, others, leading.status.Term)
 		return c.made(*leading, others), c.settle(ctx, k.clock.Boot())
 	}
 	replicas, err := c.suspend(ctx, others, term+1)
@@ -217,6 +218,7 @@
 	if err != nil {
 		return successor{}, err
 	}
+	c.resume(ctx, others, led.status.Term)
 	return c.made(led, others), c.settle(ctx, suspended)
 }
 
--- a/internal/host/succession/check.go
+++ b/internal/host/succession/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -65,11 +66,13 @@
 	return found
 }
 
-// checkKept returns an error if nobody could lead without losing commits. A
-// primary that was stopped in an abandoned change may lead again.
+// checkKept returns an error if nobody could lead without losing commits. The
+// old primary may lead again if it was stopped in an abandoned change, or is
+// stalled by a suspension that such a change has left behind.
 func (c *change) checkKept(old answer, replicas []answer) error {
 	members := replicas
-	if c.reason == policy.Abandoned {
+	left := slices.ContainsFunc(replicas, func(a answer) bool { return a.status.Suspended > 0 })
+	if c.reason == policy.Abandoned || (c.reason == policy.Stalled && left) {
 		members = append(members[:len(members):len(members)], old)
 	}
 	kept, err := c.floor()
--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -140,6 +140,21 @@
 	return nil
 }
 
+// resume lets members receive again that an earlier try has suspended for a term
+// beyond that of the new primary, and that would not receive from it.
+func (c *change) resume(ctx context.Context, others []roster.Endpoint, term uint64) {
+	for _, a := range c.statuses(ctx, others) {
+		if a.err != nil || a.status.Suspended <= term {
+			continue
+		}
+		r := c.give(ctx, a.endpoint, func(n *control.Connection) (roster.Status, statement.Reply, error) {
+			return n.Resume(c.keeper.timer.Now().Add(orderTime))
+		})
+		klog.InfoS("Replica resumed", "Group", c.group, "Endpoint", a.endpoint.ID, "Suspended", a.status.Suspended,
+			"Term", term, "Failed", r.err != nil)
+	}
+}
+
 // halt suspends one member. A primary cannot be suspended: one that came back
 // under another ID, or that has not heard of a later term and would receive
 // again as soon as it has, is made a replica first.
