Take the duty back only after a while

Cause: the duty is free as soon as a change is done, and each group's change is begun by the proxy that sees the sign first.

Change: a proxy that has ordered a promotion, and sees that another one holds the duty since, leaves it there for 3.2 s. All proxies judge all groups, so the holder or a third one goes on.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -31,6 +31,9 @@
 	// promoteTime is how long a member may take to lead; it takes 300 to
 	// 600 ms.
 	promoteTime = 1500 * time.Millisecond
+	// turnTime is how long a proxy that has ordered a promotion leaves the duty
+	// to the next holder; the platform's lease of a duty is 3 s.
+	turnTime = 3200 * time.Millisecond
 	// retryPause is the wait before a change that could not begin is judged
 	// again.
 	retryPause = 80 * time.Millisecond
@@ -127,6 +130,21 @@
 	return k.changing <= 1
 }
 
+// used notes that this proxy orders a promotion, and resting reports whether it
+// has lately. It leaves the duty to a proxy that has taken it since: two must
+// not take turns.
+func (k *Keeper) used() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.ordered = k.clock.Boot()
+}
+
+func (k *Keeper) resting() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.ordered > 0 && k.clock.Boot()-k.ordered < turnTime
+}
+
 // release gives the duty back, so that another proxy need not wait for it.
 func (c *change) release(ctx context.Context) {
 	k := c.keeper
@@ -148,6 +166,9 @@
 	if !policy.Takes(k.name, duty.Holder, duty.Busy, k.clock.Boot()-duty.Seen) {
 		return errors.Errorf("proxy %s holds the duty", duty.Holder)
 	}
+	if duty.Holder != k.name && k.resting() {
+		return errors.Errorf("this proxy held the duty before %s", duty.Holder)
+	}
 	taken := duty.WithHolder(k.name, true)
 	term := max(l.Term, before.Term)
 	if term == 0 {
@@ -211,6 +232,7 @@
 	if k.clock.Boot()-c.began > holdTime || duty.Holder != k.name {
 		return successor{}, errors.Errorf("proxy %s holds the duty", duty.Holder)
 	}
+	k.used()
 	if err := k.promoter.Promote(ctx, c.group, next.ID, duty.Revision); err != nil {
 		klog.InfoS("Promotion without an answer", "Group", c.group, "Endpoint", next.ID, "Error", err.Error())
 	}
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -89,6 +89,9 @@
 	watched map[string]*watched
 	// listed is when the keeper first saw an endpoint; zero for never.
 	listed time.Time
+	// ordered is the boot time at which this proxy last ordered a promotion;
+	// zero for never.
+	ordered time.Duration
 	// changing counts the changes that this proxy has under way.
 	changing int
 }
