Count as left only members besides the old primary

Causes: (1) the old primary itself, lost for good, counted as a member that has left, so proxies that know nothing never replaced it; what it acknowledged, another member received. (2) While a member had left, an older memory of a running proxy stood for what was acknowledged, if the proxy that had been told more crashed before its next beat. (3) The members of a group were written into a closed record, which broke off the change that had closed it.

Change: the old primary is left out; while a member has left, the old primary's log counts, and what was told does only once the primary has been silent for 15 s; closed records are left alone; turns are computed when a record is due.

--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -22,6 +22,8 @@
 	k := c.keeper
 	record := k.beliefs.Tenure(c.group)
 	left := append(policy.Compare(record.Members, k.beliefs.Roster().Group(c.group)).Left, k.unrecorded(c.group, record.Kept)...)
+	// What the old primary acknowledged, another member received.
+	left = slices.DeleteFunc(left, func(id string) bool { return id == c.old.ID })
 	floor, known := policy.Knowledge{
 		Recorded: record.Kept, Told: k.table.Lead(c.group).Kept, Primary: c.primary, Named: len(record.Members) > 0,
 		Left: left, Lacked: k.lacked(c.group), Silent: c.evidence.Silent + k.clock.Boot() - c.judgedAt,
@@ -126,8 +128,8 @@
 	return all
 }
 
-// newest returns the newest term that the members know or are suspended for,
-// and the status of one that has replaced the old primary already. A member
+// newest returns the newest term that the members know, and the status of one
+// that has replaced the old primary already. A member
 // that leads the old primary's own term is that primary under another ID: it
 // has replaced nobody, and the replicas may be suspended under it.
 func (c *change) newest(ctx context.Context, others []roster.Endpoint) (uint64, *answer, error) {
@@ -141,7 +143,7 @@
 		if a.status.Primary && a.status.Term > c.record.Term {
 			leading = &answers[i]
 		}
-		term = max(term, a.status.Term, a.status.Suspended)
+		term = max(term, a.status.Term)
 	}
 	if len(answers) == 0 {
 		return 0, nil, errors.New("the group has no replica")
--- a/internal/host/succession/membership.go
+++ b/internal/host/succession/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -32,10 +31,12 @@
 	if !m.Equal(w.membership) || !k.table.Lead(group).Open() {
 		w.membership, w.differs = m, now
 	}
-	others := slices.Collect(maps.Keys(k.beliefs.Proxies()))
-	return policy.Difference{
-		Membership: m, Lasted: now.Sub(w.differs), HasList: k.hasList(now), Turn: policy.Turn(k.name, others, group),
+	d := policy.Difference{Membership: m, Lasted: now.Sub(w.differs), HasList: k.hasList(now)}
+	if d.Records() {
+		// Few groups differ at a time; the turn takes a look at all proxies.
+		d.Turn = policy.Turn(k.name, k.beliefs.Proxies(), group)
 	}
+	return d
 }
 
 // record writes the members of a group to its record, for proxies that start
@@ -44,6 +45,9 @@
 // can have acknowledged.
 func (k *Keeper) record(ctx context.Context, group string, d policy.Difference) {
 	before, l := k.beliefs.Tenure(group), k.table.Lead(group)
+	if before.Closed {
+		return // the change that closed it records the members
+	}
 	listed := k.beliefs.Roster().Group(group)
 	members := addresses(listed)
 	term, log, err := k.primary(ctx, l)
--- a/internal/policy/succession/floor.go
+++ b/internal/policy/succession/floor.go
@@ -7,6 +7,11 @@
 	"eelgrassladder.example/eelgrassladder/internal/trade/position"
 )
 
+// SilentTime is how long an old primary that does not answer is waited for once
+// a member has left. What was told may then be less than what was acknowledged,
+// if the proxy that was told more has ended; most hosts are back sooner.
+const SilentTime = 15 * time.Second
+
 // lackTime is how long a change waits for a member that holds the newest
 // position that was told, while no member has left. The primary tells the end of
 // its log, which may be some commits ahead of what it has acknowledged; and a
@@ -37,9 +42,8 @@
 // Floor returns the position that the next primary must hold, and whether it is
 // known. While all members are compared, the longest log holds all that was
 // acknowledged, and what was told adds a margin for a time only. Where one has
-// left, or nobody has noted who they were, what was told counts, and what the
-// old primary has; if it does not answer, other proxies may know better for as
-// long as what they were told takes to travel.
+// left, or nobody has noted who they were, what the old primary has counts; what
+// was told does only if the primary stays silent.
 func (k Knowledge) Floor() (lead.Kept, bool) {
 	floor := lead.Kept{Position: k.Recorded, Source: lead.SourceRecord}
 	compared := k.Named && len(k.Left) == 0
@@ -47,7 +51,7 @@
 	case !compared && !k.Primary.Position.IsZero():
 		return floor.With(k.Told).With(k.Primary), true
 	case !compared:
-		return floor.With(k.Told), k.Told.Told && k.Silent >= gossipTime
+		return floor.With(k.Told), k.Told.Told && k.Silent >= SilentTime
 	case k.Told.Told && k.Lacked < lackTime:
 		return floor.With(k.Told), true
 	default:
--- a/internal/policy/succession/membership.go
+++ b/internal/policy/succession/membership.go
@@ -14,8 +14,9 @@
 	// joinTime is how long members that join are waited for, so that those that
 	// come together cost one write.
 	joinTime = time.Second
-	// gossipTime is how long what one proxy was told takes to reach the others.
-	gossipTime = 2 * time.Second
+	// leftTime is how long a member is missed before it is taken to have left;
+	// entries that lapsed with the store are back within 2 s.
+	leftTime = 2 * time.Second
 	// turnTime is how long a proxy leaves to the one whose turn comes before
 	// its own; the store answers in 4 ms, and a watch shows it soon after.
 	turnTime = 400 * time.Millisecond
@@ -78,19 +79,18 @@
 	if len(d.Joined) > 0 {
 		return d.Lasted >= joinTime+wait
 	}
-	return len(d.Left) > 0 && d.Settled() && d.Lasted >= gossipTime+wait
+	return len(d.Left) > 0 && d.Settled() && d.Lasted >= leftTime+wait
 }
 
-// Settled reports whether the members that are missed have surely left, and all
-// proxies know what was acknowledged until then.
-func (d Difference) Settled() bool { return d.Lasted >= gossipTime && d.HasList >= listTime }
+// Settled reports whether the members that are missed are taken to have left.
+func (d Difference) Settled() bool { return d.Lasted >= leftTime && d.HasList >= listTime }
 
-// Turn returns the place of a proxy among others for work on a group that one
-// of them does.
-func Turn(self string, others []string, group string) int {
+// Turn returns the place of a proxy among others, which are keyed by name, for
+// work on a group that one of them does.
+func Turn(self string, others map[string]string, group string) int {
 	own := weight(self, group)
 	before := 0
-	for _, o := range others {
+	for o := range others {
 		if c := cmp.Compare(weight(o, group), own); c < 0 || (c == 0 && o < self) {
 			before++
 		}
