Wait for no member that has left once the old primary is stopped

Cause: every member listed in the last 12 s had to be suspended, whatever it could still do.

Change: a member that is not listed may hold what only the old primary holds besides, and may acknowledge more. Where the old primary answers, is stopped and is compared, it can do neither, and the change goes on without it. If it turns out that the old primary is not stopped, the change starts over with all.

--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,8 +73,13 @@
 	primary lead.Kept
 	// term is the newest term that a replica knew before the change.
 	term uint64
+	// listed holds the addresses of the members that the store listed once the
+	// record was closed, by ID.
+	listed map[string]string
+	// found is true if the old primary has answered, under whichever ID.
+	found bool
 	// stopped is true once the old primary is a replica.
-	stopped bool
+	stopped atomic.Bool
 }
 
 // change replaces the primary of a group that was judged, and reports whether
@@ -204,10 +211,13 @@
 		timer.Pause(ctx, k.timer, quiesceTime)
 	}
 	old := c.stop(ctx)
+	c.tells(old)
 	others, revision, err := c.members(ctx)
 	if err != nil {
 		return successor{}, err
 	}
+	all := len(others)
+	others = slices.DeleteFunc(others, func(e roster.Endpoint) bool { return !c.must(e) })
 	term, leading, err := c.newest(ctx, others)
 	if err != nil {
 		return successor{}, err
@@ -220,6 +230,10 @@
 	if err != nil {
 		return successor{}, err
 	}
+	if len(others) < all && !c.stopped.Load() {
+		c.found = false
+		return successor{}, errors.New("the old primary is not stopped, and members that are not listed were left out")
+	}
 	suspended := k.clock.Boot()
 	if err := c.recheck(ctx, replicas, old, term+1); err != nil {
 		return successor{}, err
--- a/internal/host/succession/check.go
+++ b/internal/host/succession/check.go
@@ -28,15 +28,17 @@
 	}
 	answers := c.statuses(ctx, append(replicas, lapsed...))
 	answers = append(answers[:len(replicas)], c.alive(answers[len(replicas):])...)
+	c.found = c.leads(old) || slices.ContainsFunc(answers, c.leads)
 	for _, a := range answers {
-		if a.err != nil {
+		if a.err != nil && c.must(a.endpoint) {
 			return errors.WithMessagef(a.err, "endpoint %s", a.endpoint.ID)
 		}
 		c.term = max(c.term, a.status.Term)
-		if a.status.Primary && a.status.Term >= c.keeper.beliefs.Tenure(c.group).Term {
+		if c.leads(a) {
 			c.tells(a)
 		}
 	}
+	answers = slices.DeleteFunc(answers, func(a answer) bool { return a.err != nil })
 	if err := c.checkKept(old, answers); err != nil {
 		return err
 	}
@@ -52,6 +54,20 @@
 	}
 }
 
+// leads reports whether a member has answered that it leads the term of the
+// group's record, or a later one.
+func (c *change) leads(a answer) bool {
+	return a.err == nil && a.status.Primary && a.status.Term >= c.keeper.beliefs.Tenure(c.group).Term
+}
+
+// must reports whether a change cannot go on without a member. One that is not
+// listed may hold what nobody else does but the old primary, and may acknowledge
+// more; where the old primary is stopped and compared it can do neither.
+func (c *change) must(e roster.Endpoint) bool {
+	_, seen := c.keeper.beliefs.Roster().Endpoint(e.ID)
+	return !c.found || seen || c.listed[e.ID] != ""
+}
+
 // alive returns the answers of members that are not listed and live on. They
 // are members until they are silent: they may acknowledge still.
 func (c *change) alive(lapsed []answer) []answer {
--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return nil, 0, errors.WithMessage(err, "members cannot be read")
 	}
+	c.listed = addresses(listed)
 	c.keeper.sight(c.group, listed)
 	return c.keeper.replicas(c.group, c.old.ID), revision, nil
 }
--- a/internal/host/succession/order.go
+++ b/internal/host/succession/order.go
@@ -83,7 +83,7 @@
 	if a.err == nil && a.status.Primary {
 		a.err = errors.Errorf("it leads term %d", a.status.Term)
 	}
-	c.stopped = a.err == nil
+	c.stopped.Store(a.err == nil)
 	if a.err != nil {
 		klog.InfoS("Old primary not stopped", "Group", c.group, "Endpoint", c.old.ID, "Error", a.err.Error())
 	}
@@ -166,16 +166,20 @@
 	}
 	klog.InfoS("Primary is made a replica", "Group", c.group, "Term", s.Term, "Newest", term-1,
 		"Received", s.Received.String())
+	led := s.Term
 	s, reply, err = n.Demote(end, term)
 	if err != nil || reply.Code != statement.OK {
 		return s, reply, err
 	}
+	if led >= c.record.Term && !s.Primary {
+		c.stopped.Store(true)
+	}
 	return n.Suspend(end, term)
 }
 
 // demote makes the old primary a replica, if it can be reached.
 func (c *change) demote(ctx context.Context, term uint64) {
-	if c.old.Address == "" || c.dead || c.stopped {
+	if c.old.Address == "" || c.dead || c.stopped.Load() {
 		return
 	}
 	a := c.give(ctx, c.old, func(n *control.Connection) (roster.Status, statement.Reply, error) {
