--- a/internal/host/succession/change.go
+++ b/internal/host/succession/change.go
@@ -203,8 +203,8 @@
 	return nil
 }
 
-// promote suspends the replicas, has the best member promoted and waits until
-// it leads. It returns that member's ID, its term, and the end of its log.
+// promote stops the old primary, suspends the other members, has the best of
+// them promoted and waits until it leads.
 func (c *change) promote(ctx context.Context) (successor, error) {
 	k := c.keeper
 	if c.reason == policy.Leaving || c.reason == policy.Outpaced {
--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -24,6 +24,8 @@
 	left := append(policy.Compare(record.Members, k.beliefs.Roster().Group(c.group)).Left, k.unrecorded(c.group, record.Kept)...)
 	// What the old primary acknowledged, another member received.
 	left = slices.DeleteFunc(left, func(id string) bool { return id == c.old.ID })
+	slices.Sort(left)
+	left = slices.Compact(left)
 	floor, known := policy.Knowledge{
 		Recorded: record.Kept, Told: k.table.Lead(c.group).Kept, Primary: c.primary, Named: len(record.Members) > 0,
 		Left: left, Lacked: k.lacked(c.group), Silent: c.evidence.Silent + k.clock.Boot() - c.judgedAt,
@@ -69,17 +71,12 @@
 	}
 }
 
-// candidate is an endpoint that could lead next.
-func candidate(a answer) policy.Candidate {
-	return policy.Candidate{ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving}
-}
-
 // candidates are the endpoints that have answered and could lead next.
 func candidates(answers []answer) []policy.Candidate {
 	all := make([]policy.Candidate, 0, len(answers))
 	for _, a := range answers {
 		if a.err == nil {
-			all = append(all, candidate(a))
+			all = append(all, policy.Candidate{ID: a.endpoint.ID, Received: a.status.Received, Leaving: a.endpoint.Leaving})
 		}
 	}
 	return all
@@ -101,7 +98,7 @@
 	}
 	all := append(replicas[:len(replicas):len(replicas)], old)
 	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", next.ID, "Received", next.Received.String(),
-		"Kept", kept.Position.String(), "KeptFrom", kept.Source, "KeptAgeMs", (c.keeper.clock.Boot() - kept.At).Milliseconds(),
+		"Kept", kept.Position.String(), "KeptFrom", kept.Source, "KeptAgeMs", c.keeper.age(kept).Milliseconds(),
 		"KeptTold", kept.Told, "Told", c.keeper.table.Lead(c.group).Kept.Position.String(), "Members", logs(all), "Listed", revision, "Token", c.record.Revision)
 	for _, a := range all {
 		if a.endpoint.ID == next.ID {
@@ -111,6 +108,15 @@
 	return roster.Endpoint{}, errors.Errorf("endpoint %s is no member", next.ID)
 }
 
+// age returns how long ago a position was told; zero for one that the record
+// tells.
+func (k *Keeper) age(kept lead.Kept) time.Duration {
+	if kept.At == 0 {
+		return 0
+	}
+	return k.clock.Boot() - kept.At
+}
+
 // lacking notes that no member holds what is kept.
 func (c *change) lacking(members []answer, kept lead.Kept) error {
 	c.keeper.lack(c.group)
