Deny no commit in the stand-in that is in its log

Cause: a member of the stand-in that is made a replica while a commit waits there answered READONLY, which says that the commit has not run, although it was in the member's log and reads there saw it. The proxy passed the promise on.

Change: a commit that was refused before it ran is answered with READONLY, one that is in the log with TIMEOUT.

--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -340,11 +340,20 @@
 		return s.answer(id, text)
 	}
 	if _, err := s.member.commit(map[string]string{item: value}); err != nil {
-		return s.fail("READONLY", err.Error())
+		return s.fail(refusal(err), err.Error())
 	}
 	return s.answer(id, text)
 }
 
+// refusal is the code for a commit that was not acknowledged. One that is in the
+// log already may be seen, and may be kept: READONLY would deny that it ran.
+func refusal(err error) string {
+	if errors.Is(err, errReadOnly) {
+		return "READONLY"
+	}
+	return "TIMEOUT"
+}
+
 // commit ends a transaction.
 func (s *session) commit(id, text string) bool {
 	if !s.inside {
@@ -359,7 +368,7 @@
 	s.work()
 	if len(writes) > 0 {
 		if _, err := s.member.commit(maps.Clone(writes)); err != nil {
-			s.send("ERROR READONLY "+err.Error(), s.ready())
+			s.send("ERROR "+refusal(err)+" "+err.Error(), s.ready())
 			return true
 		}
 	}
