Hold up no group that acknowledges commits alone

A group whose configuration asks no replica for a commit could wait for a member that has left, although its commits may be lost with its primary by configuration.

Change: such a group has no floor. One that is not configured yet counts as replicated.

--- a/internal/host/succession/election.go
+++ b/internal/host/succession/election.go
@@ -26,8 +26,10 @@
 	left = slices.DeleteFunc(left, func(id string) bool { return id == c.old.ID })
 	slices.Sort(left)
 	left = slices.Compact(left)
+	group, configured := k.beliefs.Routes().Group(c.group)
 	floor, known := policy.Knowledge{
-		Recorded: record.Kept, Told: k.table.Lead(c.group).Kept, Primary: c.primary, Named: len(record.Members) > 0,
+		Replicated: !configured || group.Synchronous > 0,
+		Recorded:   record.Kept, Told: k.table.Lead(c.group).Kept, Primary: c.primary, Named: len(record.Members) > 0,
 		Left: left, Lacked: k.lacked(c.group), Silent: c.evidence.Silent + k.clock.Boot() - c.judgedAt,
 	}.Floor()
 	if !known {
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -23,6 +23,7 @@
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/succession"
 	"eelgrassladder.example/eelgrassladder/internal/table/work"
 	"eelgrassladder.example/eelgrassladder/internal/trade/roster"
+	"eelgrassladder.example/eelgrassladder/internal/trade/route"
 	"eelgrassladder.example/eelgrassladder/internal/trade/tenure"
 )
 
@@ -45,6 +46,8 @@
 	Roster() roster.Roster
 	// Groups returns the names of the groups that routes lead to.
 	Groups() map[string]bool
+	// Routes returns the routes in force.
+	Routes() route.Table
 	// Members reads the members of a group from the store, none older than the
 	// call, and the store's revision.
 	Members(ctx context.Context, group string) ([]roster.Endpoint, uint64, error)
--- a/internal/policy/succession/floor.go
+++ b/internal/policy/succession/floor.go
@@ -21,6 +21,9 @@
 // Knowledge is what a change of primary knows of acknowledged commits. It is
 // immutable.
 type Knowledge struct {
+	// Replicated is true if a commit is acknowledged only once a replica has it.
+	// Otherwise nothing is promised to be kept by a change.
+	Replicated bool
 	// Recorded is the kept position in the group's record.
 	Recorded position.Position
 	// Told is the newest that an answer to a commit told; its field Told is
@@ -48,6 +51,8 @@
 	floor := lead.Kept{Position: k.Recorded, Source: lead.SourceRecord}
 	compared := k.Named && len(k.Left) == 0
 	switch {
+	case !k.Replicated:
+		return lead.Kept{Source: lead.SourceRecord}, true
 	case !compared && !k.Primary.Position.IsZero():
 		return floor.With(k.Told).With(k.Primary), true
 	case !compared:
--- a/internal/policy/succession/floor_test.go
+++ b/internal/policy/succession/floor_test.go
@@ -53,6 +53,7 @@
 		},
 		"nothing is known, and no member is named": {unknown: true},
 	} {
+		c.knowledge.Replicated = true
 		floor, known := c.knowledge.Floor()
 		assert.Equal(t, known, !c.unknown, name)
 		if known {
@@ -60,3 +61,9 @@
 		}
 	}
 }
+
+func TestAGroupThatPromisesNothingIsNotHeldUp(t *testing.T) {
+	floor, known := succession.Knowledge{Recorded: position.Position{Term: 2, Log: 9}, Left: []string{"m-2"}}.Floor()
+	assert.Assert(t, known)
+	assert.Assert(t, floor.Position.IsZero())
+}
