Ask for a status in one place, and forget members that have left

The keeper and the checkup opened a connection, asked and released it in the same lines; control.Dialer.Status serves both.

The tests of internal/host, internal/policy/succession and platform/adapter passed.

--- a/internal/host/checkup/checkup.go
+++ b/internal/host/checkup/checkup.go
@@ -65,13 +65,7 @@
 	}
 	c.tasks.Detach("checkup", func(ctx context.Context) {
 		defer c.end(e.ID)
-		n, err := c.dialer.Order(ctx, e)
-		if err != nil {
-			return
-		}
-		_, reply, err := n.Status(c.timer.Now().Add(askTime))
-		n.Release(err, reply.Position)
-		if err == nil {
+		if _, reply, err := c.dialer.Status(ctx, e, askTime); err == nil {
 			klog.InfoS("Endpoint answers again", "Endpoint", e.ID, "Group", e.Group, "Code", reply.Code.String())
 		}
 	})
--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -67,6 +67,18 @@
 	return d.open(ctx, e, c, borrowed)
 }
 
+// Status asks an endpoint for its status, on a connection for what must not
+// wait. The limit bounds the question once the connection is open.
+func (d *Dialer) Status(ctx context.Context, e roster.Endpoint, limit time.Duration) (roster.Status, statement.Reply, error) {
+	c, err := d.Order(ctx, e)
+	if err != nil {
+		return roster.Status{}, statement.Reply{}, err
+	}
+	s, reply, err := c.Status(d.timer.Now().Add(limit))
+	c.Release(err, reply.Position)
+	return s, reply, err
+}
+
 // open returns the connection, which is opened if c is nil. A failure is
 // noted in the table.
 func (d *Dialer) open(ctx context.Context, e roster.Endpoint, c eelgrassladder.Connection, borrowed bool) (*Connection, error) {
--- a/internal/host/succession/keeper.go
+++ b/internal/host/succession/keeper.go
@@ -255,7 +255,7 @@
 	if !ok {
 		return
 	}
-	_, _, err := k.status(ctx, told)
+	_, _, err := k.dialer.Status(ctx, told, probeTime)
 	if err != nil {
 		klog.InfoS("Primary did not answer", "Group", group, "Endpoint", told.ID, "Reason", err.Error())
 		k.mutex.Lock()
--- a/internal/host/succession/membership.go
+++ b/internal/host/succession/membership.go
@@ -27,7 +27,9 @@
 // ones. It lasts from when the record may be written, so that the proxies' turns
 // come one after the other. The caller holds the mutex.
 func (k *Keeper) difference(group string, w *watched, now time.Time) policy.Difference {
-	m := policy.Compare(k.beliefs.Tenure(group).Members, k.beliefs.Roster().Group(group))
+	record := k.beliefs.Tenure(group)
+	w.forget(record.Kept, now)
+	m := policy.Compare(record.Members, k.beliefs.Roster().Group(group))
 	if !m.Equal(w.membership) || !k.table.Lead(group).Open() {
 		w.membership, w.differs = m, now
 	}
@@ -84,7 +86,7 @@
 	if !ok {
 		return l.Term, position.Position{}, errors.Errorf("endpoint %s is not listed", l.Endpoint)
 	}
-	s, reply, err := k.status(ctx, e)
+	s, reply, err := k.dialer.Status(ctx, e, probeTime)
 	if err != nil {
 		return l.Term, position.Position{}, err
 	}
@@ -100,7 +102,7 @@
 		if e.ID == primary {
 			continue
 		}
-		if s, reply, err := k.status(ctx, e); err == nil && reply.Code == statement.OK && s.Received.Holds(p) {
+		if s, reply, err := k.dialer.Status(ctx, e, probeTime); err == nil && reply.Code == statement.OK && s.Received.Holds(p) {
 			return true
 		}
 	}
@@ -127,14 +129,3 @@
 	}
 	return all
 }
-
-// status asks an endpoint for its status on a connection of its own.
-func (k *Keeper) status(ctx context.Context, e roster.Endpoint) (roster.Status, statement.Reply, error) {
-	c, err := k.dialer.Order(ctx, e)
-	if err != nil {
-		return roster.Status{}, statement.Reply{}, err
-	}
-	s, reply, err := c.Status(k.timer.Now().Add(probeTime))
-	c.Release(err, reply.Position)
-	return s, reply, err
-}
--- a/internal/host/succession/watched.go
+++ b/internal/host/succession/watched.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -106,6 +107,14 @@
 	w.left[m.endpoint.ID] = m
 }
 
+// forget drops members that have left and need no longer be asked: they are not
+// likely to live, and the record holds what was known to be kept.
+func (w *watched) forget(recorded position.Position, now time.Time) {
+	maps.DeleteFunc(w.left, func(_ string, m missed) bool {
+		return now.Sub(m.at) >= lapsedTime && recorded.Holds(m.kept)
+	})
+}
+
 // lapsed returns members of a group that were forgotten lately and may live on
 // without an entry, cut off from the store.
 func (k *Keeper) lapsed(group string) []roster.Endpoint {
