Take a primary for down only if its host refuses connections

Cause: a reset counted as proof that an endpoint's process is down. An endpoint at its limit of connections may reset new ones, so a proxy could take a living primary for down, replace it, and not wait for the proofs of it to expire; a proxy that still held one would read there after the next primary had acknowledged a commit.

Change: only a refused connection is such a proof. The reset of an open connection has the primary probed at once, which finds a crash as soon as before. A new connection that is reset counts as refused for the limit. The simulated member closes its listener while it is down, as a process that has ended does, and can reset new connections.

--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -96,15 +96,11 @@
 	defer cancel()
 	conn, reply, err := d.connector.Connect(ctx, e)
 	if err != nil {
-		wrapped.discard(scheduler.Outcome{Refused: Refused(err)})
+		wrapped.discard(NotConnected(reply, err))
 		return nil, err
 	}
 	if conn == nil {
-		// A misrouted endpoint is gone: another instance has its address.
-		misrouted := reply.Code == statement.Misrouted
-		wrapped.discard(scheduler.Outcome{
-			Answered: !misrouted, Refused: misrouted, ConnectionsFull: reply.Code == statement.Overload,
-		})
+		wrapped.discard(NotConnected(reply, nil))
 		return nil, errors.Errorf("endpoint %s refused the connection: %v %s", e.ID, reply.Code, reply.Detail)
 	}
 	wrapped.Connection = conn
@@ -135,7 +131,7 @@
 	o := scheduler.Outcome{Answered: true, Applied: applied}
 	switch {
 	case err != nil:
-		c.discard(scheduler.Outcome{Refused: Refused(err)})
+		c.discard(Failure(err))
 	case c.borrowed:
 		c.table.Return(c.endpoint, c.Connection, o)
 	default:
@@ -157,8 +153,34 @@
 	c.table.Observe(c.endpoint, o)
 }
 
-// Refused reports whether an error says that a connection was refused or reset, as happens
-// when no process listens at the address or the process has ended.
-func Refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+// Refused reports whether an error says that a connection was refused, which proves that
+// no process listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Reset reports whether an error says that a connection was reset. The process has ended,
+// or it lives and has closed only this connection, as at its limit of connections.
+func Reset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
+// NotConnected returns the outcome of an attempt to open a connection that failed with an
+// error, or that the endpoint refused with a reply.
+func NotConnected(r statement.Reply, err error) scheduler.Outcome {
+	switch {
+	case Reset(err):
+		// An endpoint at its limit may reset a new connection before its refusal is read.
+		return scheduler.Outcome{ConnectionsFull: true}
+	case err != nil:
+		return Failure(err)
+	case r.Code == statement.Misrouted:
+		// Another instance has the address, so the endpoint's process has ended.
+		return scheduler.Outcome{Refused: true}
+	default:
+		return scheduler.Outcome{
+			Answered: true, ConnectionsFull: r.Code == statement.Overload || r.Code == statement.Busy,
+		}
+	}
+}
+
+// Failure returns the outcome of a use that ended with an error instead of an answer.
+func Failure(err error) scheduler.Outcome {
+	return scheduler.Outcome{Refused: Refused(err), Reset: Reset(err)}
 }
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -236,7 +236,7 @@
 	}
 	health := ct.table.Health(known.Endpoint)
 	e.Failures = max(e.Failures, health.Failures)
-	e.Refused, e.Running = health.Refused, health.Running
+	e.Refused, e.Reset, e.Running = health.Refused, health.Reset, health.Running
 	lastAnswer := health.LastAnswer
 	if lastAnswer.Before(state.primarySince) {
 		lastAnswer = state.primarySince
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -179,14 +179,7 @@
 	if c == nil {
 		opened, reply, err := g.connect(a, e.deadline)
 		if opened == nil {
-			o := scheduler.Outcome{Answered: err == nil, Refused: control.Refused(err)}
-			o.ConnectionsFull = reply.Code == statement.Overload || reply.Code == statement.Busy
-			// Misrouted means that another instance has the endpoint's address now, so the
-			// endpoint's process has ended. That is reported as Refused.
-			if reply.Code == statement.Misrouted {
-				o = scheduler.Outcome{Refused: true}
-			}
-			g.table.Discard(a.Endpoint.ID, nil, o)
+			g.table.Discard(a.Endpoint.ID, nil, control.NotConnected(reply, err))
 			e.retry(a, reply, failureText(reply, err), false)
 			return nil, false
 		}
@@ -290,7 +283,7 @@
 	g.tasks.GoIsolated("late answer", func(context.Context) {
 		reply, err := c.Await(e.deadline.Add(lateAnswerTime))
 		if err != nil {
-			g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Refused: control.Refused(err)})
+			g.table.Discard(a.Endpoint.ID, c, control.Failure(err))
 			return
 		}
 		if e.statement.Writes() {
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -39,7 +39,7 @@
 	if timedOut(err) {
 		e.awaitLate(a, c)
 	} else {
-		g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Refused: control.Refused(err)})
+		g.table.Discard(a.Endpoint.ID, c, control.Failure(err))
 	}
 	if e.statement.Writes() {
 		e.finishUnknown(a, err, took)
@@ -88,7 +88,10 @@
 // outcomeOf returns what a reply, or the error if there is none, shows about the
 // endpoint.
 func outcomeOf(a scheduler.Assignment, r statement.Reply, err error) scheduler.Outcome {
-	o := scheduler.Outcome{Answered: err == nil, Refused: control.Refused(err), Busy: r.Code == statement.Busy}
+	if err != nil {
+		return control.Failure(err)
+	}
+	o := scheduler.Outcome{Answered: true, Busy: r.Code == statement.Busy}
 	if r.Code == statement.Lagging {
 		o.MissingPosition = a.After
 	}
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -114,7 +114,7 @@
 // then the outcome is unknown.
 func (e *execution) failInTransaction(c eelgrassladder.Connection, err error) {
 	t := e.session.transaction
-	o := scheduler.Outcome{Refused: control.Refused(err)}
+	o := control.Failure(err)
 	if e.statement.Kind != statement.Commit || !t.wrote {
 		e.abort(c, o, err.Error())
 		return
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"slices"
 	"time"
@@ -17,8 +18,11 @@
 
 // Fault is the set of faults injected into a member. The value is immutable.
 type Fault struct {
-	// Down resets the open connections and new ones.
+	// Down resets the open connections and refuses new ones.
 	Down bool
+	// ResetNew resets new connections and keeps the open ones, as a member does that
+	// closes a connection beyond its limit before it has read the greeting.
+	ResetNew bool
 	// Unresponsive makes the member accept connections and answer nothing.
 	Unresponsive bool
 	// NotReplicating keeps a replica from receiving the log.
@@ -64,9 +68,9 @@
 	// when a change of primary drops entries.
 	visibleEntries int
 	fault          Fault
-	// terminated is true once Terminate was called. The log is then gone, and the
-	// listener closed.
-	terminated      bool
+	// terminated is true once Terminate was called. The log is then gone.
+	terminated bool
+	// listener is closed while the member is down or terminated.
 	listener        net.Listener
 	openConnections map[net.Conn]bool
 	// rejectedConnections counts connections that exceeded the limit, and
@@ -128,9 +132,13 @@
 	if m.fault.Down && !f.Down {
 		m.suspended = 0
 		m.primary = m.primary && newest == m
+		if !m.listen() {
+			m.tasks.GoIsolated("member listener", m.listenAgain)
+		}
 	}
 	m.fault = f
 	if f.Down {
+		_ = m.listener.Close()
 		m.disconnect()
 	}
 	if !f.Isolated && m.primary && newest != m && !newest.fault.Down {
@@ -141,6 +149,37 @@
 	g.changed.Broadcast()
 }
 
+// listen listens on the member's address again and accepts connections. It returns false
+// if the address is in use. The caller holds the mutex.
+func (m *Member) listen() bool {
+	listener, err := net.Listen("tcp4", m.Address)
+	if err != nil {
+		return false
+	}
+	m.listener = listener
+	m.tasks.Go("member "+m.ID, m.acceptLoop(listener))
+	return true
+}
+
+// listenAgain calls listen until the address is free or the member is down again.
+func (m *Member) listenAgain(ctx context.Context) {
+	pause := time.NewTicker(relistenPause)
+	defer pause.Stop()
+	for ctx.Err() == nil {
+		<-pause.C
+		m.group.mutex.Lock()
+		done := m.fault.Down || m.listen()
+		m.group.mutex.Unlock()
+		if done {
+			return
+		}
+	}
+}
+
+// relistenPause is the pause between attempts to listen on an address that another
+// process uses for the moment.
+const relistenPause = 20 * time.Millisecond
+
 // Restart simulates a restart of the member's process: connections are reset and
 // the log survives. A replica is no longer suspended, and receives from the
 // newest primary.
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -15,7 +15,7 @@
 )
 
 // acceptLoop returns a task that accepts connections until its context ends or the
-// member is terminated.
+// member is down or terminated.
 func (m *Member) acceptLoop(listener net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -25,7 +25,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			if err != nil && m.isTerminated() {
+			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			if err != nil {
@@ -40,13 +40,6 @@
 	}
 }
 
-// isTerminated reports whether Terminate was called.
-func (m *Member) isTerminated() bool {
-	m.group.mutex.Lock()
-	defer m.group.mutex.Unlock()
-	return m.terminated
-}
-
 // session is one connection to a member. One goroutine uses it.
 type session struct {
 	member *Member
@@ -72,7 +65,7 @@
 	g := m.group
 	g.mutex.Lock()
 	full := len(m.openConnections) >= m.Connections
-	down := m.fault.Down
+	down := m.fault.Down || m.fault.ResetNew
 	if full && !down {
 		m.rejectedConnections++
 	}
--- a/internal/policy/failover/failover.go
+++ b/internal/policy/failover/failover.go
@@ -115,6 +115,9 @@
 	Failures int
 	// Refused is true if the last failure was a refused connection.
 	Refused bool
+	// Reset is true if the last failure was the reset of an open connection. It does
+	// not prove that the primary is down, but a probe soon tells.
+	Reset bool
 	// ProbeFailed is true if a probe failed after the last answer.
 	ProbeFailed bool
 	// StalledFor is how long the oldest pending commit has waited.
@@ -156,7 +159,7 @@
 	if !e.HasPrimary || e.Closed {
 		return false
 	}
-	return e.SilentFor > idleProbeSilence || (e.Failures > 0 && e.Refused) ||
+	return e.SilentFor > idleProbeSilence || (e.Failures > 0 && (e.Refused || e.Reset)) ||
 		(e.SilentFor > probeSilence && (e.Failures > 0 || e.Running > 0))
 }
 
--- a/internal/policy/failover/failover_test.go
+++ b/internal/policy/failover/failover_test.go
@@ -28,6 +28,9 @@
 		"a host that refuses connections is down": {with(func(e *failover.Evidence) {
 			e.Refused, e.Failures, e.SilentFor = true, 2, 200*time.Millisecond
 		}), failover.Down},
+		"resets of connections do not prove that a primary is down": {with(func(e *failover.Evidence) {
+			e.Reset, e.Failures, e.SilentFor = true, 5, 400*time.Millisecond
+		}), failover.None},
 		"a silent primary stays until a probe fails": {with(func(e *failover.Evidence) {
 			e.Failures, e.SilentFor = 5, time.Minute
 		}), failover.None},
@@ -117,3 +120,10 @@
 	e.Closed = true
 	assert.Assert(t, !failover.ShouldProbe(e))
 }
+
+func TestAPrimaryThatResetAConnectionIsProbedAtOnce(t *testing.T) {
+	e := failover.Evidence{HasPrimary: true, Listed: true, Successors: 2, SilentFor: 5 * time.Millisecond, Failures: 1}
+	assert.Assert(t, !failover.ShouldProbe(e))
+	e.Reset = true
+	assert.Assert(t, failover.ShouldProbe(e))
+}
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -26,6 +26,9 @@
 	// Refused is true if the connection failed in a way that proves that the
 	// endpoint's process is down.
 	Refused bool
+	// Reset is true if an open connection was reset. The endpoint's process may be
+	// down; only a new connection can tell.
+	Reset bool
 }
 
 // Return gives a connection back to the table after its statement has ended.
@@ -96,8 +99,8 @@
 	case o.Answered:
 		e.recordAnswer(now)
 	default:
-		e.recordFailure(now, o.Refused)
-		if o.Refused {
+		e.recordFailure(now, o)
+		if o.Refused || o.Reset {
 			t.closeIdle(e, 0)
 		}
 	}
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -105,8 +105,8 @@
 	// lastAnsweredWrite that ended without an answer; zero if there is none.
 	unansweredSince time.Time
 	// refused is true if the last failure proves that the endpoint's process
-	// is down.
-	refused bool
+	// is down, and reset if it was the reset of an open connection.
+	refused, reset bool
 }
 
 // snapshot returns what placement sees of the endpoint.
@@ -167,13 +167,13 @@
 func (e *endpoint) recordAnswer(now time.Time) {
 	e.lastAnswer = now
 	e.failures = 0
-	e.refused = false
+	e.refused, e.reset = false, false
 	e.retryAt = time.Time{}
 }
 
-func (e *endpoint) recordFailure(now time.Time, refused bool) {
+func (e *endpoint) recordFailure(now time.Time, o Outcome) {
 	e.failures++
-	e.refused = refused
+	e.refused, e.reset = o.Refused, o.Reset
 	wait := failureBackoff << min(e.failures-1, 5)
 	e.retryAt = now.Add(min(wait, maxFailureBackoff))
 }
--- a/internal/table/scheduler/health.go
+++ b/internal/table/scheduler/health.go
@@ -17,6 +17,8 @@
 	Failures int
 	// Refused is true if the last failure proves that no process listens.
 	Refused bool
+	// Reset is true if the last failure was the reset of an open connection.
+	Reset bool
 	// OldestPendingWrite is the earliest send time of the writes that are still
 	// pending and were sent after the last answered write; zero if there is
 	// none.
@@ -33,7 +35,7 @@
 		return Health{}
 	}
 	return Health{
-		LastAnswer: e.lastAnswer, Running: e.running, Failures: e.failures, Refused: e.refused, OldestPendingWrite: e.oldestPendingWrite(),
+		LastAnswer: e.lastAnswer, Running: e.running, Failures: e.failures, Refused: e.refused, Reset: e.reset, OldestPendingWrite: e.oldestPendingWrite(),
 	}
 }
 
