Refuse odd entries of the store, and end a stopping process in time

One undecodable record hid the proofs of all groups. An age that overflows could come out as a fresh proof. A panic in a job or heartbeat ended the process.

A session could be closed while a worker used it.

Change: each number, address and name has a range; what is beyond it names nothing to use and is logged once for each key. Panics end one statement or call. The process ends at most 200 ms after its tasks were stopped.

--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
@@ -77,7 +80,15 @@
 	} else {
 		e.submit("")
 	}
-	reply := e.await()
+	reply, ok := e.await()
+	if !ok {
+		s.abandoned = true
+		g.observer.Answered(Answered{
+			Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Reply: reply, Took: g.timer.Now().Sub(e.arrived),
+			Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
+		})
+		return reply
+	}
 	g.observer.Answered(Answered{
 		Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Reply: reply, Endpoint: e.endpointID, Primary: e.asPrimary,
 		Took: g.timer.Now().Sub(e.arrived), Attempts: e.attempts, Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
@@ -85,14 +96,20 @@
 	return reply
 }
 
-// await waits for the reply. If the process stops first, the reply says that the
-// outcome of the statement is in doubt.
-func (e *execution) await() statement.Reply {
+// await waits for the reply. If the process stops first, it returns false, and the reply
+// says that the outcome of the statement is in doubt; a worker may still be using the
+// execution, its session and the session's connection then.
+func (e *execution) await() (statement.Reply, bool) {
 	select {
 	case reply := <-e.done:
-		return reply
+		return reply, true
 	case <-e.gateway.tasks.Context().Done():
-		return statement.ErrorReply(statement.InDoubt, "the proxy stops")
+	}
+	select {
+	case reply := <-e.done:
+		return reply, true
+	default:
+		return statement.ErrorReply(statement.InDoubt, "the proxy stops"), false
 	}
 }
 
@@ -103,11 +120,23 @@
 	need.Avoid = avoid
 	e.job = scheduler.Job{
 		Need: need, Priority: e.route.Priority, Arrived: e.arrived, Timeout: e.route.Timeout - replyMargin,
-		Target: e.route.Target, Run: e.assigned,
+		Target: e.route.Target, Run: e.runAssigned,
 	}
 	e.gateway.table.Submit(&e.job)
 }
 
+// runAssigned runs one attempt. If it panics, the outcome of the statement is in doubt, and
+// only this statement is affected.
+func (e *execution) runAssigned(a scheduler.Assignment) {
+	defer func() {
+		if r := recover(); r != nil {
+			klog.ErrorS(nil, "Running a statement panicked", "Request", e.statement.ID, "Reason", r, "Stack", string(debug.Stack()))
+			e.finish(statement.ErrorReply(statement.InDoubt, "internal error"))
+		}
+	}()
+	e.assigned(a)
+}
+
 // assigned runs one attempt. A worker calls it when the table has assigned an
 // endpoint to the statement, or has refused it.
 func (e *execution) assigned(a scheduler.Assignment) {
@@ -168,8 +197,13 @@
 	e.finish(e.session.fail(code, "waited for an endpoint: "+r.String()))
 }
 
-// finish passes the reply to await. Call it once.
-func (e *execution) finish(r statement.Reply) { e.done <- r }
+// finish passes the reply to await. Only the first call has an effect.
+func (e *execution) finish(r statement.Reply) {
+	select {
+	case e.done <- r:
+	default:
+	}
+}
 
 // prepareConnection returns the assignment's connection. It opens the connection if
 // necessary, and applies the session values and the prepared statement to it. If it
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -28,6 +28,10 @@
 	written position.Position
 	// transaction is the open transaction; nil if there is none.
 	transaction *transaction
+	// abandoned is true once a statement was replied to because the process stops, while
+	// a worker may still run it. The fields above, except gateway and database, must not
+	// be used any more.
+	abandoned bool
 }
 
 // transaction is an open transaction of a client.
@@ -57,7 +61,7 @@
 // State returns the state of the session that replies report to the client.
 func (s *Session) State() statement.State {
 	switch {
-	case s.transaction == nil:
+	case s.abandoned || s.transaction == nil:
 		return statement.Idle
 	case s.transaction.failed:
 		return statement.InFailedTransaction
@@ -69,7 +73,7 @@
 // TransactionIdleLimit returns how long the client may leave the open transaction idle;
 // zero means no limit, or no transaction that holds a connection.
 func (s *Session) TransactionIdleLimit() time.Duration {
-	if s.transaction == nil || s.transaction.connection == nil {
+	if s.abandoned || s.transaction == nil || s.transaction.connection == nil {
 		return 0
 	}
 	return s.gateway.routes.Routes().Limits.TransactionIdleLimit
@@ -77,6 +81,9 @@
 
 // Do runs one statement and returns the reply for the client.
 func (s *Session) Do(st statement.Statement) statement.Reply {
+	if s.abandoned {
+		return statement.ErrorReply(statement.Busy, "the proxy stops")
+	}
 	if s.transaction != nil && s.transaction.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
 		return s.withState(statement.ErrorReply(statement.Malformed, "the transaction has failed; roll it back"))
 	}
@@ -112,15 +119,16 @@
 // FailTransaction rolls back the open transaction and marks it as failed, for example
 // after an error, or if it was idle for too long. It does nothing if there is none.
 func (s *Session) FailTransaction() {
-	if s.transaction != nil && !s.transaction.failed {
+	if !s.abandoned && s.transaction != nil && !s.transaction.failed {
 		s.rollBackAtEndpoint("")
 		s.transaction.failed = true
 	}
 }
 
-// Close ends the session and rolls back an open transaction.
+// Close ends the session and rolls back an open transaction. The end of the process, which
+// closes the connection, rolls back that of an abandoned session.
 func (s *Session) Close() {
-	if s.transaction != nil {
+	if !s.abandoned && s.transaction != nil {
 		s.rollBackAtEndpoint("")
 		s.transaction = nil
 	}
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -20,6 +20,26 @@
 	node *Node
 	// proxies holds the addresses of all registered proxies by name, this one included.
 	proxies map[string]string
+	// malformed holds the keys of the items that cannot be decoded. Each is logged once,
+	// however often it is written.
+	malformed map[string]bool
+}
+
+// newFollower returns a follower for the node.
+func newFollower(n *Node) *follower {
+	return &follower{node: n, proxies: map[string]string{}, malformed: map[string]bool{}}
+}
+
+// noteDecoded records whether an item could be decoded, and logs the first error of its key.
+func (f *follower) noteDecoded(i eelgrassladder.Item, err error) {
+	if err == nil {
+		delete(f.malformed, i.Key)
+		return
+	}
+	if !f.malformed[i.Key] {
+		f.malformed[i.Key] = true
+		klog.ErrorS(err, "Could not decode an item of the store; it names nothing to use", "Key", i.Key, "Revision", i.Revision)
+	}
 }
 
 // Reset applies all items of the store.
@@ -64,11 +84,12 @@
 		if i.Gone {
 			id := strings.TrimPrefix(i.Key, endpointPrefix)
 			klog.InfoS("Endpoint is gone", "Endpoint", id, "Revision", i.Revision)
+			f.noteDecoded(i, nil)
 			return endpoints.Without(id)
 		}
 		e, err := n.dependencies.Registry.Endpoint(i)
+		f.noteDecoded(i, err)
 		if err != nil {
-			klog.ErrorS(err, "Could not decode the entry of an endpoint; treating it as gone", "Key", i.Key, "Revision", i.Revision)
 			return endpoints.Without(strings.TrimPrefix(i.Key, endpointPrefix))
 		}
 		klog.InfoS("Endpoint listed", "Endpoint", e.ID, "Group", e.Group, "Leaving", e.Leaving,
@@ -85,15 +106,20 @@
 // applyProxy applies the item of a proxy that has registered or left.
 func (f *follower) applyProxy(i eelgrassladder.Item) {
 	name := strings.TrimPrefix(i.Key, proxyPrefix)
-	registered := parseRegistration(i.Value)
+	registered, err := parseRegistration(i.Value)
+	gone := i.Gone || err != nil
 	if i.Gone {
+		err = nil
+	}
+	f.noteDecoded(i, err)
+	if gone {
 		delete(f.proxies, name)
 	} else {
 		f.proxies[name] = registered.address
 	}
-	klog.InfoS("Proxy registered or gone", "Proxy", name, "Gone", i.Gone, "Proxies", len(f.proxies))
+	klog.InfoS("Proxy registered or gone", "Proxy", name, "Gone", gone, "Proxies", len(f.proxies))
 	if name == f.node.settings.Name {
-		f.node.noteRegistration(registered, i.Gone)
+		f.node.noteRegistration(registered, gone)
 	}
 	others := maps.Clone(f.proxies)
 	delete(others, f.node.settings.Name)
@@ -135,8 +161,8 @@
 // applyRecord applies the record of a group's primary.
 func (f *follower) applyRecord(group string, i eelgrassladder.Item) {
 	record, err := leadership.Parse(group, i.Value, i.Revision)
+	f.noteDecoded(i, err)
 	if err != nil {
-		klog.ErrorS(err, "Could not decode the record of a primary", "Key", i.Key, "Revision", i.Revision)
 		return
 	}
 	f.node.state.LearnRecord(record)
@@ -146,9 +172,7 @@
 // revision, which is the fencing token, even if the value cannot be decoded.
 func (f *follower) applyPromotionLock(i eelgrassladder.Item) {
 	lock, err := leadership.ParsePromotionLock(i.Value, i.Revision)
-	if err != nil {
-		klog.ErrorS(err, "Could not decode the promotion lock", "Revision", i.Revision)
-	}
+	f.noteDecoded(i, err)
 	f.node.state.LearnPromotionLock(lock.WithRevision(i.Revision, f.node.dependencies.Clock.SinceBoot()))
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -41,6 +41,9 @@
 	// graceMargin is the part of the platform's grace period that is left for the
 	// process to end before it is killed.
 	graceMargin = 400 * time.Millisecond
+	// exitTime is how long the tasks may take to end once they were stopped. Statements
+	// that still run at an endpoint then do not hold the process.
+	exitTime = 200 * time.Millisecond
 	// gcPercent is the garbage collector's target percentage, twice the default. It
 	// trades memory for processor time, because the heap is small.
 	gcPercent = 200
@@ -164,7 +167,7 @@
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
-	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, "", &follower{node: n, proxies: map[string]string{}},
+	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, "", newFollower(n),
 		func() int { return len(n.state.Proxies()) + 1 }).Run)
 	n.tasks.Go("failover", n.controller.Run)
 	n.tasks.Go("health checks", n.checker.Run)
@@ -176,7 +179,7 @@
 	n.tasks.Go("metrics", func(ctx context.Context) error { return serve(ctx, n.listeners.metrics, n.dependencies.Metrics) })
 	n.tasks.Go("stop", func(ctx context.Context) error { return n.awaitStop(ctx, stopping) })
 	klog.InfoS("Proxy started", "Proxy", n.settings.Name, "DataCentre", n.settings.DataCentre)
-	err := n.tasks.Wait()
+	err := n.tasks.WaitStopped(exitTime)
 	klog.InfoS("Proxy stopped", "Proxy", n.settings.Name)
 	return err
 }
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -40,14 +41,21 @@
 func (r registration) String() string { return r.address + " " + strconv.FormatUint(r.lease, 10) }
 
 // parseRegistration decodes the value of an entry. The lease is zero if the value has
-// none or a malformed one.
-func parseRegistration(value []byte) registration {
-	address, lease, _ := strings.Cut(string(value), " ")
+// none or a malformed one. It returns an error if no proxy can be reached at the address.
+func parseRegistration(value []byte) (registration, error) {
+	text, lease, _ := strings.Cut(string(value), " ")
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return registration{}, errors.Wrap(err, "decode the registration of a proxy")
+	}
+	if address.Addr().IsUnspecified() || address.Port() == 0 {
+		return registration{}, errors.Errorf("address %q in the registration of a proxy is not that of a host", text)
+	}
 	n, err := strconv.ParseUint(lease, 10, 64)
 	if err != nil {
-		return registration{address: address}
+		return registration{address: text}, nil
 	}
-	return registration{address: address, lease: n}
+	return registration{address: text, lease: n}, nil
 }
 
 // noteRegistration records whether the store has a valid entry of this proxy, and its
--- a/internal/host/task/task.go
+++ b/internal/host/task/task.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -71,6 +72,34 @@
 	})
 }
 
+// WaitStopped waits until all functions have returned, like Wait, but no longer than the
+// limit after the context has ended: functions that still run then are left behind. It
+// returns the first error of the functions that have returned.
+func (g *Group) WaitStopped(limit time.Duration) error {
+	ended := make(chan error, 1)
+	var waiting errgroup.Group
+	waiting.Go(func() error {
+		ended <- g.Wait()
+		return nil
+	})
+	select {
+	case err := <-ended:
+		return err
+	case <-g.context.Done():
+	}
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-timeout.C:
+		if err := context.Cause(g.context); !errors.Is(err, context.Canceled) {
+			return err
+		}
+		return nil
+	}
+}
+
 // Stop cancels the context. It does not wait for the functions.
 func (g *Group) Stop() { g.cancel() }
 
--- a/internal/host/worker/worker.go
+++ b/internal/host/worker/worker.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"strconv"
 
+	"k8s.io/klog/v2"
+
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 )
 
@@ -45,6 +48,16 @@
 		if !ok {
 			return ctx.Err()
 		}
-		p.run(ctx, job)
+		p.runOne(ctx, job)
 	}
 }
+
+// runOne runs a job. A panic ends the job and not the worker.
+func (p *Pool[J]) runOne(ctx context.Context, job J) {
+	defer func() {
+		if r := recover(); r != nil {
+			klog.ErrorS(nil, "Job panicked", "Reason", r, "Stack", string(debug.Stack()))
+		}
+	}()
+	p.run(ctx, job)
+}
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -51,12 +51,23 @@
 // is that of a record.
 func Group(key string) (string, bool) { return strings.CutPrefix(key, Prefix) }
 
-// Parse decodes the record of a group.
+// maxTerm is the highest term of a record. Terms rise by one with each change of primary,
+// so a higher one is not from a proxy, and the next term has to fit as well.
+const maxTerm = 1 << 62
+
+// Parse decodes the record of a group. It returns an error for a record that no proxy
+// writes: an open one without a primary, or one with a term above maxTerm.
 func Parse(group string, value []byte, revision uint64) (Record, error) {
 	r := Record{}
 	if err := json.Unmarshal(value, &r); err != nil {
 		return r, errors.Wrapf(err, "decoding the record of group %q", group)
 	}
+	if !r.Closed && r.Endpoint == "" {
+		return Record{}, errors.Errorf("the record of group %q is open and names no primary", group)
+	}
+	if max(r.Term, r.Acknowledged.Term) > maxTerm {
+		return Record{}, errors.Errorf("the record of group %q has a term above %d", group, uint64(maxTerm))
+	}
 	r.Group, r.Revision = group, revision
 	return r, nil
 }
--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -1,6 +1,7 @@
 package leadership_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +55,38 @@
 	assert.Equal(t, leadership.Key("g"), "eelgrassladder/primaries/g")
 	assert.Equal(t, leadership.PromotionLockKey, "eelgrassladder/duty")
 }
+
+// oddRecords are values that no proxy writes.
+var oddRecords = []string{
+	"", "null", "{}", "[]", "7", `{"Endpoint":"pg-1","Term":1e300}`, `{"Endpoint":"pg-1","Term":-1}`,
+	`{"Endpoint":"pg-1","Term":18446744073709551615}`, `{"Endpoint":"pg-1","Term":1,"Kept":{"Term":18446744073709551615,"Log":1}}`,
+	strings.Repeat(`{"Kept":`, 100_000),
+}
+
+// TestAnOddRecordIsNotARecord guards against a value of another writer that removes the
+// known primary, or whose term leaves no room for the next one.
+func TestAnOddRecordIsNotARecord(t *testing.T) {
+	for _, odd := range oddRecords {
+		_, err := leadership.Parse("g", []byte(odd), 3)
+		assert.Assert(t, err != nil, "%.60q", odd)
+	}
+}
+
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(storedRecord))
+	for _, odd := range oddRecords {
+		f.Add([]byte(odd))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, err := leadership.Parse("g", value, 3)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, r.Closed || r.Endpoint != "")
+		assert.Assert(t, r.Term+1 > r.Term && r.Acknowledged.Term+1 > r.Acknowledged.Term)
+		again, err := leadership.Parse("g", r.Bytes(), 3)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Endpoint, r.Endpoint)
+		assert.Equal(t, again.Acknowledged, r.Acknowledged)
+	})
+}
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -41,10 +41,10 @@
 	for _, s := range m.GetSights() {
 		b.Primaries = append(b.Primaries, heartbeat.PrimaryReport{
 			Group: s.GetGroup(), Endpoint: s.GetEndpoint(), Term: s.GetTerm(),
-			ProofAge:    time.Duration(s.GetProvenMicros()) * time.Microsecond,
-			PositionAge: time.Duration(s.GetPositionMicros()) * time.Microsecond,
+			ProofAge:    decodeAge(s.GetProvenMicros()),
+			PositionAge: decodeAge(s.GetPositionMicros()),
 			Position:    decodePosition(s.GetPosition()), Acknowledged: decodePosition(s.GetKept()),
-			AcknowledgedAge: time.Duration(s.GetKeptMicros()) * time.Microsecond,
+			AcknowledgedAge: max(decodeAge(s.GetKeptMicros()), 0),
 		})
 	}
 	for _, r := range m.GetRecords() {
@@ -55,6 +55,15 @@
 	return b
 }
 
+// maxAge is the highest age in a report. A higher one would not fit a Duration, and could
+// come out as a low one.
+const maxAge = 1000 * time.Hour
+
+// decodeAge converts an age in microseconds, at most maxAge. It is negative for none.
+func decodeAge(micros int64) time.Duration {
+	return time.Duration(min(max(micros, -1), maxAge.Microseconds())) * time.Microsecond
+}
+
 // encodePosition returns nil for the zero position.
 func encodePosition(p position.Position) *peer.Position {
 	if p.IsZero() {
--- /dev/null
+++ b/internal/peer/sibling/codec_test.go
@@ -0,0 +1,52 @@
+package sibling
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/gen/peer"
+	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
+)
+
+// TestAnAgeThatDoesNotFitIsNotALowOne guards against a report whose proof would count as
+// fresh because its age overflows.
+func TestAnAgeThatDoesNotFitIsNotALowOne(t *testing.T) {
+	for _, micros := range []int64{1 << 62, 1<<63 - 1, 18446744073709552, 9223372036854776} {
+		assert.Equal(t, decodeAge(micros), maxAge, "%d", micros)
+	}
+	assert.Equal(t, decodeAge(1500), 1500*time.Microsecond)
+	assert.Assert(t, decodeAge(-1) < 0)
+	assert.Assert(t, decodeAge(-1<<63) < 0)
+}
+
+// TestAPanicEndsOneCall guards against a heartbeat that ends the process.
+func TestAPanicEndsOneCall(t *testing.T) {
+	s := NewServer(func(heartbeat.Message) heartbeat.Message { panic("unexpected") })
+	_, err := s.Exchange(context.Background(), &peer.Beat{Sender: "proxy-2"})
+	assert.ErrorContains(t, err, "panicked")
+}
+
+func FuzzHeartbeat(f *testing.F) {
+	full, err := proto.Marshal(encode(heartbeat.Message{
+		Sender: "proxy-1", RoutesVersion: 3, Digest: 7, Configuration: []byte("{}"), Revision: 4,
+		Primaries: []heartbeat.PrimaryReport{{Group: "g", Endpoint: "e", Term: 2, ProofAge: time.Second}},
+		Records:   []heartbeat.Record{{Group: "g", Revision: 2, Value: []byte("{}")}},
+	}))
+	assert.NilError(f, err)
+	f.Add(full)
+	f.Add([]byte{})
+	f.Add([]byte{0x2a, 0x00, 0x32, 0x00})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var m peer.Beat
+		if proto.Unmarshal(value, &m) != nil {
+			return
+		}
+		for _, r := range decode(&m).Primaries {
+			assert.Assert(t, r.ProofAge <= maxAge && r.PositionAge <= maxAge && r.AcknowledgedAge >= 0 && r.AcknowledgedAge <= maxAge, "%v", r)
+		}
+	})
+}
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -36,7 +38,14 @@
 	return errors.WithStack(err)
 }
 
-// Exchange answers one heartbeat; it implements the generated service.
-func (s *Server) Exchange(_ context.Context, m *peer.Beat) (*peer.Beat, error) {
+// Exchange answers one heartbeat; it implements the generated service. A panic ends the
+// call, not the process.
+func (s *Server) Exchange(_ context.Context, m *peer.Beat) (answer *peer.Beat, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			klog.ErrorS(nil, "Answering a heartbeat panicked", "Proxy", m.GetSender(), "Reason", r, "Stack", string(debug.Stack()))
+			err = errors.Errorf("answering a heartbeat of %q panicked: %v", m.GetSender(), r)
+		}
+	}()
 	return encode(s.handle(decode(m))), nil
 }
