Keep connections open only at some proxies where there are more proxies than connections

Cause: with more proxies than an endpoint accepts connections, the share of each was rounded up to one, and each kept one to every primary. The endpoints were at their limit all the time and refused everybody.

Change: policy/connections decides from the registered proxies alone. Where there are enough connections nothing changes. Elsewhere the proxies with the highest rendezvous hashes for an endpoint, five eighths of its limit, keep one; the others open one on demand and close it after 300 ms without use.

It is no bound by construction yet: connections on demand can still meet a full endpoint.

--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -12,6 +13,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
 )
 
 // follower is the watch.Sink that applies the contents of the store to the cluster state
@@ -126,16 +128,13 @@
 	f.node.state.setProxies(others)
 }
 
-// divideConnections tells the table how many proxies share the endpoints' connections,
+// divideConnections tells the table which proxies share the endpoints' connections,
 // and how many connections each endpoint accepts. The proxy counts itself even while it
 // is not registered.
 func (f *follower) divideConnections() {
 	routes := f.node.state.Routes
-	proxies := len(f.proxies)
-	if !f.node.registered.Load() {
-		proxies++
-	}
-	f.node.table.SetShares(proxies, func(group string) int { return connectionLimit(routes(), group) })
+	fleet := connections.NewFleet(f.node.settings.Name, slices.Collect(maps.Keys(f.proxies))...)
+	f.node.table.SetShares(fleet, func(group string) int { return connectionLimit(routes(), group) })
 }
 
 // connectionLimit returns how many connections each endpoint of the group accepts; one if
--- /dev/null
+++ b/internal/policy/connections/connections.go
@@ -0,0 +1,68 @@
+// Package connections decides how many of an endpoint's connections one proxy holds, from
+// the registered proxies alone.
+package connections
+
+import "github.com/cespare/xxhash/v2"
+
+// keptShare is the part of an endpoint's connections that may be kept open unused where
+// there are more proxies than connections. The rest is for the proxies that keep none, for
+// control requests, and for connections of proxies that have just ended.
+const keptShare = 0.625
+
+// Fleet is the set of proxies that share the connections of all endpoints, as one of them
+// knows it. It is immutable.
+type Fleet struct {
+	// self is the name of the proxy that decides; it is one of proxies.
+	self string
+	// proxies are the names of the proxies, each once. It is never modified.
+	proxies []string
+}
+
+// NewFleet returns the fleet of the proxy self and the others.
+func NewFleet(self string, others ...string) Fleet {
+	proxies := []string{self}
+	for _, name := range others {
+		if name != self {
+			proxies = append(proxies, name)
+		}
+	}
+	return Fleet{self: self, proxies: proxies}
+}
+
+// Size returns the number of proxies, at least one.
+func (f Fleet) Size() int { return max(len(f.proxies), 1) }
+
+// Allotment is what one proxy may hold of an endpoint's connections. It is immutable.
+type Allotment struct {
+	// Max is the highest number of connections; at least one.
+	Max int
+	// Keeps is true if the proxy may keep a connection open that it does not use. Other
+	// proxies open one when they need it, and close it soon.
+	Keeps bool
+}
+
+// Allot returns the allotment of this proxy at an endpoint that accepts limit connections.
+// Each proxy has an equal share. If there are more proxies than connections, the proxies
+// with the highest rendezvous hashes for the endpoint keep one each.
+func (f Fleet) Allot(endpoint string, limit int) Allotment {
+	if share := limit / f.Size(); share >= 1 {
+		return Allotment{Max: share, Keeps: true}
+	}
+	return Allotment{Max: 1, Keeps: f.rank(endpoint) < int(keptShare*float64(limit))}
+}
+
+// rank returns how many other proxies have a higher hash for the endpoint than this one. Of
+// equal hashes, the lower name's counts as higher.
+func (f Fleet) rank(endpoint string) int {
+	own, higher := hash(f.self, endpoint), 0
+	for _, name := range f.proxies {
+		if h := hash(name, endpoint); h > own || (h == own && name < f.self) {
+			higher++
+		}
+	}
+	return higher
+}
+
+// hash returns the rendezvous hash of a proxy for an endpoint, which all proxies compute
+// alike.
+func hash(proxy, endpoint string) uint64 { return xxhash.Sum64String(proxy + "\x00" + endpoint) }
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -136,16 +136,18 @@
 }
 
 // closeUnused closes connections that have been idle for longer than
-// idleTimeout. One connection to each primary is kept, because no other
-// endpoint can replace it.
+// idleTimeout, or shortIdleTimeout. One connection to each primary is kept,
+// because no other endpoint can replace it, unless there are too many proxies.
 func (t *Table) closeUnused(now time.Time) {
 	for _, e := range t.endpoints {
-		keep := 0
-		if t.group(e.listed.Group).leader.Endpoint == e.listed.ID {
+		keep, timeout := 0, idleTimeout
+		if !e.keepsUnused {
+			timeout = shortIdleTimeout
+		} else if t.group(e.listed.Group).leader.Endpoint == e.listed.ID {
 			keep = 1
 		}
 		expired := 0
-		for expired < len(e.idle)-keep && now.Sub(e.idle[expired].since) > idleTimeout {
+		for expired < len(e.idle)-keep && now.Sub(e.idle[expired].since) > timeout {
 			expired++
 		}
 		t.closeIdle(e, len(e.idle)-expired)
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -46,6 +46,10 @@
 	// When all proxies lose power, their connections occupy the endpoints'
 	// connection limit for another 3 s.
 	idleTimeout = time.Second
+	// shortIdleTimeout is idleTimeout for an endpoint with fewer connections than there
+	// are proxies, of which this proxy keeps none. It covers the pauses in a transaction's
+	// sequence of statements.
+	shortIdleTimeout = 300 * time.Millisecond
 	// stallTimeout is how long a write may be pending before the endpoint gets
 	// no further writes. A commit takes a few milliseconds, or a few hundred
 	// if all slots are occupied.
@@ -68,6 +72,8 @@
 	open int
 	// share is how many connections this proxy may hold; at least one.
 	share int
+	// keepsUnused is true if this proxy may keep a connection open that it does not use.
+	keepsUnused bool
 	// limit is how many statements this proxy runs at the endpoint at a time. It
 	// falls when the endpoint is busy and grows up to share. At least one; the
 	// fraction is not used.
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/policy/shedding"
 	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
@@ -37,10 +38,10 @@
 	// endpoints is keyed by ID. An unlisted endpoint stays until its last
 	// connection is closed.
 	endpoints map[string]*endpoint
-	// proxies is how many proxies share the connections of the endpoints.
-	proxies int
-	// connections returns how many connections an endpoint of a group accepts.
-	connections func(group string) int
+	// fleet is the set of proxies that share the connections of the endpoints.
+	fleet connections.Fleet
+	// connectionLimit returns how many connections an endpoint of a group accepts.
+	connectionLimit func(group string) int
 	// onProofNeeded is called with the name of a group whose primary must be
 	// proven to be the only one.
 	onProofNeeded func(group string)
@@ -70,9 +71,9 @@
 // New returns a table for a proxy in the data centre.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, dataCentre string) *Table {
 	table := &Table{
-		timer: t, clock: c, dataCentre: dataCentre, mutex: lockrank.New(lockrank.Scheduler), proxies: 1,
+		timer: t, clock: c, dataCentre: dataCentre, mutex: lockrank.New(lockrank.Scheduler),
 		groups: map[string]*group{}, endpoints: map[string]*endpoint{},
-		connections: func(string) int { return 1 }, onProofNeeded: func(string) {},
+		connectionLimit: func(string) int { return 1 }, onProofNeeded: func(string) {},
 	}
 	table.wake = sync.NewCond(table.mutex)
 	return table
@@ -256,11 +257,11 @@
 }
 
 // SetShares sets how many connections an endpoint of each group accepts, and
-// how many proxies share them.
-func (t *Table) SetShares(proxies int, connections func(group string) int) {
+// the proxies that share them.
+func (t *Table) SetShares(f connections.Fleet, limit func(group string) int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.proxies, t.connections = max(proxies, 1), connections
+	t.fleet, t.connectionLimit = f, limit
 	t.divideConnections()
 	t.assignAllWaiting()
 }
@@ -269,9 +270,10 @@
 // division leaves over remain free for control requests.
 func (t *Table) divideConnections() {
 	for _, e := range t.endpoints {
-		share := max(t.connections(e.listed.Group)/t.proxies, 1)
-		if share != e.share {
-			e.share, e.limit = share, float64(share)
+		a := t.fleet.Allot(e.listed.ID, t.connectionLimit(e.listed.Group))
+		e.keepsUnused = a.Keeps
+		if a.Max != e.share {
+			e.share, e.limit = a.Max, float64(a.Max)
 		}
 	}
 }
@@ -338,7 +340,7 @@
 		return NoEndpoint
 	case (j.Need.Write || j.Need.Consistency == route.Primary) && !g.leader.Open():
 		return NoPrimary
-	case j.Need.NeedsProof() && !g.leader.ProvenAt(t.clock.SinceBoot()):
+	case placement.AwaitsProof(j.Need, g.leader, t.clock.SinceBoot()):
 		return NoProof
 	case j.Need.Write && g.primaryStalled(t.timer.Now()):
 		return NoReplica
--- a/internal/table/scheduler/scheduler_test.go
+++ b/internal/table/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
@@ -40,7 +42,7 @@
 	closed   int
 }
 
-func newFixture(t *testing.T, connections, proxies int) *fixture {
+func newFixture(t *testing.T, limit, proxies int) *fixture {
 	t.Helper()
 	f := &fixture{timer: timer.NewManual(time.Unix(1000, 0)), clock: &clock{now: time.Hour}}
 	f.table = scheduler.New(f.timer, f.clock, "here")
@@ -49,7 +51,11 @@
 		topology.Endpoint{ID: "r", Group: "g", Address: "2", DataCentre: "here", Slots: 2},
 	)
 	f.table.SetEndpoints(f.snapshot)
-	f.table.SetShares(proxies, func(string) int { return connections })
+	others := make([]string, 0, proxies)
+	for i := range proxies - 1 {
+		others = append(others, fmt.Sprintf("other-%d", i))
+	}
+	f.table.SetShares(connections.NewFleet("self", others...), func(string) int { return limit })
 	f.prove()
 	return f
 }
@@ -147,7 +153,7 @@
 	assert.Equal(t, len(results), 2, "this proxy ran other than its share of two of six connections")
 	_, ok := f.table.Borrow("p")
 	assert.Assert(t, !ok)
-	f.table.SetShares(1, func(string) int { return 6 })
+	f.table.SetShares(connections.NewFleet("self"), func(string) int { return 6 })
 	f.runNext(t, 1)
 	assert.Equal(t, len(results), 3)
 }
@@ -240,6 +246,24 @@
 	assert.Equal(t, f.closed, 2, "one connection to the primary should be kept")
 }
 
+// TestAProxyThatKeepsNoConnectionClosesItSoon has more proxies than connections. Those that
+// keep none at the primary leave it to others soon after use.
+func TestAProxyThatKeepsNoConnectionClosesItSoon(t *testing.T) {
+	for proxies, stays := range map[int]bool{1: true, 4: true, 400: false} {
+		f := newFixture(t, 4, proxies)
+		var results []string
+		f.submit("w", 1, write, &results)
+		f.runNext(t, 1)
+		f.table.Return("p", connection{closed: &f.closed}, scheduler.Outcome{Answered: true})
+		f.timer.Advance(200 * time.Millisecond)
+		f.table.Sweep()
+		assert.Equal(t, f.closed, 0, "the next statement of a sequence finds the connection open")
+		f.timer.Advance(200 * time.Millisecond)
+		f.table.Sweep()
+		assert.Equal(t, f.closed == 0, stays, "%d proxies", proxies)
+	}
+}
+
 // TestReadsStayAtTheReplicaThatIsConnected has two equal replicas. The
 // connection to the unused one is closed, and no read opens it again.
 func TestReadsStayAtTheReplicaThatIsConnected(t *testing.T) {
