Mend faults that reading the code has shown

- A key that is settled twice keeps its first answer and ends nothing.
- A report with an unknown window of another build is plotted without it.
- A proxy that is leaving does not become ready again.
- ROLLBACK TO a savepoint does not count as the end of a transaction.
- The pools of removed members are closed.
- A change of the configuration whose first write arrived late, and was overwritten, is reported as unknown and not as refused.
- A read that allows less staleness than the margin asks for the present, and a read that waits for a busy replica is not refused as lacking a proof.

--- a/internal/host/owner/active_term.go
+++ b/internal/host/owner/active_term.go
@@ -80,9 +80,9 @@
 }
 
 // updatePools replaces the active term by a copy that has a pool for each member
-// of the group. It keeps the pools of members that stay and drops those of removed
-// members without closing them. To a new member it starts to open one connection
-// per slot, without spareConnections.
+// of the group. It keeps the pools of members that stay and closes those of removed
+// members; statements that run there end first. To a new member it starts to open one
+// connection per slot, without spareConnections.
 func (o *Owner) updatePools(g group.Group) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -97,5 +97,10 @@
 		}
 		pools[m.Name] = endpoint.NewPool(o.tasks, m, g.Name, o.credentials, o.active.term, m.Slots)
 	}
+	for name, p := range o.active.pools {
+		if pools[name] == nil {
+			p.Close()
+		}
+	}
 	o.active = &activeTerm{term: o.active.term, primary: o.active.primary, pools: pools}
 }
--- a/internal/host/report/plot.go
+++ b/internal/host/report/plot.go
@@ -44,7 +44,8 @@
 }
 
 // burnRates returns the classes and, for each window, the burn rate of each
-// class in the same order. The rate is zero if the report has no row for it.
+// class in the same order. The rate is zero if the report has no row for it. Rows of
+// windows that are not plotted, as those of a newer proxy may be, are left out.
 func (b Burn) burnRates() ([]string, map[string]plotter.Values) {
 	var classes []string
 	rates := map[string]plotter.Values{}
@@ -58,7 +59,9 @@
 				rates[window] = append(rates[window], 0)
 			}
 		}
-		rates[r.Window][len(classes)-1] = r.BurnRate
+		if rate, ok := rates[r.Window]; ok {
+			rate[len(classes)-1] = r.BurnRate
+		}
 	}
 	return classes, rates
 }
--- a/internal/host/service/service.go
+++ b/internal/host/service/service.go
@@ -78,6 +78,8 @@
 	registry       *owner.Registry
 	frontend       *caller.Frontend
 	ready          atomic.Bool
+	// leaving is true once Shutdown was called; the process is not ready again then.
+	leaving atomic.Bool
 }
 
 // Option configures a Service in New.
@@ -248,7 +250,7 @@
 		}
 		if ok && s.fleet.Bootstrapped() {
 			s.registry.Reconcile(view, list)
-			s.ready.Store(s.configurations.Current().Version > 0)
+			s.ready.Store(s.configurations.Current().Version > 0 && !s.leaving.Load())
 		}
 		select {
 		case <-ctx.Done():
@@ -266,6 +268,7 @@
 // if no other proxy is live.
 func (s *Service) Shutdown(ctx context.Context) {
 	klog.InfoS("Proxy leaving", "Proxy", s.settings.Name)
+	s.leaving.Store(true)
 	s.ready.Store(false)
 	s.fleet.Leave()
 	deadline := s.timer.Now().Add(shutdownTimeout)
@@ -295,8 +298,8 @@
 func (s *Service) Owners() []*owner.Owner { return s.registry.All() }
 
 // Ready reports whether the proxy serves callers: it takes part in the ownership
-// of groups and has a configuration.
-func (s *Service) Ready() bool { return s.ready.Load() }
+// of groups, has a configuration, and is not leaving.
+func (s *Service) Ready() bool { return s.ready.Load() && !s.leaving.Load() }
 
 // ConfigurationVersion returns the version of the current configuration.
 func (s *Service) ConfigurationVersion() uint64 { return s.configurations.Current().Version }
--- a/internal/peer/caller/keyword.go
+++ b/internal/peer/caller/keyword.go
@@ -24,17 +24,29 @@
 	return word == "BEGIN" || word == "START"
 }
 
-// endsTransaction reports whether a statement begins with a word that ends a
-// transaction. That includes ROLLBACK TO SAVEPOINT, although it ends none.
+// endsTransaction reports whether a statement ends a transaction. ROLLBACK TO a savepoint
+// ends none.
 func endsTransaction(text string) bool {
 	switch firstKeyword(text) {
-	case "COMMIT", "END", "ROLLBACK", "ABORT":
+	case "COMMIT", "END", "ABORT":
 		return true
+	case "ROLLBACK":
+		return !rollsBackToSavepoint(text)
 	default:
 		return false
 	}
 }
 
+// rollsBackToSavepoint reports whether a ROLLBACK statement names a savepoint: ROLLBACK
+// [WORK | TRANSACTION] TO [SAVEPOINT] name.
+func rollsBackToSavepoint(text string) bool {
+	words := strings.Fields(strings.ToUpper(strings.TrimLeft(text, " \t\r\n;(")))
+	if len(words) > 1 && (words[1] == "WORK" || words[1] == "TRANSACTION") {
+		words = words[1:]
+	}
+	return len(words) > 1 && words[1] == "TO"
+}
+
 // declaresReadOnly reports whether a statement begins a READ ONLY transaction.
 func declaresReadOnly(text string) bool {
 	return beginsTransaction(text) && strings.Contains(strings.ToUpper(text), "READ ONLY")
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -113,6 +113,9 @@
 // effect, so the swap is repeated; only one of them can succeed. If the store does not
 // answer, the outcome is unknown.
 func (s *Service) resolveOutcome(ctx context.Context, wanted eelgrassladder.Entry, based uint64, cause error) (eelgrassladder.Entry, error) {
+	// lost is true once a swap has failed without proof that it did not take effect. A
+	// later conflict does not show that the change was never in force.
+	lost := !errors.Is(cause, eelgrassladder.ErrConflict)
 	for range resolveAttempts {
 		stored, err := s.store.Read(ctx, fleet.ConfigurationKey)
 		if err != nil {
@@ -123,23 +126,23 @@
 			return stored, nil
 		}
 		if stored.Version != based {
-			return stored, s.conflictError(stored, wanted, based, cause)
+			return stored, s.conflictError(stored, wanted, based, lost)
 		}
 		swapped, err := s.store.Swap(ctx, wanted, based)
 		if err == nil {
 			return swapped, nil
 		}
-		cause = err
+		lost = lost || !errors.Is(err, eelgrassladder.ErrConflict)
 	}
 	return eelgrassladder.Entry{}, generated.Unknown("the store has not said whether the change took effect; read it back")
 }
 
 // conflictError returns the error for a change when the store holds another version;
-// cause is the error of the last swap. The error is Unknown and not Conflict if that
-// swap may have taken effect and then been overwritten. It can't have if the store
-// holds version based+1, because that is the version the change would have got.
-func (s *Service) conflictError(stored, wanted eelgrassladder.Entry, based uint64, cause error) error {
-	if !errors.Is(cause, eelgrassladder.ErrConflict) && stored.Version > based+1 {
+// lost is true if a swap may have taken effect. The error is Unknown and not Conflict if
+// that swap may have been overwritten since. It can't have been if the store holds
+// version based+1, because that is the version the change would have got.
+func (s *Service) conflictError(stored, wanted eelgrassladder.Entry, based uint64, lost bool) error {
+	if lost && stored.Version > based+1 {
 		return generated.Unknown(fmt.Sprintf(
 			"version %d is in the store; whether change %s was in force before it is not known", stored.Version, wanted.ChangeID))
 	}
--- a/internal/peer/operator/operator_test.go
+++ b/internal/peer/operator/operator_test.go
@@ -25,7 +25,8 @@
 type fakeStore struct {
 	history []eelgrassladder.Entry
 	// nextFault returns the fault of a call: 0 none, 1 fails without an effect, 2
-	// fails after taking effect, 3 fails and takes effect at the next call.
+	// fails after taking effect, 3 fails and takes effect at the next call, 4 at the one
+	// after that.
 	nextFault func() int
 	// delayedSwap is the effect of a failed Swap that is due at the next call; nil
 	// for none.
@@ -86,6 +87,11 @@
 	case 3:
 		s.delayedSwap = func() { _ = s.set(e, expected) }
 		return eelgrassladder.Entry{}, errNoAnswer
+	case 4:
+		s.delayedSwap = func() {
+			s.delayedSwap = func() { _ = s.set(e, expected) }
+		}
+		return eelgrassladder.Entry{}, errNoAnswer
 	}
 	if err := s.set(e, expected); err != nil {
 		return eelgrassladder.Entry{}, err
@@ -128,7 +134,7 @@
 	})
 	ctx := tasks.Context()
 	rapid.Check(t, func(t *rapid.T) {
-		faults := rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 0, 2, 2, 3}), 12, 12).Draw(t, "faults")
+		faults := rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 0, 2, 2, 3, 4}), 12, 12).Draw(t, "faults")
 		calls, otherChanges := 0, 0
 		s := &fakeStore{}
 		s.nextFault = func() int { calls++; return faults[calls%len(faults)] }
@@ -142,8 +148,10 @@
 		o := operator.New("token", "a", s, clock, versions, adopter{versions}, nil, burn.New(clock.Now()))
 		based := s.current().Version
 		v, err := o.Configure(ctx, &generated.ConfigurePayload{Based: based, Text: configurationText, ChangeID: "mine"})
-		if s.delayedSwap != nil {
-			s.delayedSwap()
+		for s.delayedSwap != nil {
+			delayed := s.delayedSwap
+			s.delayedSwap = nil
+			delayed()
 		}
 		var conflict generated.Conflict
 		switch {
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -106,13 +106,26 @@
 }
 
 // requiredTime returns the time up to which a read must see all acknowledged
-// commits. It is later than now if the read allows less staleness than
-// stalenessMargin.
+// commits. A read that allows less staleness than stalenessMargin must see those up to
+// now, as one at the primary.
 func requiredTime(n Need, now time.Duration) time.Duration {
 	if n.Consistency == route.Primary {
 		return now
 	}
-	return now - n.Staleness + stalenessMargin
+	return now - max(n.Staleness-stalenessMargin, 0)
+}
+
+// AwaitsProof reports whether a statement can run nowhere now, because the primary is not
+// proven to be the only one, or its position is not known.
+func AwaitsProof(n Need, l leader.State, now time.Duration) bool {
+	if !n.NeedsProof() || (l.Open() && l.ProvenAt(requiredTime(n, now))) {
+		return false
+	}
+	if n.Write || n.Consistency == route.Primary {
+		return true
+	}
+	_, known := l.PositionCovering(requiredTime(n, now))
+	return !known
 }
 
 // NeedsProof reports whether the primary must be proven to be the only one. A
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -99,3 +99,28 @@
 	n.Avoid = "near"
 	assert.Equal(t, placement.Choose(n, provenLeader(), endpoints(), now).Index, 2)
 }
+
+// TestAReadThatAllowsLittleStalenessSeesThePresent guards against a read that asks for
+// positions of a time to come, which no proxy knows.
+func TestAReadThatAllowsLittleStalenessSeesThePresent(t *testing.T) {
+	n := boundedRead()
+	n.Staleness = 50 * time.Millisecond
+	l := leader.State{}.WithPrimary("p", 1, now-time.Minute).WithProof(now-100*time.Millisecond).
+		WithSample(now-100*time.Millisecond, position.Position{Term: 1, Log: 12}).WithSample(now, position.Position{Term: 1, Log: 13})
+	c := placement.Choose(n, l, endpoints(), now)
+	assert.Equal(t, c.Index, 1)
+	assert.Equal(t, c.After, position.Position{Term: 1, Log: 13})
+}
+
+// TestOnlyAStatementThatLacksAProofAwaitsOne guards against reads that wait for a busy
+// replica and are counted, and refused, as waiting for a proof.
+func TestOnlyAStatementThatLacksAProofAwaitsOne(t *testing.T) {
+	proven := provenLeader()
+	late := now + leader.ProofLifetime
+	assert.Assert(t, !placement.AwaitsProof(boundedRead(), proven, now))
+	assert.Assert(t, !placement.AwaitsProof(boundedRead(), proven, late-100*time.Millisecond), "a known position is old enough")
+	assert.Assert(t, placement.AwaitsProof(boundedRead(), proven, now+time.Minute))
+	assert.Assert(t, placement.AwaitsProof(placement.Need{Consistency: route.Primary}, proven, late))
+	assert.Assert(t, placement.AwaitsProof(placement.Need{Write: true, Reads: true}, proven, late))
+	assert.Assert(t, !placement.AwaitsProof(placement.Need{Write: true}, proven, late))
+}
--- a/internal/table/idempotency/idempotency.go
+++ b/internal/table/idempotency/idempotency.go
@@ -84,8 +84,8 @@
 }
 
 // Settle stores the answer of a key. If the request did not run, the key is
-// forgotten, so that the request can be sent again. Call Settle once for each
-// key that Begin added; it panics for a key that is settled already.
+// forgotten, so that the request can be sent again. A key that is settled already
+// keeps its answer.
 func (t *Table) Settle(key string, a request.Answer) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -94,6 +94,11 @@
 		return
 	}
 	entry := e.Value.(*Entry)
+	select {
+	case <-entry.settled:
+		return
+	default:
+	}
 	entry.Answer = a
 	close(entry.settled)
 	if a.Outcome == request.NotRun {
