--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -13,7 +12,6 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
-	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
 )
 
 // follower is the watch.Sink that applies the contents of the store to the cluster state
@@ -133,8 +131,7 @@
 // is not registered.
 func (f *follower) divideConnections() {
 	routes := f.node.state.Routes
-	fleet := connections.NewFleet(f.node.settings.Name, slices.Collect(maps.Keys(f.proxies))...)
-	f.node.table.SetShares(fleet, func(group string) int { return connectionLimit(routes(), group) })
+	f.node.table.SetShares(f.node.fleet(), func(group string) int { return connectionLimit(routes(), group) })
 }
 
 // connectionLimit returns how many connections each endpoint of the group accepts; one if
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +29,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/peer/sibling"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -150,6 +153,11 @@
 	return leaders
 }
 
+// fleet returns the registered proxies and this one.
+func (n *Node) fleet() sharing.Fleet {
+	return sharing.NewFleet(n.settings.Name, slices.Collect(maps.Keys(n.state.Proxies()))...)
+}
+
 // CallerAddress returns the address at which clients are served.
 func (n *Node) CallerAddress() string { return n.listeners.callers.Addr().String() }
 
@@ -167,8 +175,7 @@
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
-	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, "", newFollower(n),
-		func() int { return len(n.state.Proxies()) + 1 }).Run)
+	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, "", newFollower(n), n.fleet).Run)
 	n.tasks.Go("failover", n.controller.Run)
 	n.tasks.Go("health checks", n.checker.Run)
 	n.tasks.Go("registration", n.register)
--- a/internal/host/proof/proof_test.go
+++ b/internal/host/proof/proof_test.go
@@ -19,7 +19,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
-	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -69,7 +69,7 @@
 	for round := range 2 {
 		table := scheduler.New(timers, clock, "here")
 		table.SetEndpoints(topology.New(endpoints...))
-		table.SetShares(connections.NewFleet("self"), func(string) int { return 4 })
+		table.SetShares(sharing.NewFleet("self"), func(string) int { return 4 })
 		table.UpdateLeader("g", func(l leader.State) leader.State {
 			now := clock.SinceBoot()
 			l = l.WithPrimary("p", 1, now).WithProof(now - leader.ProofLifetime + 100*time.Millisecond)
--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -12,6 +12,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 )
 
 const (
@@ -28,11 +29,15 @@
 	// that has seen it.
 	waitPerProxy = 600 * time.Millisecond
 	fewProxies   = 5
-	// batchPausePerProxy times the number of proxies, but at most maxBatchPause, is the
-	// pause after a change. Each change costs one call of every proxy; with the pause,
-	// changes that follow each other closely cost one call together.
+	// batchPausePerProxy times the number of proxies is the pause after a change. Each
+	// change costs one call of every proxy; with the pause, changes that follow each other
+	// closely cost one call together. The pause is at most maxReaderPause at the proxies
+	// that read changes at once. It is at most maxBatchPause at the others, which hear of
+	// configurations and records by gossip before; that is shorter than the 2 s for which
+	// a member must be missing from the list before it counts as having left.
 	batchPausePerProxy = 20 * time.Millisecond
-	maxBatchPause      = 600 * time.Millisecond
+	maxReaderPause     = 600 * time.Millisecond
+	maxBatchPause      = 1800 * time.Millisecond
 	// minBackoff is the pause after the first failure. It doubles with each further one,
 	// up to maxBackoff.
 	minBackoff = 50 * time.Millisecond
@@ -58,8 +63,8 @@
 	timer  eelgrassladder.Timer
 	prefix string
 	sink   Sink
-	// proxies returns the number of proxies that watch the store, this one included.
-	proxies func() int
+	// fleet returns the proxies that watch the store.
+	fleet func() sharing.Fleet
 	// revision is the revision after which the next watch begins; zero before the
 	// first read.
 	revision uint64
@@ -67,11 +72,10 @@
 	failures int
 }
 
-// New returns a watcher that passes what it reads to the sink. The function proxies
-// returns the number of proxies, this one included, that watch the store and tell each
-// other of changes.
-func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, prefix string, sink Sink, proxies func() int) *Watcher {
-	return &Watcher{store: store, timer: t, prefix: prefix, sink: sink, proxies: proxies}
+// New returns a watcher that passes what it reads to the sink. The function fleet
+// returns the proxies that watch the store and tell each other of changes.
+func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, prefix string, sink Sink, fleet func() sharing.Fleet) *Watcher {
+	return &Watcher{store: store, timer: t, prefix: prefix, sink: sink, fleet: fleet}
 }
 
 // Run follows the items until ctx ends.
@@ -115,7 +119,7 @@
 		w.sink.Reset(items)
 		return nil
 	}
-	wait := waitFor(w.proxies(), rand.Float64())
+	wait := waitFor(w.fleet().Size(), rand.Float64())
 	if w.failures > 0 {
 		wait = 0
 	}
@@ -126,11 +130,20 @@
 	w.revision = max(w.revision, revision)
 	if len(items) > 0 {
 		w.sink.Changed(items)
-		timer.Pause(ctx, w.timer, min(batchPausePerProxy*time.Duration(w.proxies()), maxBatchPause))
+		timer.Pause(ctx, w.timer, batchPause(w.fleet()))
 	}
 	return nil
 }
 
+// batchPause returns the pause after a change.
+func batchPause(f sharing.Fleet) time.Duration {
+	longest := maxBatchPause
+	if f.ReadsAtOnce() {
+		longest = maxReaderPause
+	}
+	return min(batchPausePerProxy*time.Duration(f.Size()), longest)
+}
+
 // waitFor returns how long a watch call waits, given the number of proxies and a random
 // number from 0 to 1. A change ends the calls of all proxies at once. Without random waits
 // their next calls would also end together. With them, one call soon ends, and the call
--- a/internal/host/watch/watch_test.go
+++ b/internal/host/watch/watch_test.go
@@ -1,11 +1,14 @@
 package watch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 )
 
 // maxDetection is the time within which the platform requires proxies of large sites to
@@ -42,3 +45,23 @@
 	assert.Equal(t, waitFor(fewProxies, 1), minWait)
 	assert.Assert(t, waitFor(30, 1) > 10*time.Second)
 }
+
+// TestFewProxiesReadEachChangeAtOnce guards against a change that wakes hundreds of proxies
+// several times a second, and against a pause so long that a member that has just joined
+// counts as having left.
+func TestFewProxiesReadEachChangeAtOnce(t *testing.T) {
+	names := make([]string, 118)
+	for i := range names {
+		names[i] = fmt.Sprintf("proxy-%d", i)
+	}
+	soon := 0
+	for _, name := range names {
+		pause := batchPause(sharing.NewFleet(name, names...))
+		assert.Assert(t, pause < 2*time.Second, "%v", pause)
+		if pause <= maxReaderPause {
+			soon++
+		}
+	}
+	assert.Equal(t, soon, 8)
+	assert.Equal(t, batchPause(sharing.NewFleet("proxy-0", names[:5]...)), 5*batchPausePerProxy, "few proxies all read soon")
+}
--- a/internal/policy/connections/connections.go
+++ b/internal/policy/sharing/sharing.go
@@ -1,6 +1,7 @@
-// Package connections decides how many of an endpoint's connections one proxy holds, from
-// the registered proxies alone.
-package connections
+// Package sharing decides which part one proxy takes of what all proxies share: the
+// connections of endpoints, and the reading of the store. It decides from the registered
+// proxies alone.
+package sharing
 
 import "github.com/cespare/xxhash/v2"
 
@@ -9,6 +10,13 @@
 // control requests, and for connections of proxies that have just ended.
 const keptShare = 0.625
 
+// readers is the number of proxies that read each change of the store as soon as possible.
+// The key readersKey chooses them.
+const (
+	readers    = 8
+	readersKey = "store"
+)
+
 // Fleet is the set of proxies that share the connections of all endpoints, as one of them
 // knows it. It is immutable.
 type Fleet struct {
@@ -48,21 +56,29 @@
 	if share := limit / f.Size(); share >= 1 {
 		return Allotment{Max: share, Keeps: true}
 	}
-	return Allotment{Max: 1, Keeps: f.rank(endpoint) < int(keptShare*float64(limit))}
+	return Allotment{Max: 1, Keeps: f.Among(int(keptShare*float64(limit)), endpoint)}
 }
 
-// rank returns how many other proxies have a higher hash for the endpoint than this one. Of
+// ReadsAtOnce reports whether this proxy is one of the few that read each change of the
+// store as soon as possible and pass it on. All others read changes too, but later and
+// several at once.
+func (f Fleet) ReadsAtOnce() bool { return f.Among(readers, readersKey) }
+
+// Among reports whether this proxy is one of the n with the highest rendezvous hashes for a
+// key.
+func (f Fleet) Among(n int, key string) bool { return f.rank(key) < n }
+
+// rank returns how many other proxies have a higher hash for the key than this one. Of
 // equal hashes, the lower name's counts as higher.
-func (f Fleet) rank(endpoint string) int {
-	own, higher := hash(f.self, endpoint), 0
+func (f Fleet) rank(key string) int {
+	own, higher := hash(f.self, key), 0
 	for _, name := range f.proxies {
-		if h := hash(name, endpoint); h > own || (h == own && name < f.self) {
+		if h := hash(name, key); h > own || (h == own && name < f.self) {
 			higher++
 		}
 	}
 	return higher
 }
 
-// hash returns the rendezvous hash of a proxy for an endpoint, which all proxies compute
-// alike.
-func hash(proxy, endpoint string) uint64 { return xxhash.Sum64String(proxy + "\x00" + endpoint) }
+// hash returns the rendezvous hash of a proxy for a key, which all proxies compute alike.
+func hash(proxy, key string) uint64 { return xxhash.Sum64String(proxy + "\x00" + key) }
--- a/internal/policy/connections/connections_test.go
+++ b/internal/policy/sharing/sharing_test.go
@@ -1,4 +1,4 @@
-package connections_test
+package sharing_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 )
 
 // names returns the names of n proxies, the first of them with the number first.
@@ -23,7 +23,7 @@
 func kept(proxies []string, endpoint string, limit int) map[string]bool {
 	keepers := map[string]bool{}
 	for _, self := range proxies {
-		if connections.NewFleet(self, proxies...).Allot(endpoint, limit).Keeps {
+		if sharing.NewFleet(self, proxies...).Allot(endpoint, limit).Keeps {
 			keepers[self] = true
 		}
 	}
@@ -32,8 +32,8 @@
 
 func TestAFleetBelowTheLimitSharesAllConnections(t *testing.T) {
 	for _, c := range []struct{ limit, proxies, share int }{{16, 5, 3}, {43, 30, 1}, {220, 29, 7}, {32, 32, 1}, {16, 1, 16}} {
-		a := connections.NewFleet("proxy-0", names(0, c.proxies)...).Allot("e", c.limit)
-		assert.Equal(t, a, connections.Allotment{Max: c.share, Keeps: true}, "%+v", c)
+		a := sharing.NewFleet("proxy-0", names(0, c.proxies)...).Allot("e", c.limit)
+		assert.Equal(t, a, sharing.Allotment{Max: c.share, Keeps: true}, "%+v", c)
 	}
 }
 
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -14,8 +14,8 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
-	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 	"eelgrassladder.example/eelgrassladder/internal/policy/shedding"
 	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
 )
@@ -39,7 +39,7 @@
 	// connection is closed.
 	endpoints map[string]*endpoint
 	// fleet is the set of proxies that share the connections of the endpoints.
-	fleet connections.Fleet
+	fleet sharing.Fleet
 	// connectionLimit returns how many connections an endpoint of a group accepts.
 	connectionLimit func(group string) int
 	// onProofNeeded is called with the name of a group whose primary must be
@@ -258,7 +258,7 @@
 
 // SetShares sets how many connections an endpoint of each group accepts, and
 // the proxies that share them.
-func (t *Table) SetShares(f connections.Fleet, limit func(group string) int) {
+func (t *Table) SetShares(f sharing.Fleet, limit func(group string) int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.fleet, t.connectionLimit = f, limit
--- a/internal/table/scheduler/scheduler_test.go
+++ b/internal/table/scheduler/scheduler_test.go
@@ -14,8 +14,8 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
-	"eelgrassladder.example/eelgrassladder/internal/policy/connections"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -55,7 +55,7 @@
 	for i := range proxies - 1 {
 		others = append(others, fmt.Sprintf("other-%d", i))
 	}
-	f.table.SetShares(connections.NewFleet("self", others...), func(string) int { return limit })
+	f.table.SetShares(sharing.NewFleet("self", others...), func(string) int { return limit })
 	f.prove()
 	return f
 }
@@ -153,7 +153,7 @@
 	assert.Equal(t, len(results), 2, "this proxy ran other than its share of two of six connections")
 	_, ok := f.table.Borrow("p")
 	assert.Assert(t, !ok)
-	f.table.SetShares(connections.NewFleet("self"), func(string) int { return 6 })
+	f.table.SetShares(sharing.NewFleet("self"), func(string) int { return 6 })
 	f.runNext(t, 1)
 	assert.Equal(t, len(results), 3)
 }
