--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -30,7 +30,8 @@
 	return &follower{node: n, proxies: map[string]string{}, malformed: map[string]bool{}}
 }
 
-// noteDecoded records whether an item could be decoded, and logs the first error of its key.
+// noteDecoded records whether an item could be decoded; err is nil if it could, or if the
+// key was removed. It logs the first error of a key.
 func (f *follower) noteDecoded(i eelgrassladder.Item, err error) {
 	if err == nil {
 		delete(f.malformed, i.Key)
@@ -106,12 +107,13 @@
 // applyProxy applies the item of a proxy that has registered or left.
 func (f *follower) applyProxy(i eelgrassladder.Item) {
 	name := strings.TrimPrefix(i.Key, proxyPrefix)
-	registered, err := parseRegistration(i.Value)
-	gone := i.Gone || err != nil
-	if i.Gone {
-		err = nil
+	var registered registration
+	var err error
+	if !i.Gone {
+		registered, err = parseRegistration(i.Value)
 	}
 	f.noteDecoded(i, err)
+	gone := i.Gone || err != nil
 	if gone {
 		delete(f.proxies, name)
 	} else {
--- a/internal/host/node/reader.go
+++ b/internal/host/node/reader.go
@@ -28,8 +28,7 @@
 		group, _ := leadership.Group(i.Key)
 		record, err := leadership.Parse(group, i.Value, i.Revision)
 		if err != nil {
-			// The follower logs records that cannot be decoded. One whose holder is unknown
-			// counts as closed, which proves nothing.
+			// It counts as closed, which proves nothing. The follower logs it.
 			records[group] = leadership.Record{Group: group, Revision: i.Revision, Closed: true}
 			continue
 		}
--- a/internal/policy/sharing/sharing.go
+++ b/internal/policy/sharing/sharing.go
@@ -10,8 +10,8 @@
 // control requests, and for connections of proxies that have just ended.
 const keptShare = 0.625
 
-// readers is the number of proxies that read each change of the store as soon as possible.
-// The key readersKey chooses them.
+// readers is the number of proxies that read each change of the store as soon as possible,
+// and readersKey the key whose hashes choose them.
 const (
 	readers    = 8
 	readersKey = "store"
