Log what a change of primary chose from, and when its order took effect

An operator who reads "Replica chosen" does not see which answers the choice came from, nor whether a promotion took effect late.

"Replica chosen" names the reason, the term, whether the old primary is stopped, the age of the list and of the closed record, and in Asked each member that was asked with the end of its log, its term, the term for which it is suspended, the age of its answer and the start of its process. New lines: "Promotion ordered", "Promotion answered", "Promoted endpoint leads" (with the time after the order) and "Endpoint leads a later term already". "Promotion without an answer" says how long the call took, and "Replica of an earlier attempt resumed" whose change resumed it. Existing messages and keys stay. No decision changes.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -87,6 +87,8 @@
 	// listedAddresses holds the addresses, by ID, of the members that the store
 	// listed after the record was closed.
 	listedAddresses map[string]string
+	// listAskedAt is the boot time at which that list was asked for.
+	listAskedAt time.Duration
 	// leaderAnswered is true if a member has answered that it leads the record's term
 	// or a later one. The change then does not need the answers of unlisted members.
 	leaderAnswered bool
@@ -248,6 +250,7 @@
 		return successor{}, err
 	}
 	if leading != nil {
+		c.logLeadsAlready(*leading)
 		c.resumeAll(ctx, others, leading.status.Term)
 		return c.successorFrom(*leading, others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, others, leading.status.Term))
 	}
@@ -273,13 +276,14 @@
 			ct.clock.SinceBoot()-c.began, maxTimeToPromote, lock.Holder)
 	}
 	ct.notePromotion()
-	if err := ct.promoter.Promote(ctx, c.group, elected.ID, lock.Revision); err != nil {
-		klog.InfoS("Promotion without an answer", "Group", c.group, "Endpoint", elected.ID, "Error", err.Error())
-	}
+	orderedAt := c.logOrdered(elected, lock.Revision)
+	err = ct.promoter.Promote(ctx, c.group, elected.ID, lock.Revision)
+	c.logOrderAnswered(elected, orderedAt, err)
 	promoted, err := c.awaitPrimary(ctx, elected)
 	if err != nil {
 		return successor{}, err
 	}
+	c.logLeads(promoted, orderedAt)
 	c.resumeAll(ctx, others, promoted.status.Term)
 	return c.successorFrom(promoted, others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, others, promoted.status.Term))
 }
--- a/internal/host/failover/command.go
+++ b/internal/host/failover/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -19,6 +20,9 @@
 	endpoint topology.Endpoint
 	status   topology.Status
 	err      error
+	// at is the boot time at which the answer or the error came; zero if no command was
+	// sent.
+	at time.Duration
 }
 
 // command sends one command, such as a status request, over a connection.
@@ -48,10 +52,11 @@
 	a := answer{endpoint: e}
 	conn, err := c.controller.dialer.DialUrgent(ctx, e)
 	if err != nil {
-		a.err = err
+		a.err, a.at = err, c.controller.clock.SinceBoot()
 		return a
 	}
 	status, reply, err := run(conn)
+	a.at = c.controller.clock.SinceBoot()
 	conn.Release(err, reply.Position)
 	if err == nil && reply.Code != statement.OK {
 		err = errors.Errorf("the command was refused: %v %s", reply.Code, reply.Detail)
@@ -153,7 +158,7 @@
 			return conn.Resume(c.controller.timer.Now().Add(commandTimeout))
 		})
 		klog.InfoS("Replica of an earlier attempt resumed", "Group", c.group, "Endpoint", a.endpoint.ID, "Suspended", a.status.SuspendedTerm,
-			"Term", term, "Failed", resumed.err != nil)
+			"Term", term, "Failed", resumed.err != nil, "Reason", c.reason.String(), "Token", c.record.Revision, "Holder", c.controller.name)
 	}
 }
 
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
@@ -58,11 +57,12 @@
 func (c *change) readMembers(ctx context.Context) ([]topology.Endpoint, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
 	defer cancel()
+	asked := c.controller.clock.SinceBoot()
 	listed, revision, err := c.controller.state.Members(ctx, c.group)
 	if err != nil {
 		return nil, 0, errors.WithMessagef(err, "reading the members of group %s", c.group)
 	}
-	c.listedAddresses = addresses(listed)
+	c.listedAddresses, c.listAskedAt = addresses(listed), asked
 	c.controller.noteListed(c.group, listed)
 	return c.controller.replicas(c.group, c.old.ID), revision, nil
 }
@@ -103,9 +103,7 @@
 		return topology.Endpoint{}, c.noCandidate(replicas, floor)
 	}
 	asked := append(replicas[:len(replicas):len(replicas)], old)
-	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", elected.ID, "Received", elected.Received.String(),
-		"Kept", floor.Position.String(), "KeptFrom", floor.Source, "KeptAgeMs", c.controller.ageOf(floor).Milliseconds(),
-		"KeptTold", floor.Observed, "Told", c.controller.table.Leader(c.group).Acknowledged.Position.String(), "Members", logEnds(asked), "Listed", listRevision, "Token", c.record.Revision)
+	c.logChosen(elected, floor, asked, listRevision)
 	for _, a := range asked {
 		if a.endpoint.ID == elected.ID {
 			return a.endpoint, nil
@@ -114,15 +112,6 @@
 	return topology.Endpoint{}, errors.Errorf("elected endpoint %s is not a member", elected.ID)
 }
 
-// ageOf returns how long ago the source learned of an acknowledged position; zero
-// for a position from the record.
-func (ct *Controller) ageOf(acknowledged leader.Acknowledged) time.Duration {
-	if acknowledged.At == 0 {
-		return 0
-	}
-	return ct.clock.SinceBoot() - acknowledged.At
-}
-
 // noCandidate records in the group's state that no member's log holds the required
 // position, and returns the error that says so.
 func (c *change) noCandidate(members []answer, floor leader.Acknowledged) error {
@@ -130,19 +119,6 @@
 	return errors.Errorf("no member's log holds the acknowledged position %v: %v", floor.Position, logEnds(members))
 }
 
-// logEnds returns the ID and the end of the log of each member that has answered,
-// for log messages and errors.
-func logEnds(members []answer) []string {
-	ends := make([]string, 0, len(members))
-	for _, a := range members {
-		if a.err == nil {
-			ends = append(ends, a.endpoint.ID+"="+a.status.Received.String())
-		}
-	}
-	slices.Sort(ends)
-	return ends
-}
-
 // newestTerm returns the newest term that the members or the record know, and the
 // answer of a member that leads a later term than the old primary, or nil. A member
 // that leads the old primary's own term does not count: it is that primary under
