Measure how old the knowledge of the record is when a commit is passed on

leader.State keeps the revision of the applied record, when it was last known to be open, and the commits acknowledged since. An answer of the store to the watch, a read of the records and the arrival of a newer open record set that time; an answer counts from when its call was sent, because a change may be made while it is under way. It decides nothing.

"Request served" and "Request failed" say RecordAgeMs and Position. A commit that is passed on under a record that is closed, or was last known to be open more than the lifetime of a proof before, gets the line "Commit passed on without a fresh record" (two a second for each doubt) and counts in eelgrassladder_node_unconfirmed_commits_total. So do the commits that turn out, once the record is known to be closed, to have been acknowledged since it was last known to be open. "Older record of a primary applied" is an error, counted in eelgrassladder_node_older_records_total.

--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -52,6 +52,9 @@
 	// chosen as the primary.
 	endpointID string
 	asPrimary  bool
+	// committed is true if the reply says that a commit is acknowledged, and the group
+	// is replicated.
+	committed bool
 	// done receives the reply. It has room for it, so that finish does not block.
 	done chan statement.Reply
 }
@@ -91,7 +94,7 @@
 	}
 	g.observer.Answered(Answered{
 		Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Reply: reply, Endpoint: e.endpointID, Primary: e.asPrimary,
-		Took: g.timer.Now().Sub(e.arrived), Attempts: e.attempts, Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
+		Took: g.timer.Now().Sub(e.arrived), Attempts: e.attempts, Committed: e.committed, Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
 	})
 	return reply
 }
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -81,6 +81,9 @@
 	Took time.Duration
 	// Attempts is the number of attempts at endpoints.
 	Attempts int
+	// Committed is true if the reply tells the client that a commit is acknowledged, in a
+	// group that keeps acknowledged commits through a change of primary.
+	Committed bool
 	// Leader is what the proxy knew of the group's primary when the reply was ready, and
 	// Now is the boot time at which it was ready.
 	Leader leader.State
--- a/internal/host/gateway/learn.go
+++ b/internal/host/gateway/learn.go
@@ -20,7 +20,8 @@
 	g.table.UpdateLeader(group, func(l leader.State) leader.State {
 		l = withAnswer(l, a.Endpoint.ID, asked, r.Position, acknowledged)
 		if acknowledged {
-			l = l.WithAcknowledged(g.acknowledged(r.Position))
+			newest := g.acknowledged(r.Position)
+			l = l.WithAcknowledged(newest).WithCommit(a.Endpoint.ID, r.Position, newest.At)
 		}
 		return l
 	})
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -16,6 +16,8 @@
 	// successesPerSecond is the number of log lines per second for successes of one
 	// consistency.
 	successesPerSecond = 1
+	// doubtsPerSecond is the number of log lines per second for commits with one Doubt.
+	doubtsPerSecond = 2
 )
 
 // Log is an Observer that writes failures and successes to the structured log, at a
@@ -24,15 +26,22 @@
 type Log struct {
 	failures  *logging.Sampler
 	successes *logging.Sampler
+	doubts    *logging.Sampler
 }
 
 // NewLog returns a log that has not written any line yet.
 func NewLog() Log {
-	return Log{failures: logging.NewSampler(failuresPerSecond), successes: logging.NewSampler(successesPerSecond)}
+	return Log{
+		failures: logging.NewSampler(failuresPerSecond), successes: logging.NewSampler(successesPerSecond),
+		doubts: logging.NewSampler(doubtsPerSecond),
+	}
 }
 
 // Answered logs the answer to a client.
 func (l Log) Answered(a Answered) {
+	if d := a.Doubt(); d != NoDoubt {
+		l.commitDoubted(a, d)
+	}
 	message, sampler, reason := "Request served", l.successes, a.Route.Consistency.String()
 	if a.Reply.Code != statement.OK {
 		message, sampler, reason = "Request failed", l.failures, a.Reply.Code.String()+a.Reply.Detail
@@ -46,9 +55,23 @@
 		"Version", a.RoutesVersion, "Endpoint", a.Endpoint, "Primary", a.Primary, "Term", a.Leader.Term,
 		"Closed", a.Leader.Closed, "ProofAgeMs", (a.Now - a.Leader.Proven).Milliseconds(),
 		"PositionAgeMs", (a.Now - a.Leader.LastSampleTime()).Milliseconds(),
+		"RecordAgeMs", a.Leader.RecordAgeMs(a.Now), "Position", a.Reply.Position.String(),
 		"TookMs", a.Took.Milliseconds(), "Tries", a.Attempts, "Omitted", omitted)
 }
 
+// commitDoubted logs a commit that was passed on to a client although its group's record
+// was not surely open.
+func (l Log) commitDoubted(a Answered, d Doubt) {
+	omitted, allowed := l.doubts.Allow(time.Now(), d.String())
+	if !allowed {
+		return
+	}
+	klog.InfoS("Commit passed on without a fresh record", "Request", a.Statement.ID, "Doubt", d.String(), "Group", a.Route.Group,
+		"Endpoint", a.Endpoint, "Position", a.Reply.Position.String(), "Known", a.Leader.Endpoint, "Term", a.Leader.Term,
+		"Closed", a.Leader.Closed, "KnownForMs", (a.Now - a.Leader.Since).Milliseconds(),
+		"RecordAgeMs", a.Leader.RecordAgeMs(a.Now), "TookMs", a.Took.Milliseconds(), "Omitted", omitted)
+}
+
 // AttemptFailed logs a failed attempt.
 func (l Log) AttemptFailed(f FailedAttempt) {
 	omitted, allowed := l.failures.Allow(time.Now(), "try"+f.Endpoint+f.Reply.Code.String())
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -21,6 +21,7 @@
 		e.gateway.budget.CountFinal(e.gateway.timer.Now())
 		if e.statement.Writes() {
 			e.session.written = e.session.written.Covering(reply.Position)
+			e.committed = e.gateway.replicated(e.route.Group)
 		}
 		e.finish(reply)
 	case reply.Code.NotRun():
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -90,7 +90,9 @@
 	}
 	if reply.Code == statement.OK && t.wrote {
 		e.session.written = e.session.written.Covering(reply.Position)
+		e.committed = g.replicated(t.route.Group)
 		if e.mayBeLost(t.endpoint.ID) {
+			e.committed = false
 			reply = statement.ErrorReply(statement.InDoubt, primaryReplacedDetail)
 		}
 	}
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -34,6 +34,12 @@
 	// changes counts the outcomes of changes of primary by Group, Reason and
 	// Outcome. Groups to which no route leads have none.
 	changes *prometheus.CounterVec
+	// unconfirmed counts, by Doubt, the commits that were passed on to clients while the
+	// group's record was not surely open, and as SinceOpen those that turned out so
+	// later. A commit can count under two of them.
+	unconfirmed *prometheus.CounterVec
+	// olderRecords counts the records that were applied after a newer one.
+	olderRecords prometheus.Counter
 }
 
 // NewNode returns the metrics of a proxy, registered in Registry.
@@ -59,8 +65,14 @@
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_changes_total", Help: "Changes of primary that this proxy judged due.",
 		}, []string{"Group", "Reason", "Outcome"}),
+		unconfirmed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_node_unconfirmed_commits_total", Help: "Commits that clients were told of while the group's record was not surely open.",
+		}, []string{"Doubt"}),
+		olderRecords: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "eelgrassladder_node_older_records_total", Help: "Records of primaries that were applied after a newer one.",
+		}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.requests, n.latency, n.tries, n.reads, n.changes)
+	n.Registry.MustRegister(n.PlatformCalls, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
 	return n
 }
 
@@ -76,6 +88,9 @@
 	consistency, code := a.Route.Consistency.String(), a.Reply.Code.String()
 	n.requests.WithLabelValues(consistency, a.Statement.Kind.String(), code).Inc()
 	n.latency.WithLabelValues(consistency, code).Observe(a.Took.Seconds())
+	if d := a.Doubt(); d != gateway.NoDoubt {
+		n.unconfirmed.WithLabelValues(d.String()).Inc()
+	}
 	// Only the reply of an endpoint that ran the statement has a signature.
 	if a.Reply.Signature == "" || a.Statement.Writes() || !a.Statement.AccessesData() {
 		return
@@ -101,6 +116,20 @@
 	n.changes.WithLabelValues(group, reason.String(), outcome.String()).Inc()
 }
 
+// doubtSinceOpen is the Doubt of commits that were acknowledged after the record was last
+// known to be open, before the proxy learned that it is closed.
+const doubtSinceOpen = "SinceOpen"
+
+// CommitsUnconfirmed records commits that were acknowledged between the time at which a
+// group's record was last known to be open and the time at which this proxy learned that
+// it is closed.
+func (n *Node) CommitsUnconfirmed(commits int) {
+	n.unconfirmed.WithLabelValues(doubtSinceOpen).Add(float64(commits))
+}
+
+// OlderRecordApplied records that a record was applied after a newer one of its group.
+func (n *Node) OlderRecordApplied() { n.olderRecords.Inc() }
+
 // RegisterGauges registers gauges for the version of the routes, the client
 // connections and the known primaries by group. The functions are called at each
 // scrape. Like the times in leader.State, now is a time since boot.
--- a/internal/host/metrics/node_test.go
+++ b/internal/host/metrics/node_test.go
@@ -5,11 +5,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/failover"
+	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/metrics"
+	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
 
@@ -29,3 +32,26 @@
 		assert.Assert(t, strings.Contains(answer.Body.String(), line+"\n"), line)
 	}
 }
+
+func TestCommitsWithoutAFreshRecordAreCountedByDoubt(t *testing.T) {
+	n := metrics.NewNode()
+	known := leader.State{}.WithPrimary("a", 1, time.Minute).WithRevision(4, time.Minute)
+	answered := gateway.Answered{Committed: true, Endpoint: "a", Leader: known, Now: time.Minute}
+	n.Answered(answered)
+	answered.Now = time.Hour
+	n.Answered(answered)
+	answered.Leader = known.WithClosed(time.Minute)
+	n.Answered(answered)
+	n.CommitsUnconfirmed(3)
+	n.OlderRecordApplied()
+	answer := httptest.NewRecorder()
+	n.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`eelgrassladder_node_unconfirmed_commits_total{Doubt="RecordOld"} 1`,
+		`eelgrassladder_node_unconfirmed_commits_total{Doubt="RecordClosed"} 1`,
+		`eelgrassladder_node_unconfirmed_commits_total{Doubt="SinceOpen"} 3`,
+		`eelgrassladder_node_older_records_total 1`,
+	} {
+		assert.Assert(t, strings.Contains(answer.Body.String(), line+"\n"), line)
+	}
+}
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -63,6 +64,19 @@
 	f.applyEndpoints(endpoints)
 }
 
+// Confirmed records that the primaries whose records are open were not being replaced
+// when the store was asked.
+func (f *follower) Confirmed(asked time.Duration) {
+	n := f.node
+	revisions := map[string]uint64{}
+	for group := range n.state.Groups() {
+		if r := n.state.Record(group); !r.Closed {
+			revisions[group] = r.Revision
+		}
+	}
+	n.table.ConfirmRecords(revisions, asked)
+}
+
 // Disconnected logs that the store does not answer.
 func (f *follower) Disconnected(err error) { klog.ErrorS(err, "Store is not reachable") }
 
@@ -189,8 +203,9 @@
 			claimed = e.ID
 		}
 	}
-	lost := false
+	lost, older := false, false
 	before, after := n.table.UpdateLeader(group, func(l leader.State) leader.State {
+		older = l.RecordPrecedes(record.Revision, record.Closed)
 		if record.Closed {
 			l = l.WithAcknowledged(leader.Acknowledged{Position: record.Acknowledged, Source: leader.SourceRecord, At: now})
 		} else {
@@ -198,14 +213,17 @@
 		}
 		switch {
 		case record.Closed:
-			return l.WithClosed(now)
+			l = l.WithClosed(now)
 		case record.Revision > 0:
-			return l.WithPrimary(record.Endpoint, record.Term, now)
+			l = l.WithPrimary(record.Endpoint, record.Term, now)
 		case claimed != "" && claimed != l.Endpoint:
-			return l.WithPrimary(claimed, 0, now)
+			l = l.WithPrimary(claimed, 0, now)
 		}
-		return l
+		return l.WithRevision(record.Revision, now)
 	})
+	if older {
+		n.reportOlder(record, before)
+	}
 	if lost {
 		klog.ErrorS(errCommitsMissing, "Primary lacks commits that may be acknowledged", "Group", group, "Endpoint", record.Endpoint, "Term", record.Term,
 			"Log", record.Acknowledged.String(), "Kept", before.Acknowledged.Position.String(), "KeptFrom", before.Acknowledged.Source,
@@ -213,6 +231,10 @@
 	}
 	if before.Endpoint != after.Endpoint || before.Closed != after.Closed {
 		klog.InfoS("Primary changed", "Group", group, "Endpoint", after.Endpoint, "Term", after.Term,
-			"Closed", after.Closed, "Before", before.Endpoint, "Revision", record.Revision, "Holder", record.Holder)
+			"Closed", after.Closed, "Before", before.Endpoint, "Revision", record.Revision, "Holder", record.Holder,
+			"RevisionBefore", before.Recorded.Revision)
+	}
+	if before.Open() && (after.Closed || before.Endpoint != after.Endpoint) {
+		n.reportUnconfirmed(record, before, now)
 	}
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -70,6 +70,12 @@
 	// connections, and the age of what is known of each group's primary. The
 	// functions must be safe for concurrent use.
 	RegisterGauges(version, clients func() float64, leaders func() map[string]leader.State, now func() time.Duration)
+	// CommitsUnconfirmed counts commits that the primary of a group acknowledged between
+	// the time at which its record was last known to be open and the time at which this
+	// proxy learned that it is closed.
+	CommitsUnconfirmed(commits int)
+	// OlderRecordApplied counts a record that was applied after a newer one of its group.
+	OlderRecordApplied()
 }
 
 // Dependencies are the implementations of interfaces, and the handlers, that the process
@@ -175,7 +181,7 @@
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
-	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, "", newFollower(n), n.fleet).Run)
+	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, n.dependencies.Clock, "", newFollower(n), n.fleet).Run)
 	n.tasks.Go("failover", n.controller.Run)
 	n.tasks.Go("health checks", n.checker.Run)
 	n.tasks.Go("registration", n.register)
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -210,7 +210,7 @@
 			if l.Term == 0 || !l.Open() || !records[name].Proves(l.Endpoint, l.Term) {
 				return l
 			}
-			return l.WithProof(asked)
+			return l.WithProof(asked).WithRecordOpen(asked)
 		})
 	}
 	return !p.table.Leader(group).ProofExpiring(p.clock.SinceBoot())
--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -51,6 +51,9 @@
 	Reset(items []eelgrassladder.Item)
 	// Changed receives the items that have changed.
 	Changed(items []eelgrassladder.Item)
+	// Confirmed is called after each answer of the store, once its items were passed on:
+	// no other item had changed at the boot time asked, when the call was sent.
+	Confirmed(asked time.Duration)
 	// Disconnected is called when the store stops answering, and Reconnected when it
 	// answers again.
 	Disconnected(err error)
@@ -61,6 +64,7 @@
 type Watcher struct {
 	store  eelgrassladder.KeyValue
 	timer  eelgrassladder.Timer
+	clock  eelgrassladder.Clock
 	prefix string
 	sink   Sink
 	// fleet returns the proxies that watch the store.
@@ -74,8 +78,10 @@
 
 // New returns a watcher that passes what it reads to the sink. The function fleet
 // returns the proxies that watch the store and tell each other of changes.
-func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, prefix string, sink Sink, fleet func() sharing.Fleet) *Watcher {
-	return &Watcher{store: store, timer: t, prefix: prefix, sink: sink, fleet: fleet}
+func New(store eelgrassladder.KeyValue, t eelgrassladder.Timer, c eelgrassladder.Clock, prefix string, sink Sink,
+	fleet func() sharing.Fleet,
+) *Watcher {
+	return &Watcher{store: store, timer: t, clock: c, prefix: prefix, sink: sink, fleet: fleet}
 }
 
 // Run follows the items until ctx ends.
@@ -110,6 +116,7 @@
 // watch from, and otherwise waits for the next change. After a failed call it asks the
 // store to answer at once, to learn whether it answers again.
 func (w *Watcher) callOnce(ctx context.Context) error {
+	asked := w.clock.SinceBoot()
 	if w.revision == 0 {
 		items, revision, err := w.store.Range(ctx, w.prefix)
 		if err != nil {
@@ -117,6 +124,7 @@
 		}
 		w.revision = revision
 		w.sink.Reset(items)
+		w.sink.Confirmed(asked)
 		return nil
 	}
 	wait := waitFor(w.fleet().Size(), rand.Float64())
@@ -130,6 +138,9 @@
 	w.revision = max(w.revision, revision)
 	if len(items) > 0 {
 		w.sink.Changed(items)
+	}
+	w.sink.Confirmed(asked)
+	if len(items) > 0 {
 		timer.Pause(ctx, w.timer, batchPause(w.fleet()))
 	}
 	return nil
--- a/internal/model/leader/leader.go
+++ b/internal/model/leader/leader.go
@@ -58,6 +58,8 @@
 	// Acknowledged is the newest position that is known to be acknowledged. It does
 	// not change with the primary.
 	Acknowledged Acknowledged
+	// Recorded is what is known of the group's record.
+	Recorded Recorded
 	// samples are ordered by time and never written after they were set.
 	samples []sample
 	// pending is a sample that is not proven yet; zero for none.
@@ -71,7 +73,10 @@
 		s.Term = term
 		return s
 	}
-	return State{Endpoint: endpoint, Term: term, Since: now, Acknowledged: s.Acknowledged}
+	return State{
+		Endpoint: endpoint, Term: term, Since: now, Acknowledged: s.Acknowledged,
+		Recorded: Recorded{Revision: s.Recorded.Revision},
+	}
 }
 
 // WithTerm returns the state with a term that was not known before.
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -221,6 +221,19 @@
 	return before, g.leader
 }
 
+// ConfirmRecords records that the records of primaries with the given revisions, by the
+// name of the group, were the current ones of the store at a boot time, and open. A group
+// whose primary comes from another record is left as it is.
+func (t *Table) ConfirmRecords(revisions map[string]uint64, at time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for name, revision := range revisions {
+		if g := t.group(name); g.leader.Open() && g.leader.Recorded.Revision == revision {
+			g.leader = g.leader.WithRecordOpen(at)
+		}
+	}
+}
+
 // SetEndpoints applies the platform's list of endpoints. It closes the idle
 // connections to endpoints that were removed or have been restarted.
 func (t *Table) SetEndpoints(snapshot topology.Snapshot) {
