Show in explain what a change of primary was measured against

It marks the new lines and, below the entries, says for each change which members were asked, with their logs, the age of their answers and the start of their processes, how the order was answered and when it took effect. What speaks for a loss is marked: a commit that the old primary acknowledged to a proxy after the change had begun, a member that joined without being asked, a second choice for the same term, a member that has started again, a replica resumed by another change, an older record. Logs of earlier builds read as before. "Endpoint listed" names the start of the process.

--- a/internal/host/gateway/doubt_test.go
+++ b/internal/host/gateway/doubt_test.go
@@ -8,6 +8,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/statement"
 )
 
 func TestTheDoubtAboutACommitFollowsFromWhatIsKnownOfTheRecord(t *testing.T) {
@@ -31,3 +32,17 @@
 		assert.Equal(t, got, c.want, c.name)
 	}
 }
+
+// TestADoubtedCommitThatIsNotLoggedAllocatesNothing guards against a cost for each commit:
+// without a fresh record, all commits between two log lines take this way.
+func TestADoubtedCommitThatIsNotLoggedAllocatesNothing(t *testing.T) {
+	log := gateway.NewLog()
+	a := gateway.Answered{
+		Committed: true, Endpoint: "a", Leader: leader.State{}.WithPrimary("a", 1, time.Minute), Now: time.Hour,
+		Reply: statement.Reply{Code: statement.OK},
+	}
+	log.Answered(a) // logged
+	log.Answered(a)
+	assert.Equal(t, a.Doubt(), gateway.RecordOld)
+	assert.Equal(t, testing.AllocsPerRun(1000, func() { log.Answered(a) }), 0.0)
+}
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -108,7 +108,7 @@
 			return endpoints.Without(strings.TrimPrefix(i.Key, endpointPrefix))
 		}
 		klog.InfoS("Endpoint listed", "Endpoint", e.ID, "Group", e.Group, "Leaving", e.Leaving,
-			"Primary", e.Primary, "DataCentre", e.DataCentre, "Revision", i.Revision)
+			"Primary", e.Primary, "DataCentre", e.DataCentre, "Started", e.StartedAt, "Revision", i.Revision)
 		return endpoints.With(e)
 	default:
 		if group, ok := leadership.Group(i.Key); ok && !i.Gone {
--- a/internal/host/report/entry.go
+++ b/internal/host/report/entry.go
@@ -19,6 +19,20 @@
 	messageNotBegun       = "Change of primary not begun"
 	messageDone           = "Change of primary done"
 	messagePrimaryChanged = "Primary changed"
+	messageChosen         = "Replica chosen"
+	messageOrdered        = "Promotion ordered"
+	messageAnswered       = "Promotion answered"
+	messageNotAnswered    = "Promotion without an answer"
+	messageLeads          = "Promoted endpoint leads"
+	messageLeadsAlready   = "Endpoint leads a later term already"
+	messageResumed        = "Replica of an earlier attempt resumed"
+	messageOlderRecord    = "Older record of a primary applied"
+	messageListed         = "Endpoint listed"
+	messageServed         = "Request served"
+	// A commit that was passed on although the record was not surely open, and the
+	// commits that turned out so later.
+	messageCommitDoubted    = "Commit passed on without a fresh record"
+	messageCommitsSinceOpen = "Commits acknowledged since the record was last known to be open"
 )
 
 // entry is one line of a structured log. It is immutable.
@@ -74,11 +88,13 @@
 func matchNone(entry) bool { return false }
 
 // isChangeStep reports whether the entry is a step of a change of primary that
-// has begun, a raised term, or a report of commits that a primary lacks.
+// has begun, a raised term, or a report of commits that a primary lacks or may have
+// acknowledged too late.
 func (e entry) isChangeStep() bool {
 	switch e.message {
-	case messageBegun, messageDone, "Change of primary goes on", "Change of primary given up", "Replica chosen",
-		"Promotion without an answer", "Primary lacks commits that may be acknowledged", "Term raised":
+	case messageBegun, messageDone, "Change of primary goes on", "Change of primary given up", messageChosen,
+		messageOrdered, messageAnswered, messageNotAnswered, messageLeads, messageLeadsAlready, messageResumed,
+		messageOlderRecord, messageCommitsSinceOpen, "Primary lacks commits that may be acknowledged", "Term raised":
 		return true
 	default:
 		return false
--- a/internal/host/report/explain.go
+++ b/internal/host/report/explain.go
@@ -115,7 +115,8 @@
 
 // ExplainGroup writes the entries about a group's primary and members between
 // two times, in order of time. If a time is zero, there is no such bound.
-// Repeated entries are merged, and steps of a change of primary are marked.
+// Repeated entries are merged, and steps of a change of primary are marked. Then it
+// writes what the choice of each change of primary was measured against.
 func (l *MergedLog) ExplainGroup(w io.Writer, group string, from, to time.Time) error {
 	var selected []entry
 	mentioned := false
@@ -136,7 +137,10 @@
 	if _, err := fmt.Fprintf(w, "Group %s, from %s (+0.000 s)\n", group, start.Format(time.RFC3339Nano)); err != nil {
 		return errors.WithStack(err)
 	}
-	return writeEntries(w, merged, start, entry.isChangeStep)
+	if err := writeEntries(w, merged, start, entry.isChangeStep); err != nil {
+		return err
+	}
+	return l.writeMeasured(w, group, from, to, start)
 }
 
 // concernsGroup reports whether the entry belongs to a group's history: it is
--- a/internal/host/report/repeats.go
+++ b/internal/host/report/repeats.go
@@ -69,9 +69,9 @@
 	return merged
 }
 
-// key returns the entry's message and the fields by which repeats are recognized.
-// It leaves out the request and its database, and numbers, which are
-// measurements, except for terms, tokens, versions and revisions. Numbers in the
+// key returns the entry's message and the fields by which repeats are recognized. It
+// leaves out the request and its database, the answers of asked members, and numbers,
+// which are measurements, except for terms, tokens, versions and revisions. Numbers in the
 // text of an error are masked.
 func (e entry) key() string {
 	var key strings.Builder
@@ -79,7 +79,7 @@
 	for _, name := range slices.Sorted(maps.Keys(e.fields)) {
 		v := e.fields[name]
 		switch name {
-		case "Request", "Database":
+		case "Request", "Database", "Asked":
 			continue
 		case "Term", "Token", "Version":
 		case "Revision":
