Count the age of a record from what a call to the store has shown

A proxy that learned of an open record by gossip took it for open as of its arrival, although the sender may have had it for long; and one that cannot reach the store had no younger knowledge than its own, although its partners do reach it. Both only concern logs and metrics.

leader.Recorded.OpenAt now means that any record that replaces this one was written later: it follows from calls to the store alone, of this proxy or of one that has told it. Reports of primaries carry the revision of the open record and how long ago it was known to be the newest. The field is optional: a report of an earlier version has no age, rather than an age of zero.

--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -163,7 +163,10 @@
 
 // report returns the report for a group, and whether there is anything to report.
 func report(group string, l leader.State, now time.Duration) (heartbeat.PrimaryReport, bool) {
-	r := heartbeat.PrimaryReport{Group: group, ProofAge: -1}
+	r := heartbeat.PrimaryReport{Group: group, ProofAge: -1, RecordAge: -1}
+	if age, known := l.RecordAge(now); known && l.Open() {
+		r.RecordRevision, r.RecordAge = l.Recorded.Revision, age
+	}
 	if l.Acknowledged.Observed {
 		r.Acknowledged, r.AcknowledgedAge = l.Acknowledged.Position, now-l.Acknowledged.At
 	}
@@ -186,11 +189,20 @@
 			if !r.Acknowledged.IsZero() {
 				l = l.WithAcknowledged(leader.Acknowledged{Position: r.Acknowledged, Observed: true, Source: m.Sender, At: sent - r.AcknowledgedAge})
 			}
-			return withReport(l, r, sent)
+			return withReport(withRecordReport(l, r, sent), r, sent)
 		})
 	}
 }
 
+// withRecordReport returns l with what a report says of the group's record, if the record
+// of the same revision applies here.
+func withRecordReport(l leader.State, r heartbeat.PrimaryReport, sent time.Duration) leader.State {
+	if r.RecordAge < 0 || !l.Open() || l.Recorded.Revision != r.RecordRevision {
+		return l
+	}
+	return l.WithRecordOpen(sent - r.RecordAge)
+}
+
 // withReport returns l with the proof and the position of a report, if the report
 // is about the same primary and term.
 func withReport(l leader.State, r heartbeat.PrimaryReport, sent time.Duration) leader.State {
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -219,7 +219,7 @@
 		case claimed != "" && claimed != l.Endpoint:
 			l = l.WithPrimary(claimed, 0, now)
 		}
-		return l.WithRevision(record.Revision, now)
+		return l.WithRevision(record.Revision)
 	})
 	if older {
 		n.reportOlder(record, before)
--- a/internal/model/heartbeat/heartbeat.go
+++ b/internal/model/heartbeat/heartbeat.go
@@ -50,6 +50,12 @@
 	// commit has reported a position.
 	Acknowledged    position.Position
 	AcknowledgedAge time.Duration
+	// RecordRevision is the store's revision of the group's record if that is open; zero
+	// if the group has none.
+	RecordRevision uint64
+	// RecordAge is how long ago that record, or its absence, was last known to be the
+	// newest state in the store; negative if the sender does not know.
+	RecordAge time.Duration
 }
 
 // Record is the encoded leadership.Record of a group. It is immutable.
--- a/internal/model/leader/recorded.go
+++ b/internal/model/leader/recorded.go
@@ -12,10 +12,10 @@
 	// Revision is the store's revision of the record that was applied last; zero for
 	// none.
 	Revision uint64
-	// OpenAt is the latest boot time at which the record is known to have been open: a
-	// call to the store that was sent then returned no closed record, or a newer open
-	// record arrived. Zero if there was neither since the endpoint became the known
-	// primary.
+	// OpenAt is the latest boot time at which the record, if it is open, is known to have
+	// been the newest: this proxy, or one that has told it, then sent a call to the store
+	// that returned no newer one. Any record that replaces it was written later. Zero if
+	// that is not known since the endpoint became the known primary.
 	OpenAt time.Duration
 	// Commits is how many commits the primary has acknowledged to this proxy since
 	// OpenAt was last set.
@@ -50,19 +50,14 @@
 	return revision < s.Recorded.Revision
 }
 
-// WithRevision returns the state with the revision of the record that is applied now. If
-// the record is newer than the one before and the state is open, the record is known to
-// be open now.
-func (s State) WithRevision(revision uint64, now time.Duration) State {
-	newer := revision > s.Recorded.Revision
+// WithRevision returns the state with the revision of the record that is applied now.
+func (s State) WithRevision(revision uint64) State {
 	s.Recorded.Revision = revision
-	if newer && s.Open() {
-		return s.WithRecordOpen(now)
-	}
 	return s
 }
 
-// WithRecordOpen returns the state with the knowledge that the record was open at a time.
+// WithRecordOpen returns the state with the knowledge that the record was open, and the
+// newest, at a time.
 func (s State) WithRecordOpen(at time.Duration) State {
 	if at > s.Recorded.OpenAt {
 		s.Recorded.OpenAt, s.Recorded.Commits = at, 0
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"eelgrassladder.example/eelgrassladder/gen/peer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
@@ -21,6 +23,7 @@
 			Group: s.Group, Endpoint: s.Endpoint, Term: s.Term,
 			ProvenMicros: s.ProofAge.Microseconds(), PositionMicros: s.PositionAge.Microseconds(),
 			Position: encodePosition(s.Position), Kept: encodePosition(s.Acknowledged), KeptMicros: s.AcknowledgedAge.Microseconds(),
+			RecordRevision: s.RecordRevision, RecordMicros: encodeAge(s.RecordAge),
 		})
 	}
 	for _, r := range b.Records {
@@ -45,6 +48,7 @@
 			PositionAge: decodeAge(s.GetPositionMicros()),
 			Position:    decodePosition(s.GetPosition()), Acknowledged: decodePosition(s.GetKept()),
 			AcknowledgedAge: max(decodeAge(s.GetKeptMicros()), 0),
+			RecordRevision:  s.GetRecordRevision(), RecordAge: decodeOptionalAge(s.RecordMicros),
 		})
 	}
 	for _, r := range m.GetRecords() {
@@ -64,6 +68,23 @@
 	return time.Duration(min(max(micros, -1), maxAge.Microseconds())) * time.Microsecond
 }
 
+// encodeAge converts an age to microseconds. It returns nil for a negative one.
+func encodeAge(age time.Duration) *int64 {
+	if age < 0 {
+		return nil
+	}
+	return proto.Int64(age.Microseconds())
+}
+
+// decodeOptionalAge converts an age in microseconds, at most maxAge. It is negative for
+// none, which proxies of earlier versions send.
+func decodeOptionalAge(micros *int64) time.Duration {
+	if micros == nil {
+		return -1
+	}
+	return decodeAge(*micros)
+}
+
 // encodePosition returns nil for the zero position.
 func encodePosition(p position.Position) *peer.Position {
 	if p.IsZero() {
--- a/internal/peer/sibling/codec_test.go
+++ b/internal/peer/sibling/codec_test.go
@@ -50,3 +50,21 @@
 		}
 	})
 }
+
+// TestTheAgeOfARecordIsAbsentUnlessItIsKnown guards against a report of an earlier version,
+// which has no such age, that would count as one of just now.
+func TestTheAgeOfARecordIsAbsentUnlessItIsKnown(t *testing.T) {
+	sent := encode(heartbeat.Message{Primaries: []heartbeat.PrimaryReport{
+		{Group: "known", RecordRevision: 4, RecordAge: 1500 * time.Microsecond}, {Group: "unknown", RecordAge: -1},
+	}})
+	sent.Sights = append(sent.Sights, &peer.Sight{Group: "earlier version"})
+	text, err := proto.Marshal(sent)
+	assert.NilError(t, err)
+	var received peer.Beat
+	assert.NilError(t, proto.Unmarshal(text, &received))
+	reports := decode(&received).Primaries
+	assert.Equal(t, reports[0].RecordRevision, uint64(4))
+	assert.Equal(t, reports[0].RecordAge, 1500*time.Microsecond)
+	assert.Assert(t, reports[1].RecordAge < 0)
+	assert.Assert(t, reports[2].RecordAge < 0)
+}
