Keep the newest record of a primary when threads apply them at once

Callers: a proxy no longer takes a replaced primary for the current one after it has learned of the change. Until the next event of the group it sent writes and reads to the old endpoint and watched that one instead of the new primary.

Cause: Node.updateLeader read the group's record, and the endpoint that claims to be the primary, before it locked the table. The watch, gossip, proofs and this proxy's own changes call it at the same time, so that the one which had read the older record could be the last to apply it.

Change: the record and the claim are read while the table is locked. The lock order is stated at both mutexes; the one of the cluster state now has a rank above the table's, which the tests check.

--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -181,16 +181,14 @@
 
 // updateLeader updates what the table knows of a group's primary. The group's record says
 // which endpoint leads. Without a record, the endpoint that claims to be the primary leads.
+// Several goroutines may call it at a time. Each reads the record while the table is
+// locked, so that the table never goes back to an older one.
 func (n *Node) updateLeader(group string) {
-	record, now := n.state.CurrentRecord(group), n.dependencies.Clock.SinceBoot()
-	claimed := ""
-	for _, e := range n.state.Endpoints().Group(group) {
-		if e.Primary {
-			claimed = e.ID
-		}
-	}
+	now := n.dependencies.Clock.SinceBoot()
+	var record leadership.Record
 	lost := false
 	before, after := n.table.UpdateLeader(group, func(l leader.State) leader.State {
+		record = n.state.CurrentRecord(group)
 		if record.Closed {
 			l = l.WithAcknowledged(leader.Acknowledged{Position: record.Acknowledged, Source: leader.SourceRecord, At: now})
 		} else {
@@ -201,7 +199,8 @@
 			return l.WithClosed(now)
 		case record.Revision > 0:
 			return l.WithPrimary(record.Endpoint, record.Term, now)
-		case claimed != "" && claimed != l.Endpoint:
+		}
+		if claimed := n.state.claimedPrimary(group); claimed != "" && claimed != l.Endpoint {
 			return l.WithPrimary(claimed, 0, now)
 		}
 		return l
--- /dev/null
+++ b/internal/host/node/follower_test.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/clock"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
+	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
+)
+
+func TestMain(m *testing.M) {
+	lockrank.EnableChecks(true)
+	os.Exit(m.Run())
+}
+
+const testGroup = "orders"
+
+// newTestNode returns a node with nothing but a cluster state and a table.
+func newTestNode(c eelgrassladder.Clock) *Node {
+	n := &Node{dependencies: Dependencies{Clock: c}, state: newClusterState("c-1", nil, c), table: scheduler.New(timer.New(), c, "east")}
+	n.state.onRecord = n.updateLeader
+	return n
+}
+
+// recordAt returns the record of a revision. The record is closed at even revisions, and
+// open at odd ones for the primary of the term that follows from the revision.
+func recordAt(revision uint64) leadership.Record {
+	term := (revision + 1) / 2
+	r := leadership.Record{Group: testGroup, Revision: revision}.WithPrimary("member-"+strconv.FormatUint(term, 10), term)
+	if revision%2 == 0 {
+		return r.WithClosed("c-2")
+	}
+	return r
+}
+
+// haltingClock is a clock whose first call halts until it is released.
+type haltingClock struct {
+	eelgrassladder.Clock
+	called            atomic.Bool
+	halted, releasing chan struct{}
+}
+
+func (c *haltingClock) SinceBoot() time.Duration {
+	if !c.called.Swap(true) {
+		close(c.halted)
+		<-c.releasing
+	}
+	return c.Clock.SinceBoot()
+}
+
+// TestAProxyKeepsTheNewerRecordWhenTheOlderIsAppliedLate guards against a proxy that takes
+// a replaced primary for the current one, because the goroutine that learned of the older
+// record was halted while another one learned of the newer.
+func TestAProxyKeepsTheNewerRecordWhenTheOlderIsAppliedLate(t *testing.T) {
+	c := &haltingClock{Clock: clock.Host{}, halted: make(chan struct{}), releasing: make(chan struct{})}
+	n := newTestNode(c)
+	g := task.New(context.Background())
+	g.GoIsolated("gossip", func(context.Context) { n.state.LearnRecord(recordAt(1)) })
+	<-c.halted
+	n.state.LearnRecord(recordAt(2))
+	n.state.LearnRecord(recordAt(3))
+	close(c.releasing)
+	assert.NilError(t, g.Wait())
+	l := n.table.Leader(testGroup)
+	assert.Equal(t, l.Endpoint, "member-2", "%+v", l)
+	assert.Equal(t, l.Term, uint64(2))
+	assert.Assert(t, l.Open())
+}
+
+// TestAProxyKeepsTheNewestRecordOfManyGoroutines is the same with goroutines that learn of
+// records at the same time.
+func TestAProxyKeepsTheNewestRecordOfManyGoroutines(t *testing.T) {
+	const goroutines, last = 8, 4001
+	n := newTestNode(clock.Host{})
+	var next atomic.Uint64
+	g := task.New(context.Background())
+	for range goroutines {
+		g.GoIsolated("source of records", func(context.Context) {
+			seen := uint64(0)
+			for revision := next.Add(1); revision <= last; revision = next.Add(1) {
+				n.state.LearnRecord(recordAt(revision))
+				l := n.table.Leader(testGroup)
+				assert.Check(t, l.Term >= seen, "the table went back from term %d to %d", seen, l.Term)
+				seen = l.Term
+			}
+		})
+	}
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, n.table.Leader(testGroup).Endpoint, recordAt(last).Endpoint)
+}
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
 )
 
 // Registry decodes the platform's entries in the store.
@@ -40,9 +40,10 @@
 	// routesKnown is closed once there are routes.
 	routesKnown chan struct{}
 
-	// mutex guards the fields below. While it is held, only the locks of the log are
-	// taken.
-	mutex sync.Mutex
+	// mutex guards the fields below. Its rank is lockrank.Cluster: the records are read
+	// while the table is locked, so the table is never locked while the mutex is held.
+	// While it is held, only the locks of the log are taken.
+	mutex *lockrank.Mutex
 	// records is keyed by the name of the group. It is replaced, never modified.
 	records map[string]leadership.Record
 	// unwritten holds the records of new primaries that are not written to the store
@@ -60,7 +61,8 @@
 	configuration eelgrassladder.Item
 	passOnFrom    time.Duration
 	promotionLock leadership.PromotionLock
-	// onRecord is called with the name of each group whose record has changed.
+	// onRecord is called with the name of each group whose record has changed, without
+	// the mutex and by several goroutines at a time. It has to read the record itself.
 	onRecord func(group string)
 	// name is the name of this proxy. registry decodes configurations.
 	name     string
@@ -70,7 +72,10 @@
 
 // newClusterState returns a state without routes and endpoints.
 func newClusterState(name string, r Registry, c eelgrassladder.Clock) *clusterState {
-	s := &clusterState{routesKnown: make(chan struct{}), onRecord: func(string) {}, name: name, registry: r, clock: c}
+	s := &clusterState{
+		routesKnown: make(chan struct{}), mutex: lockrank.New(lockrank.Cluster), onRecord: func(string) {},
+		name: name, registry: r, clock: c,
+	}
 	s.routes.Store(&route.Table{})
 	s.endpoints.Store(&topology.Snapshot{})
 	return s
@@ -211,6 +216,18 @@
 	return r
 }
 
+// claimedPrimary returns the ID of the listed endpoint that claims to be the group's
+// primary; empty if none does.
+func (s *clusterState) claimedPrimary(group string) string {
+	claimed := ""
+	for _, e := range s.Endpoints().Group(group) {
+		if e.Primary {
+			claimed = e.ID
+		}
+	}
+	return claimed
+}
+
 // Groups returns the names of the groups that at least one route uses.
 func (s *clusterState) Groups() map[string]bool { return s.Routes().Groups() }
 
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -27,7 +27,8 @@
 	clock      eelgrassladder.Clock
 	dataCentre string
 
-	// mutex guards the fields below.
+	// mutex guards the fields below. Its rank is lockrank.Scheduler; the functions that
+	// UpdateLeader calls may take locks of higher ranks.
 	mutex *lockrank.Mutex
 	// wake is signalled when an assignment is added to ready.
 	wake *sync.Cond
@@ -210,7 +211,8 @@
 
 // UpdateLeader replaces what is known of a group's primary by the result of f,
 // and returns the values before and after. f is called while the table is
-// locked and must not block.
+// locked and must not block. A function that applies a value of another table reads
+// that value itself; one that was read before may be older than what the table knows.
 func (t *Table) UpdateLeader(name string, f func(leader.State) leader.State) (before, after leader.State) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
