--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -195,16 +195,14 @@
 
 // updateLeader updates what the table knows of a group's primary. The group's record says
 // which endpoint leads. Without a record, the endpoint that claims to be the primary leads.
+// Several goroutines may call it at a time. Each reads the record while the table is
+// locked, so that the table never goes back to an older one.
 func (n *Node) updateLeader(group string) {
-	record, now := n.state.CurrentRecord(group), n.dependencies.Clock.SinceBoot()
-	claimed := ""
-	for _, e := range n.state.Endpoints().Group(group) {
-		if e.Primary {
-			claimed = e.ID
-		}
-	}
+	now := n.dependencies.Clock.SinceBoot()
+	var record leadership.Record
 	lost, older := false, false
 	before, after := n.table.UpdateLeader(group, func(l leader.State) leader.State {
+		record = n.state.CurrentRecord(group)
 		older = l.RecordPrecedes(record.Revision, record.Closed)
 		if record.Closed {
 			l = l.WithAcknowledged(leader.Acknowledged{Position: record.Acknowledged, Source: leader.SourceRecord, At: now})
@@ -216,8 +214,10 @@
 			l = l.WithClosed(now)
 		case record.Revision > 0:
 			l = l.WithPrimary(record.Endpoint, record.Term, now)
-		case claimed != "" && claimed != l.Endpoint:
-			l = l.WithPrimary(claimed, 0, now)
+		default:
+			if claimed := n.state.claimedPrimary(group); claimed != "" && claimed != l.Endpoint {
+				l = l.WithPrimary(claimed, 0, now)
+			}
 		}
 		return l.WithRevision(record.Revision)
 	})
