Report a commit as acknowledged only under a proof of the primary

Cause: a change cannot stop a primary that it does not reach. That primary acknowledges commits as long as any replica receives them, and a member that nobody compares does: one that has just joined, or was restarted or resumed. A proxy that did not know of the change reported them, and took each of them for a proof of the primary. The class of fault is a lease without a limit: what one side may still do was not bounded for the other side that waits for it.

Change: - a write is sent, and a commit reported, only under a proof that is younger than 0.8 s; the proxy looks for another first. Otherwise a write is refused as not run, and an acknowledged commit is in doubt. An acknowledged write proves nothing. - only members that the group's record lists give proofs. - after a change has closed the record it tells all other proxies. Who answers reports no more commits of the old primary 50 ms later, and tells the newest position that it knows to be acknowledged, which the next primary must hold. - if a proxy does not answer and the old primary was not stopped, the change waits until that proxy's proof has expired, and lists and suspends the members again before it compares them. - a statement that has waited for a change waits for the proof of the next primary from when that one is known, and the proxy that opened the record has the proof.

The placement tests that let a write go to an unproven primary stated the fault as a rule; they now require a proof for writes as well, and the scheduler's test that a write waits for it.

The packages under internal/host, policy/placement, policy/shedding, table and platform/adapter pass.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -94,6 +94,11 @@
 	leaderAnswered bool
 	// oldStopped is true if the old primary was made a replica.
 	oldStopped atomic.Bool
+	// informed is true if every other proxy knows of the closed record.
+	informed bool
+	// reportsEnd is the boot time from which no proxy reports a commit of the old primary
+	// as acknowledged; zero if that is not known yet.
+	reportsEnd time.Duration
 }
 
 // replacePrimary carries out a decision, unless it is outdated. It reports whether
@@ -125,6 +130,7 @@
 		"Refused", e.Refused, "StalledMs", e.StalledFor.Milliseconds(), "OutpacedMs", e.OutpacedFor.Milliseconds())
 	ct.reporter.Begun(group, reason)
 	defer ct.changeEnded()
+	c.informProxies(ctx)
 	for ctx.Err() == nil && ct.clock.SinceBoot()-c.began < maxTimeToPromote {
 		newPrimary, err := c.promote(ctx)
 		if err == nil {
@@ -228,6 +234,21 @@
 	return nil
 }
 
+// suspension is the state of a group whose members have been suspended. It is immutable.
+type suspension struct {
+	// others are the members other than the old primary that were asked, and replicas
+	// their answers.
+	others   []topology.Endpoint
+	replicas []answer
+	// term is the term for which they are suspended.
+	term uint64
+	// listRevision is the revision of the store's list of members.
+	listRevision uint64
+	// leading is the answer of a member that leads a later term than the old primary; nil
+	// for none. The members are not suspended then.
+	leading *answer
+}
+
 // promote stops the old primary, suspends the other members, has the one with the
 // longest log promoted, and waits until it leads and no proxy can still take the old
 // primary for the current one. If a member already leads a newer term, that member
@@ -239,34 +260,23 @@
 	}
 	oldAnswer := c.stopOld(ctx)
 	c.noteOldLog(oldAnswer)
-	others, listRevision, err := c.readMembers(ctx)
-	if err != nil {
-		return successor{}, err
+	s, err := c.suspendMembers(ctx)
+	if err == nil && s.leading == nil && c.awaitReportsEnd(ctx) {
+		// Members may have joined and acknowledged commits meanwhile.
+		s, err = c.suspendMembers(ctx)
 	}
-	memberCount := len(others)
-	others = slices.DeleteFunc(others, func(e topology.Endpoint) bool { return !c.required(e) })
-	term, leading, err := c.newestTerm(ctx, others)
 	if err != nil {
 		return successor{}, err
 	}
-	if leading != nil {
-		c.logLeadsAlready(*leading)
-		c.resumeAll(ctx, others, leading.status.Term)
-		return c.successorFrom(*leading, others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, others, leading.status.Term))
+	if s.leading != nil {
+		c.logLeadsAlready(*s.leading)
+		c.resumeAll(ctx, s.others, s.leading.status.Term)
+		return c.successorFrom(*s.leading, s.others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, s.others, s.leading.status.Term))
 	}
-	replicas, err := c.suspendAll(ctx, others, term+1)
-	if err != nil {
+	if err := c.recheck(ctx, s.replicas, oldAnswer, s.term); err != nil {
 		return successor{}, err
 	}
-	if len(others) < memberCount && !c.oldStopped.Load() {
-		// Require the unlisted members' answers in the next attempt.
-		c.leaderAnswered = false
-		return successor{}, errors.New("the old primary is not stopped, and unlisted members were left out")
-	}
-	if err := c.recheck(ctx, replicas, oldAnswer, term+1); err != nil {
-		return successor{}, err
-	}
-	elected, err := c.elect(replicas, oldAnswer, listRevision)
+	elected, err := c.elect(s.replicas, oldAnswer, s.listRevision)
 	if err != nil {
 		return successor{}, err
 	}
@@ -284,8 +294,36 @@
 		return successor{}, err
 	}
 	c.logLeads(promoted, orderedAt)
-	c.resumeAll(ctx, others, promoted.status.Term)
-	return c.successorFrom(promoted, others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, others, promoted.status.Term))
+	c.resumeAll(ctx, s.others, promoted.status.Term)
+	return c.successorFrom(promoted, s.others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, s.others, promoted.status.Term))
+}
+
+// suspendMembers suspends all members other than the old primary that must answer. It
+// reads their list anew.
+func (c *change) suspendMembers(ctx context.Context) (suspension, error) {
+	others, listRevision, err := c.readMembers(ctx)
+	if err != nil {
+		return suspension{}, err
+	}
+	memberCount := len(others)
+	others = slices.DeleteFunc(others, func(e topology.Endpoint) bool { return !c.required(e) })
+	term, leading, err := c.newestTerm(ctx, others)
+	if err != nil {
+		return suspension{}, err
+	}
+	s := suspension{others: others, term: term + 1, listRevision: listRevision, leading: leading}
+	if leading != nil {
+		return s, nil
+	}
+	if s.replicas, err = c.suspendAll(ctx, others, s.term); err != nil {
+		return suspension{}, err
+	}
+	if len(others) < memberCount && !c.oldStopped.Load() {
+		// Require the unlisted members' answers in the next attempt.
+		c.leaderAnswered = false
+		return suspension{}, errors.New("the old primary is not stopped, and unlisted members were left out")
+	}
+	return s, nil
 }
 
 // successor is the new primary.
@@ -380,9 +418,11 @@
 			expected = append(expected, eelgrassladder.Expectation{Key: leadership.PromotionLockKey, Revision: lock.Revision})
 			puts = append(puts, eelgrassladder.Put{Key: leadership.PromotionLockKey, Value: lock.Bytes()})
 		}
+		asked := ct.clock.SinceBoot()
 		revision, err := ct.store.Apply(ctx, expected, puts, nil)
 		if err == nil {
 			ct.state.LearnRecord(record.WithRevision(revision))
+			ct.proveOpened(record, asked)
 			if len(puts) > 1 {
 				ct.state.LearnPromotionLock(lock.WithRevision(revision, ct.clock.SinceBoot()))
 			}
@@ -396,3 +436,14 @@
 	}
 	c.demoteOld(ctx, newPrimary.term)
 }
+
+// proveOpened notes that the primary of a record was the only one when the store took the
+// record, which it was asked to at the boot time asked.
+func (ct *Controller) proveOpened(r leadership.Record, asked time.Duration) {
+	ct.table.UpdateLeader(r.Group, func(l leader.State) leader.State {
+		if !l.Open() || l.Endpoint != r.Endpoint || l.Term != r.Term {
+			return l
+		}
+		return l.WithProof(asked)
+	})
+}
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -3,10 +3,11 @@
 //
 // A change of primary has these steps:
 //
-//  1. Close the group's record in the store, so that no proxy sends new work to
-//     the old primary.
+//  1. Close the group's record in the store, and tell all proxies, so that none sends
+//     new work to the old primary or reports its commits as acknowledged.
 //  2. Stop the old primary and suspend all members that the store lists, so that
-//     no more commits can be acknowledged.
+//     no more commits can be acknowledged. If a proxy could not be told and the old
+//     primary could not be stopped, wait until that proxy's proof has expired.
 //  3. Promote the member with the longest log, if that log holds all commits that
 //     are known to be acknowledged.
 //  4. Wait until no proxy can still take the old primary for the current one.
@@ -82,6 +83,7 @@
 	dialer   *control.Dialer
 	store    eelgrassladder.KeyValue
 	promoter eelgrassladder.Promoter
+	informer Informer
 	state    ClusterState
 	tasks    *task.Group
 	reporter *Reporter
@@ -105,11 +107,11 @@
 // New returns a controller for the proxy with the given name. The observer is told the
 // outcome of each attempt to change a primary.
 func New(name string, t eelgrassladder.Timer, c eelgrassladder.Clock, table *scheduler.Table,
-	dialer *control.Dialer, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, s ClusterState, g *task.Group,
+	dialer *control.Dialer, store eelgrassladder.KeyValue, p eelgrassladder.Promoter, i Informer, s ClusterState, g *task.Group,
 	o Observer,
 ) *Controller {
 	return &Controller{
-		name: name, timer: t, clock: c, table: table, dialer: dialer, store: store, promoter: p, state: s, tasks: g,
+		name: name, timer: t, clock: c, table: table, dialer: dialer, store: store, promoter: p, informer: i, state: s, tasks: g,
 		groups: map[string]*groupState{}, reporter: NewReporter(o),
 	}
 }
--- a/internal/host/failover/record_test.go
+++ b/internal/host/failover/record_test.go
@@ -75,7 +75,7 @@
 		},
 	}
 	store := &fakeStore{}
-	ct := New("self", manual, fixedClock{}, table, nil, store, nil, cluster, task.New(context.Background()), nil)
+	ct := New("self", manual, fixedClock{}, table, nil, store, nil, nil, cluster, task.New(context.Background()), nil)
 	state := &groupState{}
 	now := manual.Now()
 	// The first call starts the time of the difference. After 5 s this proxy may
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -168,17 +168,17 @@
 // choiceIsFresh reports whether the endpoint was chosen recently enough to send it the
 // statement. A statement that reads relies on a proof that the primary was still the only
 // one; the proof must not expire before the endpoint has received the statement. Other
-// statements need no proof, so they may always be sent.
+// statements need the proof when they are answered.
 func (e *execution) choiceIsFresh(a scheduler.Assignment) bool {
-	return !e.job.Need.NeedsProof() || e.gateway.clock.SinceBoot()-a.Chosen <= placement.MaxSendDelay
+	return !e.job.Need.ReadsData() || e.gateway.clock.SinceBoot()-a.Chosen <= placement.MaxSendDelay
 }
 
 // primaryProven reports whether an answer that has just arrived may be used: true unless
-// the primary answered a statement that needs a proof, and no proof shows that it was
+// the primary answered a statement that reads, and no proof shows that it was
 // still the only primary. An answer of a replica needs none, because it carries the
 // position that it covers.
 func (e *execution) primaryProven(a scheduler.Assignment) bool {
-	if !a.Primary || !e.job.Need.NeedsProof() {
+	if !a.Primary || !e.job.Need.ReadsData() {
 		return true
 	}
 	// The answer must include every commit acknowledged before coveredUntil.
@@ -257,24 +257,12 @@
 		e.retry(a, statement.Reply{}, "the primary may have been replaced before it answered", true)
 		return
 	}
-	if reply.Code == statement.OK && e.statement.Writes() && e.mayBeLost(a.Endpoint.ID) {
-		reply = statement.ErrorReply(statement.InDoubt, primaryReplacedDetail)
+	if reply.Code == statement.OK && e.statement.Writes() && !e.commitConfirmed(a.Endpoint.ID) {
+		reply = statement.ErrorReply(statement.InDoubt, unconfirmedDetail)
 	}
 	e.handleReply(a, reply)
 }
 
-// primaryReplacedDetail is the detail of the reply for an acknowledged commit that is in
-// doubt.
-const primaryReplacedDetail = "the primary that acknowledged the commit is being replaced"
-
-// mayBeLost reports whether a commit that an endpoint has just acknowledged may be
-// lost in a change of primary: the members that are compared for the next primary
-// may lack it.
-func (e *execution) mayBeLost(endpoint string) bool {
-	g := e.gateway
-	return g.replicated(e.route.Group) && g.table.Leader(e.route.Group).BeingReplaced(endpoint, g.clock.SinceBoot())
-}
-
 // send runs the statement on a connection and returns the answer. It tells the table
 // when a write is sent and when its answer or error has come, so that the table can
 // detect a primary that stalls.
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -37,6 +37,7 @@
 	table     *scheduler.Table
 	connector eelgrassladder.Connector
 	routes    Routes
+	prover    Prover
 	observer  Observer
 	tasks     *task.Group
 	// budget limits the retries of reads whose earlier attempt is still under way.
@@ -114,10 +115,10 @@
 // New returns a gateway that submits statements to the table and runs them, once
 // they are assigned, in the task group.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *scheduler.Table, connector eelgrassladder.Connector,
-	routes Routes, o Observer, g *task.Group,
+	routes Routes, p Prover, o Observer, g *task.Group,
 ) *Gateway {
 	return &Gateway{
-		timer: t, clock: c, table: table, connector: connector, routes: routes, observer: o, tasks: g,
+		timer: t, clock: c, table: table, connector: connector, routes: routes, prover: p, observer: o, tasks: g,
 		budget: retry.NewBudget(t.Now()),
 	}
 }
--- a/internal/host/gateway/learn.go
+++ b/internal/host/gateway/learn.go
@@ -10,15 +10,14 @@
 )
 
 // learn updates the table with what an answer of the primary shows: its term, the end
-// of its log and, for a write to a replicated group, a proof and an acknowledged
-// position. Asked is the boot time at which the request was sent.
+// of its log and, for a write to a replicated group, an acknowledged position. Asked is the boot time at which the request was sent.
 func (g *Gateway) learn(a scheduler.Assignment, group string, asked time.Duration, r statement.Reply, wrote bool) {
 	if !a.Primary || r.Position.IsZero() {
 		return
 	}
 	acknowledged := wrote && g.replicated(group)
 	g.table.UpdateLeader(group, func(l leader.State) leader.State {
-		l = withAnswer(l, a.Endpoint.ID, asked, r.Position, acknowledged)
+		l = withAnswer(l, a.Endpoint.ID, asked, r.Position)
 		if acknowledged {
 			newest := g.acknowledged(r.Position)
 			l = l.WithAcknowledged(newest).WithCommit(a.Endpoint.ID, r.Position, newest.At)
@@ -55,17 +54,14 @@
 
 // withAnswer returns l with what the endpoint's answer to a request shows. The request
 // was sent at the boot time asked, and the answer reported position p. An acknowledged
-// write proves that no change of primary was under way, because a change suspends the
-// replicas that must receive the write.
-func withAnswer(l leader.State, endpoint string, asked time.Duration, p position.Position, acknowledgedWrite bool) leader.State {
+// write is no proof that the endpoint is the only primary: a replica that joined after a
+// change of primary had suspended the others may have received it.
+func withAnswer(l leader.State, endpoint string, asked time.Duration, p position.Position) leader.State {
 	if l.Endpoint != endpoint {
 		return l
 	}
 	if l.Term == 0 {
 		l = l.WithTerm(p.Term)
 	}
-	if acknowledgedWrite && p.Term == l.Term {
-		l = l.WithProof(asked)
-	}
-	return l.WithSample(asked, p)
+	return l.WithAnswer(asked, p)
 }
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -33,8 +33,8 @@
 }
 
 // runInTransaction runs the statement on the connection of the open transaction. It does
-// not send a commit to a primary that is being replaced, because the commit might be lost
-// or never be acknowledged; it rolls the transaction back.
+// not send a commit to a primary that is being replaced or not proven to be the only one,
+// because the commit might be lost or never be acknowledged; it rolls the transaction back.
 func (e *execution) runInTransaction() {
 	g, t := e.gateway, e.session.transaction
 	c := t.connection
@@ -45,15 +45,15 @@
 		e.abort(c, scheduler.Outcome{Answered: err == nil}, failureText(reply, err))
 		return
 	}
-	asked, began := g.clock.SinceBoot(), g.timer.Now()
 	if e.statement.Writes() {
 		t.wrote = true
 	}
 	commitsWrites := e.statement.Kind == statement.Commit && t.wrote
-	if commitsWrites && g.table.Leader(t.route.Group).BeingReplaced(t.endpoint.ID, asked) {
-		e.abort(c, scheduler.Outcome{Answered: true}, "the primary is being replaced")
+	if commitsWrites && !e.mayCommit(t.endpoint.ID) {
+		e.abort(c, scheduler.Outcome{Answered: true}, "the primary is being replaced, or is not known to be the only one")
 		return
 	}
+	asked, began := g.clock.SinceBoot(), g.timer.Now()
 	reply, err := e.send(c, t.endpoint.ID, e.deadline, position.Position{}, commitsWrites)
 	took := g.timer.Now().Sub(began)
 	if err != nil {
@@ -91,9 +91,9 @@
 	if reply.Code == statement.OK && t.wrote {
 		e.session.written = e.session.written.Covering(reply.Position)
 		e.committed = g.replicated(t.route.Group)
-		if e.mayBeLost(t.endpoint.ID) {
+		if !e.commitConfirmed(t.endpoint.ID) {
 			e.committed = false
-			reply = statement.ErrorReply(statement.InDoubt, primaryReplacedDetail)
+			reply = statement.ErrorReply(statement.InDoubt, unconfirmedDetail)
 		}
 	}
 	e.finish(reply)
--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -11,12 +11,14 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -50,6 +52,8 @@
 	Name() string
 	// Proxies returns the addresses of the other proxies by name.
 	Proxies() map[string]string
+	// Record returns the latest known record of a group in the store.
+	Record(group string) leadership.Record
 	// Message returns the message to send to other proxies, without reports of
 	// primaries and without the text of the configuration.
 	Message() heartbeat.Message
@@ -105,6 +109,20 @@
 	return answer
 }
 
+// AnswerClose adopts the closed record of a group. Commits that the old primary
+// acknowledges are reported to clients for leader.CommitGrace more; AnswerClose waits that
+// long, so that the position in its report covers all of them.
+func (g *Gossip) AnswerClose(ctx context.Context, r heartbeat.Record) (heartbeat.PrimaryReport, error) {
+	g.state.Receive(heartbeat.Message{Records: []heartbeat.Record{r}})
+	if known := g.state.Record(r.Group).Revision; known < r.Revision {
+		return heartbeat.PrimaryReport{}, errors.Errorf("the record of group %q at revision %d was not adopted", r.Group, r.Revision)
+	}
+	timer.Pause(ctx, g.timer, leader.CommitGrace)
+	now := g.clock.SinceBoot()
+	answer, _ := report(r.Group, g.table.Leader(r.Group), now)
+	return answer, ctx.Err()
+}
+
 // exchange exchanges messages with the partner whose turn it is.
 func (g *Gossip) exchange(ctx context.Context) {
 	name, address := g.nextPartner()
--- a/internal/host/gossip/gossip_test.go
+++ b/internal/host/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -51,6 +52,10 @@
 func (p *fakeProxy) Proxies() map[string]string  { return map[string]string{"partner": "address"} }
 func (p *fakeProxy) CloseExcept(map[string]bool) {}
 
+func (p *fakeProxy) Record(group string) leadership.Record {
+	return leadership.Record{Group: group, Revision: p.records[group].Revision}
+}
+
 func (p *fakeProxy) AddConfiguration(m heartbeat.Message, _ uint64) heartbeat.Message { return m }
 
 func (p *fakeProxy) Message() heartbeat.Message {
--- a/internal/host/gossip/spread_test.go
+++ b/internal/host/gossip/spread_test.go
@@ -12,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/policy/failover"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
@@ -32,8 +33,12 @@
 
 func (p *connectedProxy) Name() string { return p.name }
 
-func (p *connectedProxy) Proxies() map[string]string                                       { return p.others }
-func (p *connectedProxy) CloseExcept(map[string]bool)                                      {}
+func (p *connectedProxy) Proxies() map[string]string  { return p.others }
+func (p *connectedProxy) CloseExcept(map[string]bool) {}
+func (p *connectedProxy) Record(group string) leadership.Record {
+	return leadership.Record{Group: group}
+}
+
 func (p *connectedProxy) AddConfiguration(m heartbeat.Message, _ uint64) heartbeat.Message { return m }
 
 func (p *connectedProxy) Message() heartbeat.Message { return heartbeat.Message{Sender: p.name} }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -131,14 +131,14 @@
 	}
 	n := &Node{listeners: opened, settings: s, dependencies: d, timer: timer.New(), tasks: task.New(context.Background()), state: newClusterState(s.Name, d.Registry, d.Clock)}
 	n.table = scheduler.New(n.timer, d.Clock, s.DataCentre)
-	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, d.Observer, n.tasks)
 	dialer := control.NewDialer(n.timer, n.table, d.Connector)
 	reader := storeReader{clusterState: n.state, store: d.Store}
 	n.prober = proof.New(n.timer, d.Clock, n.table, dialer, reader, n.tasks, func(group string) []topology.Endpoint {
 		return n.state.Endpoints().Group(group)
 	})
+	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, n.prober, d.Observer, n.tasks)
 	n.state.onRecord = n.updateLeader
-	n.controller = failover.New(s.Name, n.timer, d.Clock, n.table, dialer, d.Store, d.Promoter, reader, n.tasks, d.Instruments)
+	n.controller = failover.New(s.Name, n.timer, d.Clock, n.table, dialer, d.Store, d.Promoter, sibling.NewClient(), reader, n.tasks, d.Instruments)
 	n.checker = healthcheck.New(n.timer, n.table, dialer, n.tasks)
 	n.gossip = gossip.New(n.timer, d.Clock, n.table, sibling.NewClient(), n.state)
 	n.table.OnProofNeeded(n.prober.Probe)
@@ -176,7 +176,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 2)
 	n.tasks.Go("siblings", func(ctx context.Context) error {
-		return sibling.NewServer(n.gossip.Answer).Serve(ctx, n.listeners.siblings)
+		return sibling.NewServer(n.gossip).Serve(ctx, n.listeners.siblings)
 	})
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -2,9 +2,9 @@
 // traffic has not shown it: a proof that the endpoint is still the only primary
 // of its group, and the end of its log.
 //
-// A change of primary closes the group's record and suspends all replicas first.
-// An open record, or a replica that is not suspended, therefore proves that no
-// change was under way when the request for it was sent.
+// A change of primary closes the group's record and suspends all recorded members
+// first. An open record, or a recorded replica that is not suspended, therefore proves
+// that no change was under way when the request for it was sent.
 package proof
 
 import (
@@ -47,6 +47,8 @@
 	// is not older than the call. A group without a record has had no change of
 	// primary.
 	Records(ctx context.Context) (map[string]leadership.Record, error)
+	// Record returns the latest known record of a group.
+	Record(group string) leadership.Record
 	// Groups returns the names of the groups that at least one route uses.
 	Groups() map[string]bool
 }
@@ -64,11 +66,11 @@
 
 	// mutex guards the fields below. No other lock is taken while it is held.
 	mutex sync.Mutex
-	// probing holds the names of the groups whose round is under way, or has ended less
-	// than roundPause ago.
-	probing map[string]bool
-	// rounds counts the rounds; it determines which replica is asked first.
-	rounds int
+	// rounds holds, by the name of the group, the channels of the rounds that are under
+	// way, or have ended less than roundPause ago. A channel is closed when its round ends.
+	rounds map[string]chan struct{}
+	// count counts the rounds; it determines which replica is asked first.
+	count int
 	// recordsRead is the boot time of the last read of the records; zero for never.
 	recordsRead time.Duration
 }
@@ -80,28 +82,37 @@
 ) *Prober {
 	return &Prober{
 		timer: t, clock: c, table: table, dialer: dialer, records: records, tasks: g, endpoints: endpoints,
-		probing: map[string]bool{},
+		rounds: map[string]chan struct{}{},
 	}
 }
 
 // Probe starts a round of requests for a group, unless one is under way or has just
 // ended. It does not block.
-func (p *Prober) Probe(group string) {
+func (p *Prober) Probe(group string) { p.Prove(group) }
+
+// Prove starts a round of requests for a group, unless one is under way or has just ended.
+// It returns a channel that is closed when the round has ended. It does not block.
+func (p *Prober) Prove(group string) <-chan struct{} {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.probing[group] {
-		return
+	if ended, ok := p.rounds[group]; ok {
+		return ended
 	}
-	p.probing[group] = true
-	p.rounds++
-	round := p.rounds
+	ended := make(chan struct{})
+	p.rounds[group] = ended
+	p.count++
+	round := p.count
 	p.tasks.GoIsolated("proof", func(ctx context.Context) {
-		p.runRound(ctx, group, round)
+		func() {
+			defer close(ended)
+			p.runRound(ctx, group, round)
+		}()
 		timer.Pause(ctx, p.timer, roundPause)
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
-		delete(p.probing, group)
+		delete(p.rounds, group)
 	})
+	return ended
 }
 
 // runRound asks the primary, if its term is unknown or its position is old, and then
@@ -121,7 +132,7 @@
 	if l.Term == 0 || !l.ProofExpiring(p.clock.SinceBoot()) {
 		return
 	}
-	healthy, failing := p.replicas(l, endpoints, round)
+	healthy, failing := p.replicas(l, p.records.Record(group), endpoints, round)
 	first := healthy[:min(len(healthy), 1)]
 	if p.askReplicas(ctx, group, l, first) || p.readRecords(ctx, group) {
 		return
@@ -174,14 +185,14 @@
 	return false
 }
 
-// replicas returns the replicas among the endpoints, in an order that changes with the
-// round. Those that have failed since their last answer are returned separately, because
-// each of them may take the whole probeTimeout.
-func (p *Prober) replicas(l leader.State, endpoints []topology.Endpoint, round int) (healthy, failing []topology.Endpoint) {
+// replicas returns the replicas among the endpoints that can give a proof, in an order that
+// changes with the round. Those that have failed since their last answer are returned
+// separately, because each of them may take the whole probeTimeout.
+func (p *Prober) replicas(l leader.State, record leadership.Record, endpoints []topology.Endpoint, round int) (healthy, failing []topology.Endpoint) {
 	for i := range endpoints {
 		e := endpoints[(i+round)%len(endpoints)]
 		switch {
-		case e.ID == l.Endpoint:
+		case e.ID == l.Endpoint || !record.Lists(e.ID):
 		case p.table.Health(e.ID).Failures > 0:
 			failing = append(failing, e)
 		default:
--- a/internal/host/proof/proof_test.go
+++ b/internal/host/proof/proof_test.go
@@ -49,6 +49,10 @@
 	return nil, eelgrassladder.ErrUnavailable
 }
 
+func (unavailableRecords) Record(group string) leadership.Record {
+	return leadership.Record{Group: group}
+}
+
 func (unavailableRecords) Groups() map[string]bool { return map[string]bool{"g": true} }
 
 // TestAReplicaThatFailedIsAskedLast guards against a round that waits for a failing
--- a/internal/model/leader/leader.go
+++ b/internal/model/leader/leader.go
@@ -20,10 +20,10 @@
 	// proofRenewAge is the age from which a proof is renewed. A request to a replica
 	// takes a few milliseconds, or a quarter of a second if it fails.
 	proofRenewAge = ProofLifetime * 7 / 10
-	// commitGrace is how long after the beginning of a change of primary a commit is
-	// still sent to the old primary. It is half of the time that a planned change
-	// leaves for work in flight before it suspends the replicas.
-	commitGrace = 50 * time.Millisecond
+	// CommitGrace is how long after the beginning of a change of primary a commit is
+	// still sent to the old primary, and reported as acknowledged. It is half of the time
+	// that a planned change leaves for work in flight before it suspends the replicas.
+	CommitGrace = 50 * time.Millisecond
 	// sampleSpacing is the shortest time between two samples.
 	sampleSpacing = 40 * time.Millisecond
 	// maxSamples limits the memory for a group. With sampleSpacing, the samples cover
@@ -134,9 +134,17 @@
 
 // BeingReplaced reports whether a commit that is sent to the endpoint now would
 // probably not be acknowledged: the endpoint has been closed for longer than
-// commitGrace, or it is no longer the primary.
+// CommitGrace, or it is no longer the primary.
 func (s State) BeingReplaced(endpoint string, now time.Duration) bool {
-	return s.Endpoint != endpoint || (s.Closed && now-s.Since > commitGrace)
+	return s.Endpoint != endpoint || (s.Closed && now-s.Since > CommitGrace)
+}
+
+// Confirms reports whether a commit that the endpoint has just acknowledged may be reported
+// to its client: the endpoint is not being replaced, and a valid proof shows that it was
+// the only primary. A change of primary compares the members' logs after the last such
+// report.
+func (s State) Confirms(endpoint string, now time.Duration) bool {
+	return !s.BeingReplaced(endpoint, now) && s.ProvenAt(now)
 }
 
 // Open reports whether new work may be sent to the primary.
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -90,6 +90,13 @@
 	return r.Revision == 0 || (!r.Closed && r.Endpoint == endpoint && r.Term == term)
 }
 
+// Lists reports whether the record lists the member. A record without members lists all
+// of them: no proxy has written them yet.
+func (r Record) Lists(id string) bool {
+	_, ok := r.Members[id]
+	return ok || len(r.Members) == 0
+}
+
 // WithClosed returns the record as closed by a proxy that replaces the primary.
 func (r Record) WithClosed(holder string) Record {
 	r.Closed, r.Holder = true, holder
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -19,21 +19,29 @@
 		Digest: b.Digest,
 	}
 	for _, s := range b.Primaries {
-		m.Sights = append(m.Sights, &peer.Sight{
-			Group: s.Group, Endpoint: s.Endpoint, Term: s.Term,
-			ProvenMicros: s.ProofAge.Microseconds(), PositionMicros: s.PositionAge.Microseconds(),
-			Position: encodePosition(s.Position), Kept: encodePosition(s.Acknowledged), KeptMicros: s.AcknowledgedAge.Microseconds(),
-			RecordRevision: s.RecordRevision, RecordMicros: encodeAge(s.RecordAge),
-		})
+		m.Sights = append(m.Sights, encodeReport(s))
 	}
 	for _, r := range b.Records {
-		m.Records = append(m.Records, &peer.Record{
-			Group: r.Group, Revision: r.Revision, Value: r.Value, Unwritten: r.Unwritten,
-		})
+		m.Records = append(m.Records, encodeRecord(r))
 	}
 	return m
 }
 
+// encodeReport converts a report to the generated type.
+func encodeReport(r heartbeat.PrimaryReport) *peer.Sight {
+	return &peer.Sight{
+		Group: r.Group, Endpoint: r.Endpoint, Term: r.Term,
+		ProvenMicros: r.ProofAge.Microseconds(), PositionMicros: r.PositionAge.Microseconds(),
+		Position: encodePosition(r.Position), Kept: encodePosition(r.Acknowledged), KeptMicros: r.AcknowledgedAge.Microseconds(),
+		RecordRevision: r.RecordRevision, RecordMicros: encodeAge(r.RecordAge),
+	}
+}
+
+// encodeRecord converts a record to the generated type.
+func encodeRecord(r heartbeat.Record) *peer.Record {
+	return &peer.Record{Group: r.Group, Revision: r.Revision, Value: r.Value, Unwritten: r.Unwritten}
+}
+
 // decode converts a heartbeat from the generated type.
 func decode(m *peer.Beat) heartbeat.Message {
 	b := heartbeat.Message{
@@ -42,23 +50,31 @@
 		Digest: m.GetDigest(),
 	}
 	for _, s := range m.GetSights() {
-		b.Primaries = append(b.Primaries, heartbeat.PrimaryReport{
-			Group: s.GetGroup(), Endpoint: s.GetEndpoint(), Term: s.GetTerm(),
-			ProofAge:    decodeAge(s.GetProvenMicros()),
-			PositionAge: decodeAge(s.GetPositionMicros()),
-			Position:    decodePosition(s.GetPosition()), Acknowledged: decodePosition(s.GetKept()),
-			AcknowledgedAge: max(decodeAge(s.GetKeptMicros()), 0),
-			RecordRevision:  s.GetRecordRevision(), RecordAge: decodeOptionalAge(s.RecordMicros),
-		})
+		b.Primaries = append(b.Primaries, decodeReport(s))
 	}
 	for _, r := range m.GetRecords() {
-		b.Records = append(b.Records, heartbeat.Record{
-			Group: r.GetGroup(), Revision: r.GetRevision(), Value: r.GetValue(), Unwritten: r.GetUnwritten(),
-		})
+		b.Records = append(b.Records, decodeRecord(r))
 	}
 	return b
 }
 
+// decodeReport converts a report from the generated type.
+func decodeReport(m *peer.Sight) heartbeat.PrimaryReport {
+	return heartbeat.PrimaryReport{
+		Group: m.GetGroup(), Endpoint: m.GetEndpoint(), Term: m.GetTerm(),
+		ProofAge:    decodeAge(m.GetProvenMicros()),
+		PositionAge: decodeAge(m.GetPositionMicros()),
+		Position:    decodePosition(m.GetPosition()), Acknowledged: decodePosition(m.GetKept()),
+		AcknowledgedAge: max(decodeAge(m.GetKeptMicros()), 0),
+		RecordRevision:  m.GetRecordRevision(), RecordAge: decodeOptionalAge(m.RecordMicros),
+	}
+}
+
+// decodeRecord converts a record from the generated type.
+func decodeRecord(m *peer.Record) heartbeat.Record {
+	return heartbeat.Record{Group: m.GetGroup(), Revision: m.GetRevision(), Value: m.GetValue(), Unwritten: m.GetUnwritten()}
+}
+
 // maxAge is the highest age in a report. A higher one would not fit a Duration, and could
 // come out as a low one.
 const maxAge = 1000 * time.Hour
--- a/internal/peer/sibling/codec_test.go
+++ b/internal/peer/sibling/codec_test.go
@@ -23,11 +23,22 @@
 	assert.Assert(t, decodeAge(-1<<63) < 0)
 }
 
-// TestAPanicEndsOneCall guards against a heartbeat that ends the process.
+// panicking is a handler whose methods panic.
+type panicking struct{}
+
+func (panicking) Answer(heartbeat.Message) heartbeat.Message { panic("unexpected") }
+
+func (panicking) AnswerClose(context.Context, heartbeat.Record) (heartbeat.PrimaryReport, error) {
+	panic("unexpected")
+}
+
+// TestAPanicEndsOneCall guards against a call of another proxy that ends the process.
 func TestAPanicEndsOneCall(t *testing.T) {
-	s := NewServer(func(heartbeat.Message) heartbeat.Message { panic("unexpected") })
+	s := NewServer(panicking{})
 	_, err := s.Exchange(context.Background(), &peer.Beat{Sender: "proxy-2"})
 	assert.ErrorContains(t, err, "panicked")
+	_, err = s.Close(context.Background(), &peer.Record{Group: "g"})
+	assert.ErrorContains(t, err, "panicked")
 }
 
 func FuzzHeartbeat(f *testing.F) {
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -14,17 +14,24 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 )
 
-// Server answers the heartbeats of other proxies. Use NewServer to make one.
-type Server struct {
-	handle func(heartbeat.Message) heartbeat.Message
+// Handler answers the calls of other proxies.
+type Handler interface {
+	// Answer returns the answer to a heartbeat.
+	Answer(m heartbeat.Message) heartbeat.Message
+	// AnswerClose adopts the closed record of a group. It returns what this proxy knows of
+	// the group, once this proxy reports no more commits of the old primary as
+	// acknowledged.
+	AnswerClose(ctx context.Context, r heartbeat.Record) (heartbeat.PrimaryReport, error)
 }
 
-// NewServer returns a Server that answers each heartbeat with the result of
-// handle.
-func NewServer(handle func(heartbeat.Message) heartbeat.Message) *Server {
-	return &Server{handle: handle}
+// Server answers the calls of other proxies. Use NewServer to make one.
+type Server struct {
+	handler Handler
 }
 
+// NewServer returns a Server that answers each call with the result of the handler.
+func NewServer(h Handler) *Server { return &Server{handler: h} }
+
 // Serve accepts connections until ctx ends, and then returns the error of ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
@@ -41,11 +48,25 @@
 // Exchange answers one heartbeat; it implements the generated service. A panic ends the
 // call, not the process.
 func (s *Server) Exchange(_ context.Context, m *peer.Beat) (answer *peer.Beat, err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			klog.ErrorS(nil, "Answering a heartbeat panicked", "Proxy", m.GetSender(), "Reason", r, "Stack", string(debug.Stack()))
-			err = errors.Errorf("answering a heartbeat of %q panicked: %v", m.GetSender(), r)
-		}
-	}()
-	return encode(s.handle(decode(m))), nil
+	defer recoverPanic("heartbeat", m.GetSender(), &err)
+	return encode(s.handler.Answer(decode(m))), nil
+}
+
+// Close answers one notice of a closed record; it implements the generated service. A
+// panic ends the call, not the process.
+func (s *Server) Close(ctx context.Context, m *peer.Record) (answer *peer.Sight, err error) {
+	defer recoverPanic("closed record", m.GetGroup(), &err)
+	report, err := s.handler.AnswerClose(ctx, decodeRecord(m))
+	if err != nil {
+		return nil, err
+	}
+	return encodeReport(report), nil
+}
+
+// recoverPanic turns a panic of a call into its error.
+func recoverPanic(call, subject string, err *error) {
+	if r := recover(); r != nil {
+		klog.ErrorS(nil, "Answering another proxy panicked", "Call", call, "Subject", subject, "Reason", r, "Stack", string(debug.Stack()))
+		*err = errors.Errorf("answering a %s of %q panicked: %v", call, subject, r)
+	}
 }
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -107,9 +107,9 @@
 
 // requiredTime returns the time up to which a read must see all acknowledged
 // commits. A read that allows less staleness than stalenessMargin must see those up to
-// now, as one at the primary.
+// now, as one at the primary. A write needs a primary that is the only one now.
 func requiredTime(n Need, now time.Duration) time.Duration {
-	if n.Consistency == route.Primary {
+	if n.Write || n.Consistency == route.Primary {
 		return now
 	}
 	return now - max(n.Staleness-stalenessMargin, 0)
@@ -118,7 +118,7 @@
 // AwaitsProof reports whether a statement can run nowhere now, because the primary is not
 // proven to be the only one, or its position is not known.
 func AwaitsProof(n Need, l leader.State, now time.Duration) bool {
-	if !n.NeedsProof() || (l.Open() && l.ProvenAt(requiredTime(n, now))) {
+	if l.Open() && l.ProvenAt(requiredTime(n, now)) {
 		return false
 	}
 	if n.Write || n.Consistency == route.Primary {
@@ -128,17 +128,17 @@
 	return !known
 }
 
-// NeedsProof reports whether the primary must be proven to be the only one. A
-// write that reads nothing needs no proof: a former primary cannot acknowledge
-// it.
-func (n Need) NeedsProof() bool { return !n.Write || n.Reads }
+// ReadsData reports whether the statement or transaction reads. What a read must see
+// depends on when the endpoint receives it.
+func (n Need) ReadsData() bool { return !n.Write || n.Reads }
 
-// choosePrimary chooses the primary if it can run the statement now.
+// choosePrimary chooses the primary if it can run the statement now. A write needs a proof
+// as well: a former primary acknowledges commits as long as any replica receives them.
 func choosePrimary(n Need, l leader.State, endpoints []EndpointSnapshot, now time.Duration) Choice {
 	if !l.Open() {
 		return noChoice
 	}
-	if n.NeedsProof() && !l.ProvenAt(requiredTime(n, now)) {
+	if !l.ProvenAt(requiredTime(n, now)) {
 		return Choice{Index: -1, AwaitsProof: true}
 	}
 	for i, e := range endpoints {
@@ -202,14 +202,10 @@
 }
 
 // ShouldRenewProof reports whether the proof of the primary should be renewed
-// soon, so that later reads like this one need not wait for it.
+// soon, so that later statements like this one need not wait for it.
 func (n Need) ShouldRenewProof(l leader.State, now time.Duration) bool {
-	switch {
-	case !n.NeedsProof():
-		return false
-	case n.Write || n.Consistency == route.Primary:
+	if n.Write || n.Consistency == route.Primary {
 		return l.ProofExpiring(now)
-	default:
-		return now-l.LastSampleTime() > n.Staleness/2
 	}
+	return now-l.LastSampleTime() > n.Staleness/2
 }
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -57,14 +57,18 @@
 	assert.Assert(t, c.After.IsZero())
 }
 
-func TestWithoutAProofOnlyWritesGoToThePrimary(t *testing.T) {
+// TestWithoutAProofNothingGoesToThePrimary guards against writes at a primary that was
+// replaced, which acknowledges them as long as any replica receives them.
+func TestWithoutAProofNothingGoesToThePrimary(t *testing.T) {
 	l := leader.State{}.WithPrimary("p", 1, now)
-	c := placement.Choose(placement.Need{Write: true}, l, endpoints(), now)
-	assert.Equal(t, c.Index, 0)
 	for _, n := range []placement.Need{
-		{Consistency: route.Primary}, {Write: true, Reads: true, Consistency: route.Primary}, boundedRead(),
+		{Write: true},
+		{Write: true, Consistency: route.ReadYourWrites, Staleness: time.Minute},
+		{Consistency: route.Primary},
+		{Write: true, Reads: true, Consistency: route.Primary},
+		boundedRead(),
 	} {
-		c = placement.Choose(n, l, endpoints(), now)
+		c := placement.Choose(n, l, endpoints(), now)
 		assert.Equal(t, c.Index, -1)
 		assert.Assert(t, c.AwaitsProof)
 	}
@@ -122,5 +126,7 @@
 	assert.Assert(t, placement.AwaitsProof(boundedRead(), proven, now+time.Minute))
 	assert.Assert(t, placement.AwaitsProof(placement.Need{Consistency: route.Primary}, proven, late))
 	assert.Assert(t, placement.AwaitsProof(placement.Need{Write: true, Reads: true}, proven, late))
-	assert.Assert(t, !placement.AwaitsProof(placement.Need{Write: true}, proven, late))
+	assert.Assert(t, placement.AwaitsProof(placement.Need{Write: true}, proven, late))
+	assert.Assert(t, placement.AwaitsProof(placement.Need{Write: true, Consistency: route.ReadYourWrites, Staleness: time.Minute}, proven, late))
+	assert.Assert(t, !placement.AwaitsProof(placement.Need{Write: true}, proven, now))
 }
--- a/internal/policy/shedding/shedding.go
+++ b/internal/policy/shedding/shedding.go
@@ -44,8 +44,11 @@
 }
 
 // ForProof reports whether a statement that waits for a proof that the primary
-// is the only one is refused.
-func ForProof(w Wait) bool { return w.Waited > fraction(w.Target, proofShare) }
+// is the only one is refused. Known is how long the primary has been known: a
+// statement that has waited for a change of primary waits for the proof since then.
+func ForProof(w Wait, known time.Duration) bool {
+	return min(w.Waited, known) > fraction(w.Target, proofShare) || w.Waited > w.Timeout-fraction(w.Timeout, runShare)
+}
 
 // ForChange reports whether a statement that needs the primary is refused
 // while the primary is being replaced. Lasted is how long the change has taken
--- a/internal/policy/shedding/shedding_test.go
+++ b/internal/policy/shedding/shedding_test.go
@@ -22,9 +22,19 @@
 func TestAStatementWaitsLongerForAProof(t *testing.T) {
 	w := shedding.Wait{Timeout: 800 * ms, Target: 200 * ms, Waited: 90 * ms}
 	assert.Assert(t, shedding.ForCapacity(w, 0))
-	assert.Assert(t, !shedding.ForProof(w))
+	assert.Assert(t, !shedding.ForProof(w, time.Hour))
 	w.Waited = 110 * ms
-	assert.Assert(t, shedding.ForProof(w))
+	assert.Assert(t, shedding.ForProof(w, time.Hour))
+}
+
+// TestAStatementThatWaitedForAChangeWaitsForTheProofAfterIt guards against writes that
+// wait for the next primary and are refused before that one can be proven.
+func TestAStatementThatWaitedForAChangeWaitsForTheProofAfterIt(t *testing.T) {
+	w := shedding.Wait{Timeout: 800 * ms, Target: 200 * ms, Waited: 600 * ms}
+	assert.Assert(t, !shedding.ForProof(w, 10*ms))
+	assert.Assert(t, shedding.ForProof(w, 110*ms))
+	w.Waited = 690 * ms
+	assert.Assert(t, shedding.ForProof(w, 10*ms), "a statement waits although no time is left to run it")
 }
 
 func TestAWriteWaitsForAChangeThatEndsInTime(t *testing.T) {
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -175,7 +175,7 @@
 	case NoCapacity:
 		return shedding.ForCapacity(w, t.forecastWait(g, j))
 	case NoProof:
-		return shedding.ForProof(w)
+		return shedding.ForProof(w, t.clock.SinceBoot()-g.leader.Since)
 	case NoReplica:
 		return shedding.ForUnknownWait(w)
 	default:
--- a/internal/table/scheduler/scheduler_test.go
+++ b/internal/table/scheduler/scheduler_test.go
@@ -225,6 +225,8 @@
 	f.runNext(t, 1)
 	assert.DeepEqual(t, results, []string{"read at r"})
 	f.table.UpdateLeader("g", func(l leader.State) leader.State { return l.WithPrimary("r", 2, f.clock.now) })
+	assert.Equal(t, f.table.Health("r").Running, 1, "a write was sent to a primary that is not proven to be the only one")
+	f.table.UpdateLeader("g", func(l leader.State) leader.State { return l.WithProof(f.clock.now) })
 	f.runNext(t, 1)
 	assert.Equal(t, results[1], "write at r")
 }
