Prove primaries by their records in the store before asking replicas

What callers saw: nothing yet; a proof of a replica is weaker than one of the record. A replica that the record lists proves a primary after a change has replaced it if it has started again, or if it had left when the record was written anew, which a proxy that is cut off from the store does not learn.

Change: a proxy reads the records, which proves the primaries of all groups at once, and asks replicas only if the store gives no proof, and only while it last knew the record to be open less than 12 s ago. If the store has failed before, one replica is asked first.

--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -41,6 +41,10 @@
 	readInterval = 300 * time.Millisecond
 )
 
+// MaxRecordAge is how long after a proxy last knew a group's record to be open the group's
+// replicas may prove the primary to it. The members of an older record may have left.
+const MaxRecordAge = 12 * time.Second
+
 // Records reads the records of the groups' primaries from the platform's store.
 type Records interface {
 	// Records returns the records of all groups, by name of the group. The answer
@@ -73,6 +77,8 @@
 	count int
 	// recordsRead is the boot time of the last read of the records; zero for never.
 	recordsRead time.Duration
+	// readFailed is true if the last read of the records has failed.
+	readFailed bool
 }
 
 // New returns a prober that writes what it learns to the table. The function
@@ -115,10 +121,10 @@
 	return ended
 }
 
-// runRound asks the primary, if its term is unknown or its position is old, and then
-// one healthy replica, if the proof is about to expire. If the replica gives no proof, it
-// reads the records from the store before it asks the other replicas: if another replica
-// did not answer either, the proof would expire before the timeout.
+// runRound asks the primary, if its term is unknown or its position is old. If the proof is
+// about to expire, it reads the records from the store, which proves the primaries of all
+// groups, and asks the replicas if the store gives no proof. If the store has failed before,
+// it asks one healthy replica first: the proof could expire before the store's timeout.
 func (p *Prober) runRound(ctx context.Context, group string, round int) {
 	l := p.table.Leader(group)
 	endpoints := p.endpoints(group)
@@ -133,7 +139,10 @@
 		return
 	}
 	healthy, failing := p.replicas(l, p.records.Record(group), endpoints, round)
-	first := healthy[:min(len(healthy), 1)]
+	first := healthy[:0]
+	if p.storeFailed() {
+		first = healthy[:min(len(healthy), 1)]
+	}
 	if p.askReplicas(ctx, group, l, first) || p.readRecords(ctx, group) {
 		return
 	}
@@ -166,10 +175,13 @@
 
 // askReplicas asks the replicas, one after the other, until one proves that l describes
 // the only primary: it is a replica of that term and is not suspended for a later one.
-// It reports whether one did.
+// It asks none if the record is older than MaxRecordAge. It reports whether one did.
 func (p *Prober) askReplicas(ctx context.Context, group string, l leader.State, replicas []topology.Endpoint) bool {
 	for _, e := range replicas {
 		asked := p.clock.SinceBoot()
+		if age, known := l.RecordAge(asked); !known || age > MaxRecordAge {
+			return false
+		}
 		s, _, ok := p.status(ctx, e)
 		if !ok || s.Primary || s.Term != l.Term || s.SuspendedTerm > l.Term {
 			continue
@@ -212,6 +224,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	records, err := p.records.Records(ctx)
+	p.noteRead(err)
 	if err != nil {
 		klog.V(1).InfoS("Could not read the records of primaries", "Error", err.Error())
 		return false
@@ -239,6 +252,20 @@
 	return true
 }
 
+// noteRead notes whether a read of the records has failed.
+func (p *Prober) noteRead(err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.readFailed = err != nil
+}
+
+// storeFailed reports whether the last read of the records has failed.
+func (p *Prober) storeFailed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.readFailed
+}
+
 // status asks one endpoint for its status and reports whether it answered OK.
 func (p *Prober) status(ctx context.Context, e topology.Endpoint) (topology.Status, statement.Reply, bool) {
 	conn, err := p.dialer.DialWithinShare(ctx, e)
