Wait for proxies that may run although they are no longer registered

The model lost a commit in each of three sequences: such a proxy was neither told of the change nor missed; a member joined 50 ms before the last proof expired and was listed after that; and a replica that had started again during the wait gave a proof that outlived it.

A proxy that has not had the list of proxies for that long does not know all of them and waits. The wait lasts 0.5 s beyond the last proof, in which members that have joined are listed, and begins again if a replica that was suspended has started again. The proxy's own grace counts from when it treats the record as closed.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -96,9 +96,14 @@
 	oldStopped atomic.Bool
 	// informed is true if every other proxy knows of the closed record.
 	informed bool
-	// reportsEnd is the boot time from which no proxy reports a commit of the old primary
-	// as acknowledged; zero if that is not known yet.
-	reportsEnd time.Duration
+	// closedAt is the boot time from which this proxy has treated the record as closed.
+	closedAt time.Duration
+	// membersListedAt is the boot time from which no proxy reports a commit of the old
+	// primary as acknowledged, and each member that received one is listed; zero if that is
+	// not known yet.
+	membersListedAt time.Duration
+	// suspended holds the IDs of the members that were suspended for this change.
+	suspended map[string]bool
 }
 
 // replacePrimary carries out a decision, unless it is outdated. It reports whether
@@ -231,6 +236,7 @@
 	ct.mutex.Unlock()
 	ct.state.LearnPromotionLock(taken.WithRevision(revision, c.began))
 	ct.state.LearnRecord(c.record)
+	c.closedAt = ct.clock.SinceBoot()
 	return nil
 }
 
@@ -261,8 +267,8 @@
 	oldAnswer := c.stopOld(ctx)
 	c.noteOldLog(oldAnswer)
 	s, err := c.suspendMembers(ctx)
-	if err == nil && s.leading == nil && c.awaitReportsEnd(ctx) {
-		// Members may have joined and acknowledged commits meanwhile.
+	for err == nil && s.leading == nil && c.awaitReportsEnd(ctx) {
+		// Members may have joined, or started again, and acknowledged commits meanwhile.
 		s, err = c.suspendMembers(ctx)
 	}
 	if err != nil {
@@ -307,7 +313,8 @@
 	}
 	memberCount := len(others)
 	others = slices.DeleteFunc(others, func(e topology.Endpoint) bool { return !c.required(e) })
-	term, leading, err := c.newestTerm(ctx, others)
+	answers := c.statuses(ctx, others)
+	term, leading, err := c.newestTerm(answers)
 	if err != nil {
 		return suspension{}, err
 	}
@@ -318,6 +325,7 @@
 	if s.replicas, err = c.suspendAll(ctx, others, s.term); err != nil {
 		return suspension{}, err
 	}
+	c.noteSuspended(answers, s.replicas)
 	if len(others) < memberCount && !c.oldStopped.Load() {
 		// Require the unlisted members' answers in the next attempt.
 		c.leaderAnswered = false
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -60,6 +60,10 @@
 	Members(ctx context.Context, group string) ([]topology.Endpoint, uint64, error)
 	// Proxies returns the addresses of the other proxies by name.
 	Proxies() map[string]string
+	// RecentProxies returns the addresses of the other proxies by name, with those that
+	// may still run although their registrations have ended. It reports whether it knows
+	// all of those.
+	RecentProxies() (map[string]string, bool)
 	// Record returns the latest known record of a group.
 	Record(group string) leadership.Record
 	// PromotionLock returns the latest known state of the promotion lock.
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -123,10 +123,9 @@
 // answer of a member that leads a later term than the old primary, or nil. A member
 // that leads the old primary's own term does not count: it is that primary under
 // another ID, and its replicas may be suspended.
-func (c *change) newestTerm(ctx context.Context, others []topology.Endpoint) (uint64, *answer, error) {
+func (c *change) newestTerm(answers []answer) (uint64, *answer, error) {
 	term := c.record.Term
 	var leading *answer
-	answers := c.statuses(ctx, others)
 	for i, a := range answers {
 		if a.err != nil {
 			continue
--- a/internal/host/failover/inform.go
+++ b/internal/host/failover/inform.go
@@ -14,9 +14,14 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 )
 
-// informTimeout is the timeout of telling one proxy of a closed record. The proxy answers
-// after leader.CommitGrace.
-const informTimeout = 300 * time.Millisecond
+const (
+	// informTimeout is the timeout of telling one proxy of a closed record. The proxy
+	// answers after leader.CommitGrace.
+	informTimeout = 300 * time.Millisecond
+	// maxListingTime is how long after it has started to receive the log of a primary a
+	// member is listed by the store.
+	maxListingTime = 500 * time.Millisecond
+)
 
 // Informer tells other proxies that a record was closed.
 type Informer interface {
@@ -32,7 +37,7 @@
 func (c *change) informProxies(ctx context.Context) {
 	ct := c.controller
 	closed := heartbeat.Record{Group: c.group, Revision: c.record.Revision, Value: c.record.Bytes()}
-	proxies := ct.state.Proxies()
+	proxies, allKnown := ct.state.RecentProxies()
 	var mutex sync.Mutex
 	var silent []string
 	limited, cancel := context.WithTimeout(ctx, informTimeout)
@@ -54,12 +59,12 @@
 		})
 	}
 	_ = g.Wait() // each function returns nil
-	if remaining := c.began + leader.CommitGrace - ct.clock.SinceBoot(); remaining > 0 {
+	if remaining := c.closedAt + leader.CommitGrace - ct.clock.SinceBoot(); remaining > 0 {
 		timer.Pause(ctx, ct.timer, remaining)
 	}
-	c.informed = len(silent) == 0
+	c.informed = allKnown && len(silent) == 0
 	klog.InfoS("Proxies informed of the change", "Group", c.group, "Token", c.record.Revision, "Proxies", len(proxies),
-		"Silent", silent, "Told", ct.table.Leader(c.group).Acknowledged.Position.String())
+		"Silent", silent, "AllKnown", allKnown, "Told", ct.table.Leader(c.group).Acknowledged.Position.String())
 }
 
 // learnReport notes the position that another proxy knows to be acknowledged.
@@ -73,21 +78,39 @@
 }
 
 // awaitReportsEnd waits until no proxy can still report a commit of the old primary as
-// acknowledged. A proxy that was not informed does so while its last proof is valid, and
-// gets no new one once all recorded members are suspended. It does not wait if all
-// proxies are informed or the old primary was stopped. It reports whether it waited.
+// acknowledged, and each member that has helped to acknowledge one is listed. A proxy that
+// was not informed reports commits while its last proof is valid, and gets no new one once
+// all recorded members are suspended. It does not wait if all proxies are informed or the
+// old primary was stopped. It reports whether it waited.
 func (c *change) awaitReportsEnd(ctx context.Context) bool {
 	ct := c.controller
 	if c.informed || c.oldStopped.Load() {
 		return false
 	}
-	if c.reportsEnd == 0 {
-		c.reportsEnd = ct.clock.SinceBoot() + leader.ProofLifetime
+	if c.membersListedAt == 0 {
+		c.membersListedAt = ct.clock.SinceBoot() + leader.ProofLifetime + maxListingTime
 	}
-	remaining := c.reportsEnd - ct.clock.SinceBoot()
+	remaining := c.membersListedAt - ct.clock.SinceBoot()
 	if remaining <= 0 {
 		return false
 	}
 	timer.Pause(ctx, ct.timer, remaining)
 	return true
 }
+
+// noteSuspended notes which members are suspended for the change now. The wait of
+// awaitReportsEnd begins again if one that was suspended before has answered before that it
+// is not: it has started again, and may have proved the old primary.
+func (c *change) noteSuspended(before, now []answer) {
+	for _, a := range before {
+		if c.suspended[a.endpoint.ID] && a.err == nil && !a.status.Primary && a.status.SuspendedTerm <= c.record.Term {
+			c.membersListedAt = 0
+		}
+	}
+	for _, a := range now {
+		if c.suspended == nil {
+			c.suspended = map[string]bool{}
+		}
+		c.suspended[a.endpoint.ID] = true
+	}
+}
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/proof"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
@@ -56,6 +57,11 @@
 	// proxies holds the addresses of the other registered proxies by name. It is
 	// replaced, never modified.
 	proxies map[string]string
+	// departed holds the other proxies whose registrations have ended, by name, and
+	// proxiesSince the boot time since which this process has had the list of proxies;
+	// zero for never.
+	departed     map[string]departedProxy
+	proxiesSince time.Duration
 	// configuration is the item from which the current routes were decoded. It is
 	// passed on to other proxies from the boot time passOnFrom.
 	configuration eelgrassladder.Item
@@ -113,11 +119,56 @@
 	klog.InfoS("Routes in force", "Version", routes.Version, "Before", old.Version, "Source", source)
 }
 
+// departedProxy is a proxy whose registration has ended. It is immutable.
+type departedProxy struct {
+	address string
+	// at is the boot time at which this process learned of it.
+	at time.Duration
+}
+
+// proxyRetention is how long a proxy whose registration has ended may still run, cut off
+// from the store, and have proofs of primaries from replicas.
+const proxyRetention = proof.MaxRecordAge
+
 // setProxies replaces the addresses of the other proxies.
 func (s *clusterState) setProxies(proxies map[string]string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.proxies = proxies
+	now := s.clock.SinceBoot()
+	if s.proxiesSince == 0 {
+		s.proxiesSince = now
+	}
+	departed := map[string]departedProxy{}
+	for name, d := range s.departed {
+		if _, registered := proxies[name]; !registered && now-d.at < proxyRetention {
+			departed[name] = d
+		}
+	}
+	for name, address := range s.proxies {
+		if _, registered := proxies[name]; !registered {
+			departed[name] = departedProxy{address: address, at: now}
+		}
+	}
+	s.proxies, s.departed = proxies, departed
+}
+
+// RecentProxies returns the addresses of the other proxies by name, those whose
+// registrations have ended less than proxyRetention ago included. It reports whether this
+// process has had the list of proxies for long enough to know all of those.
+func (s *clusterState) RecentProxies() (map[string]string, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.SinceBoot()
+	recent := maps.Clone(s.proxies)
+	if recent == nil {
+		recent = map[string]string{}
+	}
+	for name, d := range s.departed {
+		if now-d.at < proxyRetention {
+			recent[name] = d.address
+		}
+	}
+	return recent, s.proxiesSince > 0 && now-s.proxiesSince >= proxyRetention
 }
 
 // Name returns the name of this proxy.
