Do not count a member that has started again as the one whose log was recorded

What callers see: all members of a group crash, or the primary and the replica that held the newest commits; replicas come back first under their IDs, without a log. Some 4 s later one of them is promoted. All commits acknowledged before are gone, and reads return no data. Proxies that have just started promote it at once.

Cause: the members in a group's record were identified by ID and address. A member that started again under its ID was taken for the recorded one, so the comparison counted as complete, and with it the limit of 4 s for the reported position.

Change: the record also keeps when each member's process started (stored as Starts; former builds ignore the field and drop it when they write, and a record without starts is compared by ID as before, and written once more to add them). A recorded member that is listed with another start counts like one that has left: the next primary must hold the old primary's whole log, or nobody is promoted until that primary answers or has been silent for 15 s. Its new start is recorded once a replica holds all that the primary had afterwards, 250 ms after it is seen. The list that is read after the record was closed is compared as well. A proxy also remembers the former start of a member that no record names yet, and a confirmed end of the log is recorded whenever members are, not only after a departure.

recordMembers also kept the entry of a departed member only if it was missing when the write was decided; one that disappeared between that and the write was dropped unconfirmed. It now compares with the list that it writes.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -84,9 +84,9 @@
 	oldLog leader.Acknowledged
 	// replicaTerm is the newest term that a replica reported before the change.
 	replicaTerm uint64
-	// listedAddresses holds the addresses, by ID, of the members that the store
-	// listed after the record was closed.
-	listedAddresses map[string]string
+	// listed holds the members that the store listed after the record was closed; nil
+	// if the list was not read yet.
+	listed []topology.Endpoint
 	// leaderAnswered is true if a member has answered that it leads the record's term
 	// or a later one. The change then does not need the answers of unlisted members.
 	leaderAnswered bool
@@ -290,16 +290,16 @@
 	term uint64
 	// logEnd is the end of its log when it was first seen to lead.
 	logEnd position.Position
-	// members holds the addresses, by ID, of the members whose logs were compared.
-	members map[string]string
+	// members are the members whose logs were compared.
+	members []topology.Endpoint
 }
 
 // successorFrom returns the successor from the answer of a member that leads. The
 // others are the members other than the old primary that were asked.
 func (c *change) successorFrom(a answer, others []topology.Endpoint) successor {
-	members := addresses(others)
+	members := others
 	if c.old.Address != "" {
-		members[c.old.ID] = c.old.Address
+		members = append(slices.Clone(others), c.old)
 	}
 	return successor{id: a.endpoint.ID, term: a.status.Term, logEnd: a.status.Received, members: members}
 }
--- a/internal/host/failover/check.go
+++ b/internal/host/failover/check.go
@@ -68,7 +68,7 @@
 // and an old primary is stopped.
 func (c *change) required(e topology.Endpoint) bool {
 	_, listed := c.controller.state.Endpoints().Endpoint(e.ID)
-	return !c.leaderAnswered || listed || c.listedAddresses[e.ID] != ""
+	return !c.leaderAnswered || listed || slices.ContainsFunc(c.listed, func(l topology.Endpoint) bool { return l.ID == e.ID })
 }
 
 // readmitDeparted returns the answers of departed members that are still alive, and
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -10,6 +10,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -23,12 +24,7 @@
 func (c *change) requiredPosition() (leader.Acknowledged, error) {
 	ct := c.controller
 	record := ct.state.Record(c.group)
-	departed := append(policy.Compare(record.Members, ct.state.Endpoints().Group(c.group)).Left, ct.unrecordedDepartures(c.group, record.Acknowledged)...)
-	// The old primary does not count as departed: another member has received each
-	// commit that it acknowledged.
-	departed = slices.DeleteFunc(departed, func(id string) bool { return id == c.old.ID })
-	slices.Sort(departed)
-	departed = slices.Compact(departed)
+	departed := c.incomparable(record)
 	group, configured := ct.state.Routes().Group(c.group)
 	floor, known := policy.AcknowledgedCommits{
 		Replicated: !configured || group.Synchronous > 0,
@@ -41,6 +37,23 @@
 	return floor, nil
 }
 
+// incomparable returns the IDs of members whose logs are gone or can't be compared: those
+// that have left, or started again, since the record was written or, if it does not cover
+// what they had received, since this proxy saw them.
+func (c *change) incomparable(record leadership.Record) []string {
+	ct := c.controller
+	ids := append(policy.Compare(record, ct.state.Endpoints().Group(c.group)).Incomparable(),
+		ct.unrecordedDepartures(c.group, record)...)
+	if c.listed != nil {
+		ids = append(ids, policy.Compare(record, c.listed).Incomparable()...)
+	}
+	// The old primary does not count: another member has received each commit that it
+	// acknowledged.
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == c.old.ID })
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // noteOldLog stores the end of the old primary's log in c.oldLog, under whichever ID
 // it answered. It ignores a log that lacks the record's acknowledged position: a
 // restarted process may have lost its log.
@@ -62,7 +75,7 @@
 	if err != nil {
 		return nil, 0, errors.WithMessagef(err, "reading the members of group %s", c.group)
 	}
-	c.listedAddresses = addresses(listed)
+	c.listed = listed
 	c.controller.noteListed(c.group, listed)
 	return c.controller.replicas(c.group, c.old.ID), revision, nil
 }
--- a/internal/host/failover/record.go
+++ b/internal/host/failover/record.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,8 +31,8 @@
 // The caller holds the mutex.
 func (ct *Controller) updateDiff(group string, state *groupState, now time.Time) policy.ObservedDiff {
 	record := ct.state.Record(group)
-	state.forgetDeparted(record.Acknowledged, now)
-	diff := policy.Compare(record.Members, ct.state.Endpoints().Group(group))
+	state.forgetDeparted(record, now)
+	diff := policy.Compare(record, ct.state.Endpoints().Group(group))
 	if !diff.Equal(state.diff) || !ct.table.Leader(group).Open() {
 		state.diff, state.differsSince = diff, now
 	}
@@ -47,35 +47,33 @@
 }
 
 // recordMembers writes the members of a group to its record, for proxies that start
-// when no running proxy knows the members any more. It drops departed members once
-// one replica's log holds the primary's whole log: that includes every commit that a
-// departed member can have helped to acknowledge.
+// when no running proxy knows the members any more. Once one replica's log holds the
+// primary's whole log, it drops departed members and records the new starts of those that
+// have started again: that log includes every commit that the logs which are gone can have
+// helped to acknowledge.
 func (ct *Controller) recordMembers(ctx context.Context, group string, observed policy.ObservedDiff) {
 	before, known := ct.state.Record(group), ct.table.Leader(group)
 	if before.Closed {
 		return // the change of primary that closed it records the members
 	}
 	listed := ct.state.Endpoints().Group(group)
-	members := addresses(listed)
 	term, logEnd, err := ct.primaryLogEnd(ctx, known)
 	after := before
-	if err == nil && observed.LeaveConfirmed() && ct.anyReplicaHolds(ctx, listed, known.Endpoint, logEnd) {
+	confirmed := err == nil && ct.anyReplicaHolds(ctx, listed, known.Endpoint, logEnd)
+	if confirmed {
 		after = after.WithAcknowledged(logEnd)
-	} else {
-		for _, id := range observed.Left {
-			members[id] = before.Members[id]
-		}
 	}
+	after = after.WithMembers(membersToRecord(before, listed, observed, confirmed))
 	if before.Revision == 0 {
 		after = after.WithPrimary(known.Endpoint, term)
 		after.Group, after.Holder = group, ct.name
 	}
 	// A term of zero means that the primary did not answer; err is then set.
 	switch {
-	case maps.Equal(members, before.Members):
-		err = errors.Errorf("departed members %v stay recorded: primary %s did not confirm the end of its log, or no replica is known to hold that log", observed.Left, known.Endpoint)
+	case after.SameMembers(before):
+		err = errors.Errorf("departed members %v stay recorded: primary %s did not confirm the end of its log, or no replica is known to hold that log", observed.Incomparable(), known.Endpoint)
 	case after.Term > 0:
-		err = ct.writeRecord(ctx, after.WithMembers(members))
+		err = ct.writeRecord(ctx, after)
 	}
 	if err != nil {
 		klog.InfoS("Could not record the members of the group; the next attempt follows after a pause", "Group", group, "Error", err.Error())
@@ -83,7 +81,27 @@
 		return
 	}
 	klog.InfoS("Members recorded", "Group", group, "Joined", strings.Join(observed.Joined, " "), "Left", strings.Join(observed.Left, " "),
-		"Members", len(members), "Log", logEnd.String(), "Kept", after.Acknowledged.String())
+		"Restarted", strings.Join(observed.Restarted, " "), "Members", len(after.Members), "Log", logEnd.String(), "Kept", after.Acknowledged.String())
+}
+
+// membersToRecord returns the listed members, and the recorded ones whose logs a change of
+// primary must still miss: those that have left, and the former starts of those that have
+// started again. If covered is true, the record covers all that these logs held.
+func membersToRecord(before leadership.Record, listed []topology.Endpoint, observed policy.ObservedDiff, covered bool) []topology.Endpoint {
+	diff := policy.Compare(before, listed)
+	members := make([]topology.Endpoint, 0, len(listed)+len(diff.Left))
+	for _, e := range listed {
+		if !covered && slices.Contains(diff.Restarted, e.ID) {
+			e = before.Member(e.ID)
+		}
+		members = append(members, e)
+	}
+	for _, id := range diff.Left {
+		if !covered || !observed.LeaveConfirmed() || !slices.Contains(observed.Left, id) {
+			members = append(members, before.Member(id))
+		}
+	}
+	return members
 }
 
 // primaryLogEnd asks the primary for its term and the end of its log. An error means
@@ -129,12 +147,3 @@
 	ct.state.LearnRecord(r.WithRevision(revision))
 	return nil
 }
-
-// addresses returns the addresses of the members, keyed by ID.
-func addresses(members []topology.Endpoint) map[string]string {
-	byID := make(map[string]string, len(members))
-	for _, e := range members {
-		byID[e.ID] = e.Address
-	}
-	return byID
-}
--- a/internal/host/failover/state.go
+++ b/internal/host/failover/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
@@ -63,26 +64,39 @@
 	listedAt time.Time
 }
 
-// departure is a member that counts as having left the group.
+// departure is a member that counts as having left the group, or the former start of a
+// member that has started again, with the log that it may have lost.
 type departure struct {
 	listing
 	// acknowledged is the newest position that was known to be acknowledged when the
 	// member began to count as having left.
 	acknowledged position.Position
-	// ended is true if another instance had the member's address by then, which proves
-	// that the member's process has ended.
+	// ended is true if another instance had the member's address by then, or the member
+	// had started again, which proves that the process has ended.
 	ended bool
 }
 
-// noteListed records that members are listed now. They no longer count as departed.
-func (s *groupState) noteListed(listed []topology.Endpoint, now time.Time) {
-	for _, e := range listed {
-		delete(s.departed, e.ID)
-	}
+// coveredBy reports whether a record covers all commits that the member can have helped to
+// acknowledge. A record that names another start of the member was written when it did.
+func (d departure) coveredBy(r leadership.Record) bool {
+	start := r.Member(d.endpoint.ID).StartedAt
+	return r.Acknowledged.UpToDateWith(d.acknowledged) || (start != 0 && start != d.endpoint.StartedAt)
+}
+
+// noteListed records that members are listed now. They no longer count as departed, unless
+// they have started again. Acknowledged is the newest position that is known to be
+// acknowledged.
+func (s *groupState) noteListed(listed []topology.Endpoint, acknowledged position.Position, now time.Time) {
 	if s.members == nil {
 		s.members = map[string]listing{}
 	}
 	for _, e := range listed {
+		if d, ok := s.departed[e.ID]; ok && !e.Restarted(d.endpoint) {
+			delete(s.departed, e.ID)
+		}
+		if earlier, ok := s.members[e.ID]; ok && e.Restarted(earlier.endpoint) {
+			s.addDeparture(departure{listing: earlier, acknowledged: acknowledged, ended: true})
+		}
 		s.members[e.ID] = listing{endpoint: e, listedAt: now}
 	}
 }
@@ -91,7 +105,7 @@
 // if they have not been listed for memberRetention, or if another instance has their
 // address. Acknowledged is the newest position that is known to be acknowledged.
 func (s *groupState) update(endpoints topology.Snapshot, group string, acknowledged position.Position, now time.Time) {
-	s.noteListed(endpoints.Group(group), now)
+	s.noteListed(endpoints.Group(group), acknowledged, now)
 	for id, m := range s.members {
 		if m.listedAt.Equal(now) {
 			continue
@@ -109,6 +123,11 @@
 	if slices.ContainsFunc(listed, func(e topology.Endpoint) bool { return e.Address == d.endpoint.Address }) {
 		return
 	}
+	s.addDeparture(d)
+}
+
+// addDeparture adds a departed member, by its ID.
+func (s *groupState) addDeparture(d departure) {
 	if s.departed == nil {
 		s.departed = map[string]departure{}
 	}
@@ -116,11 +135,11 @@
 }
 
 // forgetDeparted drops departed members that no change of primary needs any more:
-// they are unlikely to be alive, and the position in the record covers what was
-// known to be acknowledged when they left.
-func (s *groupState) forgetDeparted(recorded position.Position, now time.Time) {
+// they are unlikely to be alive, and the record covers what was known to be acknowledged
+// when they left.
+func (s *groupState) forgetDeparted(record leadership.Record, now time.Time) {
 	maps.DeleteFunc(s.departed, func(_ string, d departure) bool {
-		return now.Sub(d.listedAt) >= departedProbeTime && recorded.UpToDateWith(d.acknowledged)
+		return now.Sub(d.listedAt) >= departedProbeTime && d.coveredBy(record)
 	})
 }
 
@@ -140,9 +159,9 @@
 	return found
 }
 
-// unrecordedDepartures returns the IDs of the departed members of a group at whose
-// departure a newer position was acknowledged than the recorded one.
-func (ct *Controller) unrecordedDepartures(group string, recorded position.Position) []string {
+// unrecordedDepartures returns the IDs of the departed members of a group that the record
+// does not cover.
+func (ct *Controller) unrecordedDepartures(group string, record leadership.Record) []string {
 	ct.mutex.Lock()
 	defer ct.mutex.Unlock()
 	state, ok := ct.groups[group]
@@ -151,7 +170,7 @@
 	}
 	var ids []string
 	for id, d := range state.departed {
-		if !recorded.UpToDateWith(d.acknowledged) {
+		if !d.coveredBy(record) {
 			ids = append(ids, id)
 		}
 	}
@@ -167,7 +186,7 @@
 	if !ok {
 		return
 	}
-	state.noteListed(listed, ct.timer.Now())
+	state.noteListed(listed, ct.table.Leader(group).Acknowledged.Position, ct.timer.Now())
 	current := topology.New(listed...)
 	for id, m := range state.members {
 		if current.AddressReused(m.endpoint) {
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -5,11 +5,13 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
 const (
@@ -42,6 +44,10 @@
 	// Members holds the addresses of the members by ID. It includes members that have
 	// left since Acknowledged became known. The map is never modified.
 	Members map[string]string `json:",omitempty"`
+	// Starts holds topology.Endpoint.StartedAt of the members by ID: a member that has
+	// started again since need not have the log that it had. It lacks members whose start
+	// is not known; records of former builds have no starts. The map is never modified.
+	Starts map[string]int64 `json:",omitempty"`
 }
 
 // Key returns the key of a group's record.
@@ -111,12 +117,29 @@
 	return r
 }
 
-// WithMembers returns the record with the addresses of the members by ID.
-func (r Record) WithMembers(members map[string]string) Record {
-	r.Members = members
+// WithMembers returns the record with the members, of which it keeps the ID, the address
+// and the start.
+func (r Record) WithMembers(members []topology.Endpoint) Record {
+	r.Members, r.Starts = make(map[string]string, len(members)), make(map[string]int64, len(members))
+	for _, e := range members {
+		r.Members[e.ID] = e.Address
+		if e.StartedAt != 0 {
+			r.Starts[e.ID] = e.StartedAt
+		}
+	}
 	return r
 }
 
+// Member returns the recorded member with the ID.
+func (r Record) Member(id string) topology.Endpoint {
+	return topology.Endpoint{ID: id, Group: r.Group, Address: r.Members[id], StartedAt: r.Starts[id]}
+}
+
+// SameMembers reports whether two records name the same members, with the same starts.
+func (r Record) SameMembers(other Record) bool {
+	return maps.Equal(r.Members, other.Members) && maps.Equal(r.Starts, other.Starts)
+}
+
 // WithRevision returns the record with a revision of the store.
 func (r Record) WithRevision(revision uint64) Record {
 	r.Revision = revision
--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -9,6 +9,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
 // Proxies of two builds share the store during a rolling update. A key that follows
@@ -19,7 +20,7 @@
 // had the names of the keys.
 const (
 	storedRecord = `{"Endpoint":"pg-2","Term":7,"Closed":true,"Holder":"proxy-1","Kept":{"Term":6,"Log":41},` +
-		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"}}`
+		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"},"Starts":{"pg-1":1700000000001,"pg-2":1700000000002}}`
 	storedLock = `{"Holder":"proxy-1","Busy":true}`
 )
 
@@ -28,6 +29,7 @@
 		Group: "g", Revision: 12, Endpoint: "pg-2", Term: 7, Closed: true, Holder: "proxy-1",
 		Acknowledged: position.Position{Term: 6, Log: 41},
 		Members:      map[string]string{"pg-1": "10.0.0.1:5", "pg-2": "10.0.0.2:5"},
+		Starts:       map[string]int64{"pg-1": 1_700_000_000_001, "pg-2": 1_700_000_000_002},
 	}
 }
 
@@ -43,6 +45,28 @@
 	assert.DeepEqual(t, got, fullRecord())
 }
 
+// TestARecordOfAFormerBuildHasNoStarts covers a record that was written before members'
+// starts were stored, or since by a proxy of such a build.
+func TestARecordOfAFormerBuildHasNoStarts(t *testing.T) {
+	former, _, _ := strings.Cut(storedRecord, `,"Starts"`)
+	got, err := leadership.Parse("g", []byte(former+"}"), 12)
+	assert.NilError(t, err)
+	want := fullRecord()
+	want.Starts = nil
+	assert.DeepEqual(t, got, want)
+	assert.DeepEqual(t, got.Member("pg-1"), topology.Endpoint{ID: "pg-1", Group: "g", Address: "10.0.0.1:5"})
+	assert.Assert(t, !got.SameMembers(fullRecord()))
+}
+
+func TestARecordKeepsTheStartsOfItsMembers(t *testing.T) {
+	started := topology.Endpoint{ID: "pg-1", Group: "g", Address: "10.0.0.1:5", StartedAt: 1_700_000_000_001}
+	unknown := topology.Endpoint{ID: "pg-3", Group: "g", Address: "10.0.0.3:5"}
+	r := fullRecord().WithMembers([]topology.Endpoint{started, unknown})
+	assert.DeepEqual(t, r.Member("pg-1"), started)
+	assert.DeepEqual(t, r.Member("pg-3"), unknown)
+	assert.DeepEqual(t, r.Starts, map[string]int64{"pg-1": 1_700_000_000_001})
+}
+
 func TestThePromotionLockIsStoredAsOtherBuildsExpect(t *testing.T) {
 	l := leadership.PromotionLock{Revision: 5, Seen: time.Second, Holder: "proxy-1", Busy: true}
 	assert.Equal(t, string(l.Bytes()), storedLock)
--- a/internal/model/topology/topology.go
+++ b/internal/model/topology/topology.go
@@ -32,6 +32,12 @@
 	Revision uint64
 }
 
+// Restarted reports whether the endpoint's process has started again since the earlier
+// listing under the same ID. It is false if one of the two starts is unknown.
+func (e Endpoint) Restarted(earlier Endpoint) bool {
+	return e.ID == earlier.ID && e.StartedAt != 0 && earlier.StartedAt != 0 && e.StartedAt != earlier.StartedAt
+}
+
 // Snapshot is the set of listed endpoints at one time. It is immutable.
 type Snapshot struct {
 	// endpoints is keyed by ID and never written after it was set.
--- a/internal/policy/failover/floor.go
+++ b/internal/policy/failover/floor.go
@@ -35,8 +35,9 @@
 	PrimaryEnd leader.Acknowledged
 	// MembersRecorded is true if the record lists the members.
 	MembersRecorded bool
-	// Left are the IDs of the members that have left since Recorded was
-	// written. The ends of their logs are unknown.
+	// Left are the IDs of the members that have left, or have started again
+	// under their IDs, since Recorded was written. The ends of the logs that
+	// they had are unknown.
 	Left []string
 	// NoCandidateFor is how long no member has held the position in Reported.
 	NoCandidateFor time.Duration
--- a/internal/policy/failover/memberdiff.go
+++ b/internal/policy/failover/memberdiff.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
@@ -14,6 +15,9 @@
 	// joinDelay is how long a proxy waits for further members once one has
 	// joined, so that members that start together cost one write.
 	joinDelay = time.Second
+	// restartDelay is the same wait for members that start again under their IDs. Until
+	// such a member is recorded, a change of primary needs the old primary's log.
+	restartDelay = 250 * time.Millisecond
 	// leaveDelay is how long a member must be missing from the list before it
 	// counts as having left. Entries that expired while the store was down
 	// return within 2 s.
@@ -31,26 +35,34 @@
 // MemberDiff is the difference between the members that the store lists and
 // those in the group's record. It is immutable.
 type MemberDiff struct {
-	// Joined are the IDs of listed members that the record lacks.
+	// Joined are the IDs of listed members that the record lacks, or whose start it
+	// lacks.
 	Joined []string
+	// Restarted are the IDs of recorded members that are listed with another start. Such a
+	// member may have lost the log that it had.
+	Restarted []string
 	// Left are the IDs of recorded members that are not listed and whose
 	// address no listed member has. If such a member was the only replica to
 	// receive a commit, no remaining replica holds it.
 	Left []string
 }
 
-// Compare returns the difference between the listed members of a group and the
-// recorded ones, whose addresses are keyed by ID.
-func Compare(recorded map[string]string, listed []topology.Endpoint) MemberDiff {
+// Compare returns the difference between the listed members of a group and those in
+// its record.
+func Compare(record leadership.Record, listed []topology.Endpoint) MemberDiff {
 	var diff MemberDiff
 	listedIDs, listedAddresses := make(map[string]bool, len(listed)), make(map[string]bool, len(listed))
 	for _, e := range listed {
 		listedIDs[e.ID], listedAddresses[e.Address] = true, true
-		if _, ok := recorded[e.ID]; !ok {
+		_, recorded := record.Members[e.ID]
+		switch {
+		case !recorded, e.StartedAt != 0 && record.Starts[e.ID] == 0:
 			diff.Joined = append(diff.Joined, e.ID)
+		case e.Restarted(record.Member(e.ID)):
+			diff.Restarted = append(diff.Restarted, e.ID)
 		}
 	}
-	for id, address := range recorded {
+	for id, address := range record.Members {
 		if !listedIDs[id] && !listedAddresses[address] {
 			diff.Left = append(diff.Left, id)
 		}
@@ -61,9 +73,13 @@
 
 // Equal reports whether two differences are the same.
 func (m MemberDiff) Equal(other MemberDiff) bool {
-	return slices.Equal(m.Joined, other.Joined) && slices.Equal(m.Left, other.Left)
+	return slices.Equal(m.Joined, other.Joined) && slices.Equal(m.Restarted, other.Restarted) && slices.Equal(m.Left, other.Left)
 }
 
+// Incomparable returns the IDs of recorded members whose logs can't be compared, because
+// they have left or started again.
+func (m MemberDiff) Incomparable() []string { return slices.Concat(m.Left, m.Restarted) }
+
 // ObservedDiff is a MemberDiff, with how long one proxy has observed it. It is
 // immutable.
 type ObservedDiff struct {
@@ -82,6 +98,9 @@
 // may write when its turn comes.
 func (d ObservedDiff) ShouldRecord() bool {
 	wait := time.Duration(d.WriterIndex) * writerDelay
+	if len(d.Restarted) > 0 {
+		return d.Lasted >= restartDelay+wait
+	}
 	if len(d.Joined) > 0 {
 		return d.Lasted >= joinDelay+wait
 	}
--- a/internal/policy/failover/writer_bench_test.go
+++ b/internal/policy/failover/writer_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -30,8 +31,8 @@
 // BenchmarkDifferencesOfATick measures how much of one tick goes into
 // comparing the members of all groups with their records where none differs.
 func BenchmarkDifferencesOfATick(b *testing.B) {
-	recorded := map[string]string{"a": "1", "b": "2", "c": "3"}
-	listed := []topology.Endpoint{{ID: "a", Address: "1"}, {ID: "b", Address: "2"}, {ID: "c", Address: "3"}}
+	listed := []topology.Endpoint{{ID: "a", Address: "1", StartedAt: 1}, {ID: "b", Address: "2", StartedAt: 2}, {ID: "c", Address: "3", StartedAt: 3}}
+	recorded := leadership.Record{}.WithMembers(listed)
 	b.ReportAllocs()
 	for b.Loop() {
 		for range 610 {
