Model members that start again without their logs

The model of a change of primary had members that restart with their logs only. For each rule a sequence breaks a guarantee without it. Each start counts, also one with the log.

--- a/internal/policy/failover/membermodel_test.go
+++ b/internal/policy/failover/membermodel_test.go
@@ -42,6 +42,9 @@
 	// addressTakenBy is the index of the member that now has its address; zero
 	// for none.
 	addressTakenBy int
+	// start counts the starts of its process, and listedStart is the start in its
+	// entry in the store.
+	start, listedStart int
 	// pending are the commits that no replica has received yet.
 	pending []commitModel
 }
@@ -171,6 +174,33 @@
 		r.primary = false
 	}
 	m.follow(r)
+	r.countStart()
+}
+
+// startEmpty starts a member again under its identity, as one that holds and
+// knows nothing of before.
+func (m *model) startEmpty(r *memberModel) {
+	if r.left {
+		return
+	}
+	r.crashed, r.primary, r.term, r.suspended, r.log, r.pending = false, false, 0, 0, nil, nil
+	m.follow(r)
+	r.countStart()
+}
+
+// countStart counts the start of a member, which writes its entry unless it is
+// cut off from the store.
+func (r *memberModel) countStart() {
+	r.start++
+	r.writeEntry()
+}
+
+// writeEntry writes the member's start to its entry in the store, if it reaches
+// the store.
+func (r *memberModel) writeEntry() {
+	if !r.cutOffFromStore {
+		r.listedStart = r.start
+	}
 }
 
 // follow lets a member that has just started follow the newest primary that it
--- a/internal/policy/failover/scenarios_test.go
+++ b/internal/policy/failover/scenarios_test.go
@@ -172,6 +172,12 @@
 				m.changePrimary(a)
 			},
 		},
+		"a member that starts again is not the recorded one": {
+			func(r *rules) { r.compareStarts = false }, startsAgainBeforeTheChange,
+		},
+		"no log ends before where it ended when the change began": {
+			func(r *rules) { r.compareEnds = false }, startsAgainDuringTheChange,
+		},
 		"the old primary is demoted": {
 			func(r *rules) { r.demoteFirst = false },
 			func(m *model, a, b *proxyModel) {
@@ -331,6 +337,10 @@
 			m.readStore(a)
 			m.changePrimary(a)
 		},
+		"a member starts again without its log before its entry shows it":                 startsAgainCutOffFromTheStore,
+		"a member starts again without its log before a proxy has read its entry":         startsAgainUnseen,
+		"a primary that starts again without its log is read under the proof that it had": startsAgainWhileProven,
+		"the chosen member starts again without its log before it leads":                  startsAgainWhilePromoted,
 		// No running process knows of the commit.
 		"all proxies restart, and then both members that hold a commit are down": func(m *model, a, b *proxyModel) {
 			m.members[1].detached = true
