--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -84,9 +84,11 @@
 	oldLog leader.Acknowledged
 	// replicaTerm is the newest term that a replica reported before the change.
 	replicaTerm uint64
-	// listedAddresses holds the addresses, by ID, of the members that the store
-	// listed after the record was closed.
-	listedAddresses map[string]string
+	// checkedEnds holds the ends of the members' logs before the record was closed, by ID.
+	checkedEnds map[string]position.Position
+	// listed holds the members that the store listed after the record was closed; nil
+	// if the list was not read yet.
+	listed []topology.Endpoint
 	// listAskedAt is the boot time at which that list was asked for.
 	listAskedAt time.Duration
 	// leaderAnswered is true if a member has answered that it leads the record's term
@@ -340,16 +342,16 @@
 	term uint64
 	// logEnd is the end of its log when it was first seen to lead.
 	logEnd position.Position
-	// members holds the addresses, by ID, of the members whose logs were compared.
-	members map[string]string
+	// members are the members whose logs were compared.
+	members []topology.Endpoint
 }
 
 // successorFrom returns the successor from the answer of a member that leads. The
 // others are the members other than the old primary that were asked.
 func (c *change) successorFrom(a answer, others []topology.Endpoint) successor {
-	members := addresses(others)
+	members := others
 	if c.old.Address != "" {
-		members[c.old.ID] = c.old.Address
+		members = append(slices.Clone(others), c.old)
 	}
 	return successor{id: a.endpoint.ID, term: a.status.Term, logEnd: a.status.Received, members: members}
 }
