Accept no proof from a replica that has started again

What callers could see: a stale read, or a commit that is lost, through a proxy that does not know of a change of primary. A replica that starts again is no longer suspended, and proved the old primary.

Change: a record lists a member only under the start that it was recorded with. TestAMemberThatStartedAgainIsNotListed.

--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -204,7 +204,7 @@
 	for i := range endpoints {
 		e := endpoints[(i+round)%len(endpoints)]
 		switch {
-		case e.ID == l.Endpoint || !record.Lists(e.ID):
+		case e.ID == l.Endpoint || !record.Lists(e):
 		case p.table.Health(e.ID).Failures > 0:
 			failing = append(failing, e)
 		default:
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -96,11 +96,11 @@
 	return r.Revision == 0 || (!r.Closed && r.Endpoint == endpoint && r.Term == term)
 }
 
-// Lists reports whether the record lists the member. A record without members lists all
-// of them: no proxy has written them yet.
-func (r Record) Lists(id string) bool {
-	_, ok := r.Members[id]
-	return ok || len(r.Members) == 0
+// Lists reports whether the record lists the endpoint, and the endpoint has not started
+// again since. A record without members lists all of them: no proxy has written them yet.
+func (r Record) Lists(e topology.Endpoint) bool {
+	_, ok := r.Members[e.ID]
+	return len(r.Members) == 0 || (ok && !e.Restarted(r.Member(e.ID)))
 }
 
 // WithClosed returns the record as closed by a proxy that replaces the primary.
--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -67,6 +67,18 @@
 	assert.DeepEqual(t, r.Starts, map[string]int64{"pg-1": 1_700_000_000_001})
 }
 
+// TestAMemberThatStartedAgainIsNotListed guards against a proof by a replica that a change
+// of primary has suspended, and that receives again because it has started again.
+func TestAMemberThatStartedAgainIsNotListed(t *testing.T) {
+	r := fullRecord()
+	member := r.Member("pg-1")
+	assert.Assert(t, r.Lists(member))
+	member.StartedAt++
+	assert.Assert(t, !r.Lists(member))
+	assert.Assert(t, !r.Lists(topology.Endpoint{ID: "pg-3"}), "a member that has joined since is listed")
+	assert.Assert(t, leadership.Record{}.Lists(member))
+}
+
 func TestThePromotionLockIsStoredAsOtherBuildsExpect(t *testing.T) {
 	l := leadership.PromotionLock{Revision: 5, Seen: time.Second, Holder: "proxy-1", Busy: true}
 	assert.Equal(t, string(l.Bytes()), storedLock)
