Tell a refused promotion from one without an answer

What callers see: nothing yet; a change of primary can use it. Cause: an error of Promoter.Promote did not say whether the platform may still execute the call.

--- a/connection.go
+++ b/connection.go
@@ -52,10 +52,15 @@
 // Promoter makes a member the primary of its group.
 type Promoter interface {
 	// Promote promotes a member. The fencing token must not be lower than any token
-	// used before. An error does not say whether the member has been promoted.
+	// used before. If it returns another error than ErrPromotionRefused, the member may
+	// or may not be promoted, now or long after the call.
 	Promote(ctx context.Context, group, endpoint string, token uint64) error
 }
 
+// ErrPromotionRefused is returned when the call for a promotion was refused or not sent.
+// Nothing was done, and this call will have no effect later.
+const ErrPromotionRefused = constantError("the promotion was refused")
+
 // Clock is a clock that never jumps and does not stop while the host is suspended.
 type Clock interface {
 	// SinceBoot returns the time since the host was started.
