Promote no second member while an order to promote may be executed

What callers see: acknowledged writes are gone after a change of primary whose first promotion the platform executed late. Cause: nothing remembered that a promotion was ordered. The next attempt, or the proxy that took the change over, chose anew, and its member led and acknowledged until the first order was executed. Change: before it orders a promotion, a change names the member in the group's closed record (Elected), in one transaction under the revisions of the record and of the lock; that proves at the same time that it still holds the lock. As long as the order may be executed, only this member is promoted, if its log is as long as that of the elected one. A refused order is in doubt no more; one without an answer is until the member leads, or for 10 s after a proxy learned of it. A member that was ordered more than once may lead by one order while another is still out, so its election then stays in the opened record, and no change for another reason than Stalled or Abandoned replaces it within that time. Former builds ignore the field and drop it when they write or pass on a record: as long as one of them runs, a late promotion is only partly guarded against.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -77,6 +77,9 @@
 	old topology.Endpoint
 	// record is the closed record that this change wrote.
 	record leadership.Record
+	// written is that record as the store has it now: with the elected member, once
+	// there is one.
+	written leadership.Record
 	// began is the boot time at which the change took the promotion lock.
 	began time.Duration
 	// oldLog is the end of the old primary's log; zero if the old primary has not
@@ -220,6 +223,7 @@
 		return err
 	}
 	c.record = record.WithRevision(revision)
+	c.written = c.record
 	ct.mutex.Lock()
 	ct.changesUnderWay++
 	ct.mutex.Unlock()
@@ -270,15 +274,10 @@
 	if err != nil {
 		return successor{}, err
 	}
-	lock := ct.state.PromotionLock()
-	if ct.clock.SinceBoot()-c.began > maxTimeToPromote || lock.Holder != ct.name {
-		return successor{}, errors.Errorf("the change took the promotion lock %v ago (at most %v is allowed), and proxy %s holds the lock now",
-			ct.clock.SinceBoot()-c.began, maxTimeToPromote, lock.Holder)
+	orderedAt, err := c.order(ctx, elected)
+	if err != nil {
+		return successor{}, err
 	}
-	ct.notePromotion()
-	orderedAt := c.logOrdered(elected, lock.Revision)
-	err = ct.promoter.Promote(ctx, c.group, elected.ID, lock.Revision)
-	c.logOrderAnswered(elected, orderedAt, err)
 	promoted, err := c.awaitPrimary(ctx, elected)
 	if err != nil {
 		return successor{}, err
@@ -365,14 +364,16 @@
 // later change drops anything that the new primary holds now.
 func (c *change) openRecord(ctx context.Context, newPrimary successor) {
 	ct := c.controller
-	record := c.record.WithPrimary(newPrimary.id, newPrimary.term).WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
+	c.adoptWritten()
+	record := c.written.WithPrimary(newPrimary.id, newPrimary.term).WithoutElected(newPrimary.id).
+		WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
 	ct.state.LearnUnwritten(record)
 	for ctx.Err() == nil {
 		current := ct.state.Record(c.group)
-		if current.Revision > c.record.Revision {
+		if current.Revision > c.written.Revision {
 			break
 		}
-		expected := []eelgrassladder.Expectation{{Key: leadership.Key(c.group), Revision: c.record.Revision}}
+		expected := []eelgrassladder.Expectation{{Key: leadership.Key(c.group), Revision: c.written.Revision}}
 		puts := []eelgrassladder.Put{{Key: leadership.Key(c.group), Value: record.Bytes()}}
 		lock := ct.state.PromotionLock()
 		if lock.Holder == ct.name && lock.Busy && ct.onlyChange() {
--- a/internal/host/failover/check.go
+++ b/internal/host/failover/check.go
@@ -20,6 +20,9 @@
 	if len(replicas) == 0 {
 		return errors.New("the group has no replica")
 	}
+	if err := c.checkOrders(); err != nil {
+		return err
+	}
 	// The primary is asked first: a healthy replica has received, when it is asked
 	// later, all that the primary had when it answered.
 	old := answer{err: errNotAsked}
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -100,6 +100,9 @@
 	// changesUnderWay counts this proxy's changes of primary, of all groups, whose
 	// record is closed.
 	changesUnderWay int
+	// elections holds the elections of each group that this process saw lately, oldest
+	// first, by the name of the group.
+	elections map[string][]sighting
 }
 
 // New returns a controller for the proxy with the given name. The observer is told the
@@ -110,7 +113,7 @@
 ) *Controller {
 	return &Controller{
 		name: name, timer: t, clock: c, table: table, dialer: dialer, store: store, promoter: p, state: s, tasks: g,
-		groups: map[string]*groupState{}, reporter: NewReporter(o),
+		groups: map[string]*groupState{}, reporter: NewReporter(o), elections: map[string][]sighting{},
 	}
 }
 
@@ -135,6 +138,7 @@
 func (ct *Controller) checkGroup(group string) {
 	ct.mutex.Lock()
 	defer ct.mutex.Unlock()
+	ct.noteElection(group)
 	state, ok := ct.groups[group]
 	if !ok {
 		state = &groupState{}
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -103,6 +103,9 @@
 		return topology.Endpoint{}, c.noCandidate(replicas, floor)
 	}
 	asked := append(replicas[:len(replicas):len(replicas)], old)
+	if elected, err = c.heedOrder(elected, asked); err != nil {
+		return topology.Endpoint{}, err
+	}
 	c.logChosen(elected, floor, asked, listRevision)
 	for _, a := range asked {
 		if a.endpoint.ID == elected.ID {
--- /dev/null
+++ b/internal/host/failover/promotion_test.go
@@ -0,0 +1,140 @@
+package failover
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
+	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
+)
+
+// manualClock is a boot clock that the test sets.
+type manualClock struct{ now time.Duration }
+
+func (m *manualClock) SinceBoot() time.Duration { return m.now }
+
+// holdingState is a fakeState whose promotion lock is held by the proxy "self".
+type holdingState struct{ fakeState }
+
+func (*holdingState) PromotionLock() leadership.PromotionLock {
+	return leadership.PromotionLock{Revision: 7, Holder: "self", Busy: true}
+}
+
+// revisionStore is a KeyValue that fails with err, or else raises the revision with each write.
+type revisionStore struct {
+	eelgrassladder.KeyValue
+	revision uint64
+	err      error
+	expected []eelgrassladder.Expectation
+}
+
+func (r *revisionStore) Apply(_ context.Context, expected []eelgrassladder.Expectation, _ []eelgrassladder.Put, _ []string) (uint64, error) {
+	r.expected = expected
+	if r.err != nil {
+		return 0, r.err
+	}
+	r.revision++
+	return r.revision, nil
+}
+
+// fakePromoter answers each order with err and counts the orders.
+type fakePromoter struct {
+	err    error
+	orders int
+}
+
+func (f *fakePromoter) Promote(context.Context, string, string, uint64) error {
+	f.orders++
+	return f.err
+}
+
+// orderFixture is a change of group "g" whose record is closed.
+type orderFixture struct {
+	*change
+	clock    *manualClock
+	state    *holdingState
+	store    *revisionStore
+	promoter *fakePromoter
+}
+
+func newOrderFixture() orderFixture {
+	closed := leadership.Record{Group: "g", Revision: 7, Endpoint: "old", Term: 3, Closed: true, Holder: "self"}
+	f := orderFixture{
+		clock: &manualClock{now: time.Hour}, state: &holdingState{fakeState{record: closed}},
+		store: &revisionStore{revision: 7}, promoter: &fakePromoter{},
+	}
+	t := timer.NewManual(time.Unix(1000, 0))
+	ct := New("self", t, f.clock, scheduler.New(t, f.clock, "here"), nil, f.store, f.promoter, f.state, task.New(context.Background()), nil)
+	f.change = &change{decision: decision{group: "g"}, controller: ct, record: closed, written: closed, began: time.Hour}
+	return f
+}
+
+// orderMember orders the promotion of a member. The pause after a refusal has ended.
+func (f orderFixture) orderMember(id string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := f.order(ctx, topology.Endpoint{ID: id})
+	return err
+}
+
+func TestAnOrderWithoutAnAnswerStaysInDoubt(t *testing.T) {
+	f := newOrderFixture()
+	f.promoter.err = errors.New("i/o timeout")
+	assert.NilError(t, f.orderMember("m-1"))
+	assert.DeepEqual(t, f.store.expected, []eelgrassladder.Expectation{{Key: leadership.Key("g"), Revision: 7}, {Key: leadership.PromotionLockKey, Revision: 7}})
+	assert.Equal(t, f.state.record.Elected, leadership.Election{Endpoint: "m-1", After: 7})
+	f.clock.now += policy.PromotionDoubt - 1
+	_, err := f.heedOrder(policy.Candidate{ID: "m-2"}, nil)
+	assert.ErrorContains(t, err, "m-1 was ordered to lead")
+	f.clock.now++
+	_, err = f.heedOrder(policy.Candidate{ID: "m-2"}, nil)
+	assert.NilError(t, err)
+}
+
+func TestARefusedOrderLeavesOnlyEarlierOnesInDoubt(t *testing.T) {
+	f := newOrderFixture()
+	f.promoter.err = eelgrassladder.ErrPromotionRefused
+	assert.ErrorIs(t, f.orderMember("m-1"), eelgrassladder.ErrPromotionRefused)
+	assert.Assert(t, !f.controller.latestOrder("g").InDoubt())
+	f.promoter.err = errors.New("i/o timeout")
+	assert.NilError(t, f.orderMember("m-2"))
+	assert.Assert(t, !f.state.record.Elected.Repeated)
+	f.clock.now += time.Second
+	f.promoter.err = eelgrassladder.ErrPromotionRefused
+	assert.ErrorIs(t, f.orderMember("m-2"), eelgrassladder.ErrPromotionRefused)
+	assert.Assert(t, f.state.record.Elected.Repeated)
+	assert.Equal(t, f.controller.latestOrder("g"), policy.Order{Endpoint: "m-2", Age: time.Second})
+}
+
+func TestNothingIsOrderedBeforeTheElectionIsRecorded(t *testing.T) {
+	for name, prepare := range map[string]func(f orderFixture){
+		"the lock or the record has changed": func(f orderFixture) { f.store.err = eelgrassladder.ErrConflict },
+		"the answer of the store is lost":    func(f orderFixture) { f.store.err = errors.New("EOF") },
+		"the lock was taken long ago":        func(f orderFixture) { f.clock.now += maxTimeToPromote + 1 },
+	} {
+		f := newOrderFixture()
+		prepare(f)
+		assert.Assert(t, f.orderMember("m-1") != nil, name)
+		assert.Equal(t, f.promoter.orders, 0, name)
+	}
+}
+
+// TestAnElectionWhoseAnswerWasLostIsAdopted guards against a change that can never order a
+// promotion because the store has a newer record of its own.
+func TestAnElectionWhoseAnswerWasLostIsAdopted(t *testing.T) {
+	f := newOrderFixture()
+	f.state.record = f.written.WithElected("m-1", false).WithRevision(8)
+	f.store.revision = 8
+	assert.NilError(t, f.orderMember("m-1"))
+	assert.Equal(t, f.store.expected[0].Revision, uint64(8))
+	assert.Equal(t, f.state.record.Elected, leadership.Election{Endpoint: "m-1", After: 8, Repeated: true})
+}
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -42,6 +42,21 @@
 	// Members holds the addresses of the members by ID. It includes members that have
 	// left since Acknowledged became known. The map is never modified.
 	Members map[string]string `json:",omitempty"`
+	// Elected is the member whose promotion was ordered, or is about to be, and an order
+	// for which may still be executed; zero for none.
+	Elected Election `json:",omitzero"`
+}
+
+// Election names the member that a change of primary orders to promote. It is immutable.
+type Election struct {
+	// Endpoint is the ID of the member.
+	Endpoint string
+	// After is the revision of the record to which the election was added. It tells the
+	// orders for one member apart.
+	After uint64
+	// Repeated is true if an earlier order for the member may still be executed too. One
+	// of the orders can then be executed after the member has led by another.
+	Repeated bool `json:",omitzero"`
 }
 
 // Key returns the key of a group's record.
@@ -117,6 +132,22 @@
 	return r
 }
 
+// WithElected returns the record with the member whose promotion is ordered next. Repeated
+// is true if an earlier order for it may still be executed.
+func (r Record) WithElected(endpoint string, repeated bool) Record {
+	r.Elected = Election{Endpoint: endpoint, After: r.Revision, Repeated: repeated}
+	return r
+}
+
+// WithoutElected returns the record without the election of a member, which leads by now.
+// The election stays if it is of another member, or if the member was ordered repeatedly.
+func (r Record) WithoutElected(endpoint string) Record {
+	if r.Elected.Endpoint == endpoint && !r.Elected.Repeated {
+		r.Elected = Election{}
+	}
+	return r
+}
+
 // WithRevision returns the record with a revision of the store.
 func (r Record) WithRevision(revision uint64) Record {
 	r.Revision = revision
--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -19,6 +19,9 @@
 // had the names of the keys.
 const (
 	storedRecord = `{"Endpoint":"pg-2","Term":7,"Closed":true,"Holder":"proxy-1","Kept":{"Term":6,"Log":41},` +
+		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"},"Elected":{"Endpoint":"pg-1","After":11,"Repeated":true}}`
+	// unelectedRecord is the same record of a build that does not know elections.
+	unelectedRecord = `{"Endpoint":"pg-2","Term":7,"Closed":true,"Holder":"proxy-1","Kept":{"Term":6,"Log":41},` +
 		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"}}`
 	storedLock = `{"Holder":"proxy-1","Busy":true}`
 )
@@ -28,11 +31,15 @@
 		Group: "g", Revision: 12, Endpoint: "pg-2", Term: 7, Closed: true, Holder: "proxy-1",
 		Acknowledged: position.Position{Term: 6, Log: 41},
 		Members:      map[string]string{"pg-1": "10.0.0.1:5", "pg-2": "10.0.0.2:5"},
+		Elected:      leadership.Election{Endpoint: "pg-1", After: 11, Repeated: true},
 	}
 }
 
 func TestRecordsAreStoredAsOtherBuildsExpect(t *testing.T) {
 	assert.Equal(t, string(fullRecord().Bytes()), storedRecord)
+	unelected := fullRecord()
+	unelected.Elected = leadership.Election{}
+	assert.Equal(t, string(unelected.Bytes()), unelectedRecord)
 	empty := leadership.Record{Group: "g", Revision: 12}
 	assert.Equal(t, string(empty.Bytes()), `{"Endpoint":"","Term":0,"Closed":false,"Holder":""}`)
 }
@@ -41,6 +48,21 @@
 	got, err := leadership.Parse("g", []byte(storedRecord), 12)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, fullRecord())
+	got, err = leadership.Parse("g", []byte(unelectedRecord), 12)
+	assert.NilError(t, err)
+	unelected := fullRecord()
+	unelected.Elected = leadership.Election{}
+	assert.DeepEqual(t, got, unelected)
+}
+
+func TestAnElectionStaysUntilItsMemberLeads(t *testing.T) {
+	r := leadership.Record{Group: "g", Revision: 12, Endpoint: "pg-2", Term: 7}.WithClosed("proxy-1").WithElected("pg-1", false)
+	want := leadership.Election{Endpoint: "pg-1", After: 12}
+	assert.Equal(t, r.Elected, want)
+	assert.Equal(t, r.WithRevision(13).WithClosed("proxy-2").WithPrimary("pg-1", 8).Elected, want)
+	assert.Equal(t, r.WithoutElected("pg-3").Elected, want)
+	assert.Equal(t, r.WithoutElected("pg-1").Elected, leadership.Election{})
+	assert.Assert(t, r.WithElected("pg-1", true).WithoutElected("pg-1").Elected.Repeated, "an earlier order may still be executed")
 }
 
 func TestThePromotionLockIsStoredAsOtherBuildsExpect(t *testing.T) {
--- /dev/null
+++ b/internal/policy/failover/promotion.go
@@ -0,0 +1,44 @@
+package failover
+
+import "time"
+
+// PromotionDoubt is how long an order to promote a member may still be executed after a
+// proxy learned of it, if it was neither refused nor seen to take effect. The platform
+// executes calls without an answer up to some seconds late; a proxy sends the order
+// within two seconds after the record names the member.
+const PromotionDoubt = 10 * time.Second
+
+// Order is the latest order to promote a member of a group, which was not refused. It is
+// immutable.
+type Order struct {
+	// Endpoint is the ID of the member; empty if there is no order.
+	Endpoint string
+	// Age is how long ago this proxy learned of the order.
+	Age time.Duration
+}
+
+// InDoubt reports whether the order may still be executed.
+func (o Order) InDoubt() bool { return o.Endpoint != "" && o.Age < PromotionDoubt }
+
+// Restrict returns the candidate to promote, given the one that Elect chose. While the
+// order is in doubt, that is the member ordered, or none if its log is not as long as
+// that of the elected one: any other member would lose what it acknowledges once the
+// order is executed. It returns false if no member may be promoted now.
+func (o Order) Restrict(elected Candidate, candidates []Candidate) (Candidate, bool) {
+	if !o.InDoubt() || elected.ID == o.Endpoint {
+		return elected, true
+	}
+	for _, c := range candidates {
+		if c.ID == o.Endpoint && c.Received.UpToDateWith(elected.Received) {
+			return c, true
+		}
+	}
+	return Candidate{}, false
+}
+
+// Blocks reports whether no change may begin that replaces the primary for a reason. An
+// earlier order for the present primary that is still in doubt would make it lead again
+// after it was replaced. A change that makes the same primary lead again is allowed.
+func (o Order) Blocks(primary string, r Reason) bool {
+	return o.InDoubt() && o.Endpoint == primary && r != Abandoned && r != Stalled
+}
--- /dev/null
+++ b/internal/policy/failover/promotion_test.go
@@ -0,0 +1,47 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/policy/failover"
+)
+
+func TestOnlyTheOrderedMemberIsPromotedWhileTheOrderIsInDoubt(t *testing.T) {
+	at := func(n uint64) position.Position { return position.Position{Term: 2, Log: n} }
+	elected := failover.Candidate{ID: "elected", Received: at(12)}
+	equal := failover.Candidate{ID: "equal", Received: at(12), Leaving: true}
+	short := failover.Candidate{ID: "short", Received: at(11)}
+	candidates := []failover.Candidate{short, equal, elected}
+	for name, c := range map[string]struct {
+		order failover.Order
+		// want is the ID of the member to promote; empty for none.
+		want string
+	}{
+		"nothing was ordered":                               {failover.Order{}, "elected"},
+		"the elected member was ordered":                    {failover.Order{Endpoint: "elected", Age: time.Second}, "elected"},
+		"a member with an equal log was ordered":            {failover.Order{Endpoint: "equal", Age: time.Second}, "equal"},
+		"a member with a shorter log was ordered":           {failover.Order{Endpoint: "short", Age: time.Second}, ""},
+		"a member that is no candidate was ordered":         {failover.Order{Endpoint: "absent"}, ""},
+		"the order is in doubt until the last moment":       {failover.Order{Endpoint: "absent", Age: failover.PromotionDoubt - 1}, ""},
+		"the order of an absent member is in doubt no more": {failover.Order{Endpoint: "absent", Age: failover.PromotionDoubt}, "elected"},
+		"the order of a present member is in doubt no more": {failover.Order{Endpoint: "equal", Age: failover.PromotionDoubt}, "elected"},
+	} {
+		got, ok := c.order.Restrict(elected, candidates)
+		assert.Equal(t, ok, c.want != "", name)
+		assert.Equal(t, got.ID, c.want, name)
+	}
+}
+
+func TestAPrimaryThatAnOrderWouldMakeLeadAgainIsNotReplaced(t *testing.T) {
+	order := failover.Order{Endpoint: "primary", Age: time.Second}
+	for r := failover.Down; r <= failover.Outpaced; r++ {
+		mayBegin := r == failover.Abandoned || r == failover.Stalled
+		assert.Equal(t, order.Blocks("primary", r), !mayBegin, r.String())
+		assert.Assert(t, !order.Blocks("another", r), r.String())
+		assert.Assert(t, !failover.Order{Endpoint: "primary", Age: failover.PromotionDoubt}.Blocks("primary", r), r.String())
+	}
+}
