Model promotions that are executed late

Cause: in the model of a change of primary each order was executed at once. Change: the election and the order are steps of their own; an order may get no answer and be executed later than the change's next attempt, up to the time for which it is in doubt less the time within which a proxy sends it. Two rules (recordElection, keepElection), each with a scenario that loses acknowledged commits without it, and the events in the random runs. stepUntil returns when a change tries again. A member that starts at a primary which is not stopped is left out while an order is out, as it is while a change is under way.

--- a/internal/policy/failover/changemodel_test.go
+++ b/internal/policy/failover/changemodel_test.go
@@ -31,6 +31,8 @@
 	// was closed or opened. primaryEnd is the end of the primary's log,
 	// recorded after a member left.
 	acknowledged, primaryEnd position.Position
+	// election is the member whose promotion is ordered.
+	election electionModel
 }
 
 // The steps of a change of primary, in order. A changeModel holds the one that
@@ -42,7 +44,8 @@
 	listing           // reads the list of members
 	suspending        // suspends the members
 	checking          // asks the members again whether they are suspended
-	promoting         // promotes a member
+	electing          // elects a member and records the election
+	promoting         // orders the promotion of the member
 	settling          // waits until old proofs have expired
 	opening           // opens the record with the next primary
 )
@@ -55,6 +58,8 @@
 	initialRecord recordModel
 	// token is the fencing token: the revision at which the lock was taken.
 	token uint64
+	// revision is the revision at which the change last wrote the record.
+	revision uint64
 	// oldPrimary and nextPrimary are indexes of members.
 	oldPrimary, nextPrimary int
 	// began is when the record was closed.
@@ -83,7 +88,7 @@
 // beginChange makes a proxy begin a change, based on the record that it has
 // read, and reports whether it did.
 func (m *model) beginChange(p *proxyModel) bool {
-	if p.change != nil || p.leader.Endpoint == "" || p.listSince == 0 || m.now-p.listSince < minListAge {
+	if p.change != nil || p.leader.Endpoint == "" || p.listSince == 0 || m.now-p.listSince < minListAge || m.blocksChange(p) {
 		return false
 	}
 	p.change = &changeModel{initialRecord: p.record, oldPrimary: memberIndex(p.leader.Endpoint)}
@@ -121,6 +126,8 @@
 		m.stepSuspend(p, c)
 	case checking:
 		m.stepCheck(p, c)
+	case electing:
+		m.stepElect(p, c)
 	case promoting:
 		m.stepPromote(p, c)
 	case settling:
@@ -130,12 +137,13 @@
 	}
 }
 
-// stepUntil runs a proxy's change up to a step, or to its end.
+// stepUntil runs a proxy's change up to a step, or to its end. It returns earlier if the
+// change waits or tries again.
 func (m *model) stepUntil(index int, p *proxyModel, step int) {
 	for p.change != nil && p.change.step < step {
 		previous := p.change.step
 		m.step(index, p)
-		if p.change != nil && p.change.step == previous {
+		if p.change != nil && p.change.step <= previous {
 			return
 		}
 	}
@@ -156,8 +164,9 @@
 	m.record = recordModel{
 		revision: m.revision, endpoint: c.oldPrimary, term: max(p.leader.Term, m.record.term), closed: true, holder: index,
 		lockRevision: m.revision, busy: true, acknowledged: newerPosition(m.record.acknowledged, p.reported), primaryEnd: m.record.primaryEnd,
+		election: m.record.election,
 	}
-	c.token, c.began, c.step = m.revision, m.now, stopping
+	c.token, c.revision, c.began, c.step = m.revision, m.revision, m.now, stopping
 	m.readRecord(p)
 }
 
@@ -228,7 +237,7 @@
 	if !m.rules.stopFirst && c.stopLate {
 		m.stop(p, c)
 	}
-	c.step = promoting
+	c.step = electing
 	if !m.rules.recheck {
 		return
 	}
@@ -267,50 +276,6 @@
 	return best, ok
 }
 
-// stepPromote promotes the elected candidate, or abandons the change.
-func (m *model) stepPromote(p *proxyModel, c *changeModel) {
-	if m.rules.freshToken && m.now-c.began > maxTimeToPromote {
-		p.change = nil
-		return
-	}
-	if m.rules.consultProxies && !c.oldAnswered && (!p.knowsCommit() || m.anyLeft(p)) && (p.listSince == 0 || p.exchangedAt <= p.listSince) {
-		p.change = nil
-		return
-	}
-	best, ok := m.elect(p, c)
-	if !ok {
-		p.change = nil
-		return
-	}
-	if c.token < m.highestToken {
-		m.violate("token %d was used after token %d", c.token, m.highestToken)
-	}
-	m.highestToken = max(m.highestToken, c.token)
-	next := m.members[memberIndex(best.ID)]
-	if !next.up() || next.primary {
-		p.change = nil
-		return
-	}
-	next.term, next.primary, next.suspended = m.newestTerm()+1, true, 0
-	m.promotedTerm = next.term
-	if next.lacks(m.acknowledged) {
-		m.violate("member %s became the primary with log end %v, but %v was acknowledged", best.ID, next.end(), m.acknowledged)
-	}
-	for _, r := range m.members {
-		if r == next || r.primary || !r.up() || r.partitioned || next.partitioned {
-			continue
-		}
-		r.suspended = 0
-		if !m.termsHeldBack {
-			m.learnTerm(r, next)
-		}
-	}
-	c.nextPrimary, c.nextEnd, c.promotedAt, c.step = memberIndex(best.ID), next.end(), m.now, settling
-	if m.rules.proofsFromPromotion {
-		c.lastProof = m.now
-	}
-}
-
 // learnTerm makes a member a replica of the next primary.
 func (m *model) learnTerm(r, next *memberModel) {
 	r.term = next.term
@@ -359,13 +324,14 @@
 // change has closed it.
 func (m *model) stepOpen(p *proxyModel, c *changeModel) {
 	p.change = nil
-	if m.record.revision != c.token {
+	if m.record.revision != c.revision {
 		return
 	}
 	m.revision++
 	m.record = recordModel{
 		revision: m.revision, endpoint: c.nextPrimary, term: m.members[c.nextPrimary].term, holder: m.record.holder, lockRevision: m.revision,
 		acknowledged: newerPosition(m.record.acknowledged, c.nextEnd), primaryEnd: m.record.primaryEnd,
+		election: m.withoutElected(m.record.election, fmt.Sprint(c.nextPrimary)),
 	}
 	m.readRecord(p)
 }
--- a/internal/policy/failover/model_test.go
+++ b/internal/policy/failover/model_test.go
@@ -61,6 +61,12 @@
 	// unsuspended any more: the promotion ends the suspension of all members,
 	// and one that has not heard of the new term proves the old primary.
 	awaitNewTerm bool
+	// recordElection names the elected member in the group's record before its promotion
+	// is ordered. No other member is promoted while the order may still be executed.
+	recordElection bool
+	// keepElection keeps the election in the opened record if the member was ordered more
+	// than once.
+	keepElection bool
 }
 
 // formerRules returns the rules that were in force when a change of primary
@@ -77,6 +83,7 @@
 	r := formerRules()
 	r.compareAcknowledged, r.askAfterDeparture, r.askOldPrimary, r.resetAfterGap, r.consultProxies, r.keepResponding = true, true, true, true, true, true
 	r.demoteFirst, r.stopFirst, r.freshList, r.recheck, r.proofsFromPromotion, r.awaitNewTerm = true, true, true, true, true, true
+	r.recordElection, r.keepElection = true, true
 	return r
 }
 
@@ -99,6 +106,10 @@
 	// termsHeldBack is true while a promotion reaches only the promoted member: the
 	// others learn of the new term later.
 	termsHeldBack bool
+	// promotionsLate is true while promotions are executed late or never, and orders holds
+	// those that may still be executed, oldest first.
+	promotionsLate bool
+	orders         []orderModel
 	// memberStarts counts the members that started after the group did.
 	memberStarts int
 	// violation describes the first broken guarantee; empty for none.
--- a/internal/policy/failover/proxymodel_test.go
+++ b/internal/policy/failover/proxymodel_test.go
@@ -54,6 +54,10 @@
 	// unrecordedEnd is the end of the primary's log, read after members had
 	// left and not written to the record yet; nil for none.
 	unrecordedEnd *logEndModel
+	// election is the election in the record as the proxy last read it, and electionSeenAt
+	// is when it learned of it.
+	election       electionModel
+	electionSeenAt time.Duration
 	// incarnation counts the restarts of the proxy.
 	incarnation int
 }
@@ -217,6 +221,7 @@
 func (m *model) readRecord(p *proxyModel) {
 	p.record = m.record
 	p.record.lockSeenAt = m.now
+	m.noteElection(p)
 	switch {
 	case m.record.revision > 0 && m.record.closed:
 		p.leader = p.leader.WithClosed(m.now)
--- a/internal/policy/failover/randomevents_test.go
+++ b/internal/policy/failover/randomevents_test.go
@@ -20,6 +20,7 @@
 	"restart a proxy":     {"restart a proxy"},
 	"exchange":            {"exchange"},
 	"hold back terms":     {"hold back terms", "release terms"},
+	"late promotions":     {"promote late", "promote in time", "execute a late promotion", "execute a late promotion"},
 	"cut off from store":  {"lose contact with the store", "regain contact with the store"},
 	"cut off from proxy":  {"lose contact with a proxy", "regain contact with a proxy"},
 }
@@ -28,7 +29,7 @@
 // can be repeated.
 var eventKindNames = []string{
 	"detach", "leave", "restart", "pending write", "restart all proxies", "restart a proxy", "exchange", "cut off from proxy",
-	"cut off from store", "hold back terms",
+	"cut off from store", "hold back terms", "late promotions",
 }
 
 // usualEvents can happen in each run. One that is listed n times is n times as
@@ -91,6 +92,10 @@
 		m.termsHeldBack = true
 	case "release terms":
 		m.releaseTerms()
+	case "promote late", "promote in time":
+		m.promotionsLate = event == "promote late"
+	case "execute a late promotion":
+		m.executeLate()
 	case "step after departure":
 		m.recordDepartures(p)
 	case "restart all proxies":
@@ -224,7 +229,12 @@
 // proxies, or is down at the moment of the request, and a member that starts.
 // TestSequencesThatTheRulesDoNotCoverBreakAGuarantee shows what follows.
 func (m *model) startBreaksChange(r *memberModel) bool {
-	// r leads again, and a member has started since the change read the list.
+	// r leads again, and a member has started since the change read the list, or
+	// since it was read for an order that may still be executed.
+	m.dropOrders()
+	if r.primary && slices.ContainsFunc(m.orders, func(o orderModel) bool { return o.memberStarts != m.memberStarts }) {
+		return true
+	}
 	for _, p := range m.proxies {
 		if c := p.change; c != nil && c.step > listing && r.primary && c.memberStarts != m.memberStarts {
 			return true
@@ -262,9 +272,12 @@
 
 // mayStillAcknowledge reports whether primary r may acknowledge commits that a
 // change of primary does not see: some proxy's change, even of another primary
-// than r, has read the list and not promoted a member yet; or r's term is older
-// than that of the last promotion.
+// than r, has read the list and not promoted a member yet; an order may still be
+// executed; or r's term is older than that of the last promotion.
 func (m *model) mayStillAcknowledge(r *memberModel) bool {
+	if len(m.orders) > 0 {
+		return true
+	}
 	for _, p := range m.proxies {
 		if c := p.change; c != nil && c.step > listing && c.step <= promoting {
 			return true
--- a/internal/policy/failover/scenarios_test.go
+++ b/internal/policy/failover/scenarios_test.go
@@ -1,6 +1,7 @@
 package failover_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -214,6 +215,51 @@
 				m.stepUntil(0, a, settling)
 			},
 		},
+		"only the elected member is promoted while its order is in doubt": {
+			func(r *rules) { r.recordElection = false },
+			func(m *model, a, b *proxyModel) {
+				m.promotionsLate = true
+				m.beginChange(a)
+				m.stepUntil(0, a, settling) // member 1 is ordered, without an answer
+				m.promotionsLate = false
+				// Proxy b takes the change over once the lock has timed out, and prefers member 2.
+				m.readStore(b)
+				m.now += 5 * time.Second
+				m.beginChange(b)
+				m.stepUntil(1, b, electing)
+				slices.Reverse(b.change.candidates)
+				m.stepUntil(1, b, settling)
+				m.now += 1200 * time.Millisecond
+				m.stepUntil(1, b, opening)
+				m.step(1, b)
+				m.members[1].detached = true
+				m.write(b)
+				m.executeLate()
+			},
+		},
+		"a primary that was ordered twice is not replaced while an order is in doubt": {
+			func(r *rules) { r.keepElection = false },
+			func(m *model, a, _ *proxyModel) {
+				m.promotionsLate = true
+				m.beginChange(a)
+				m.stepUntil(0, a, settling) // member 1 is ordered, without an answer
+				m.promotionsLate = false
+				m.stepUntil(0, a, settling) // it leads by a second order
+				m.now += 1200 * time.Millisecond
+				m.stepUntil(0, a, opening)
+				m.step(0, a)
+				// Member 2 is the longest candidate that answers once member 1 has crashed.
+				m.crash(m.members[1])
+				m.changePrimary(a)
+				m.now += 1200 * time.Millisecond
+				m.stepUntil(0, a, opening)
+				m.step(0, a)
+				m.restart(m.members[1])
+				m.members[1].detached = true
+				m.write(a)
+				m.executeLate()
+			},
+		},
 		"proofs end after all members have heard of the new term": {
 			func(r *rules) { r.awaitNewTerm = false },
 			func(m *model, a, b *proxyModel) {
