--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -39,6 +39,9 @@
 	// platform charges for each read, and one read proves the primaries of all
 	// groups for leader.ProofLifetime.
 	readInterval = 300 * time.Millisecond
+	// fewProxies is the number of other proxies up to which the records are read before
+	// a replica is asked. The store serves all proxies, each replica only some.
+	fewProxies = 8
 )
 
 // MaxRecordAge is how long after a proxy last knew a group's record to be open the group's
@@ -55,6 +58,8 @@
 	Record(group string) leadership.Record
 	// Groups returns the names of the groups that at least one route uses.
 	Groups() map[string]bool
+	// Proxies returns the addresses of the other proxies by name.
+	Proxies() map[string]string
 }
 
 // Prober asks endpoints and the store for proofs, and writes them to the table. Use New
@@ -123,8 +128,9 @@
 
 // runRound asks the primary, if its term is unknown or its position is old. If the proof is
 // about to expire, it reads the records from the store, which proves the primaries of all
-// groups, and asks the replicas if the store gives no proof. If the store has failed before,
-// it asks one healthy replica first: the proof could expire before the store's timeout.
+// groups, and asks the replicas if the store gives no proof. It asks one healthy replica
+// first if the store has failed before, because the proof could expire before the store's
+// timeout, or if there are more than fewProxies other proxies.
 func (p *Prober) runRound(ctx context.Context, group string, round int) {
 	l := p.table.Leader(group)
 	endpoints := p.endpoints(group)
@@ -140,7 +146,7 @@
 	}
 	healthy, failing := p.replicas(l, p.records.Record(group), endpoints, round)
 	first := healthy[:0]
-	if p.storeFailed() {
+	if p.storeFailed() || len(p.records.Proxies()) > fewProxies {
 		first = healthy[:min(len(healthy), 1)]
 	}
 	if p.askReplicas(ctx, group, l, first) || p.readRecords(ctx, group) {
--- a/internal/host/proof/proof_test.go
+++ b/internal/host/proof/proof_test.go
@@ -53,6 +53,8 @@
 	return leadership.Record{Group: group}
 }
 
+func (unavailableRecords) Proxies() map[string]string { return nil }
+
 func (unavailableRecords) Groups() map[string]bool { return map[string]bool{"g": true} }
 
 // TestAReplicaThatFailedIsAskedLast guards against a round that waits for a failing
