Let replicas only prolong a proof that is still valid

What callers could see: a commit that was reported as acknowledged and is lost, in the few milliseconds after a promotion. It ends the suspension of all replicas; one that has not heard of the new term receives from the old primary, and proves it, to a proxy that is cut off from everything else.

Change: an expired proof is renewed by the record in the store alone. A change that could not tell all proxies waits for longer than a proof is valid while all replicas are suspended, so no such proxy can be proven when the promotion takes effect. While reads of the store fail, a proxy keeps the valid proofs of all groups alive; and the proxy that changes a primary has the proof of the next one even if the store does not take the opened record.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -416,6 +416,9 @@
 	record := c.written.WithPrimary(newPrimary.id, newPrimary.term).WithoutElected(newPrimary.id).
 		WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
 	ct.state.LearnUnwritten(record)
+	if now := ct.clock.SinceBoot(); now-c.began < policy.MaxChangeTime {
+		ct.proveOpened(record, now) // nobody else may change the primary yet
+	}
 	for ctx.Err() == nil {
 		current := ct.state.Record(c.group)
 		if current.Revision > c.written.Revision {
@@ -448,8 +451,8 @@
 	c.demoteOld(ctx, newPrimary.term)
 }
 
-// proveOpened notes that the primary of a record was the only one when the store took the
-// record, which it was asked to at the boot time asked.
+// proveOpened notes that the primary of a record was the only one at the boot time asked or
+// later.
 func (ct *Controller) proveOpened(r leadership.Record, asked time.Duration) {
 	ct.table.UpdateLeader(r.Group, func(l leader.State) leader.State {
 		if !l.Open() || l.Endpoint != r.Endpoint || l.Term != r.Term {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -183,6 +183,7 @@
 	n.gateway.Start()
 	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, n.dependencies.Clock, "", newFollower(n), n.fleet).Run)
 	n.tasks.Go("failover", n.controller.Run)
+	n.tasks.Go("proofs", n.prober.KeepAlive)
 	n.tasks.Go("health checks", n.checker.Run)
 	n.tasks.Go("registration", n.register)
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.frontend.Serve(ctx, n.listeners.callers) })
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -3,8 +3,9 @@
 // of its group, and the end of its log.
 //
 // A change of primary closes the group's record and suspends all recorded members
-// first. An open record, or a recorded replica that is not suspended, therefore proves
-// that no change was under way when the request for it was sent.
+// first. An open record therefore proves that no change was under way when the request for
+// it was sent, and a recorded replica that is not suspended that none has begun since an
+// earlier proof that is still valid.
 package proof
 
 import (
@@ -39,6 +40,8 @@
 	// platform charges for each read, and one read proves the primaries of all
 	// groups for leader.ProofLifetime.
 	readInterval = 300 * time.Millisecond
+	// keepAliveInterval is the interval of looking for proofs that are about to expire.
+	keepAliveInterval = 60 * time.Millisecond
 	// fewProxies is the number of other proxies up to which the records are read before
 	// a replica is asked. The store serves all proxies, each replica only some.
 	fewProxies = 8
@@ -97,6 +100,29 @@
 	}
 }
 
+// KeepAlive prolongs the valid proofs of all groups until ctx ends, while reads of the
+// records fail: without the store, a proof that has expired cannot be renewed.
+func (p *Prober) KeepAlive(ctx context.Context) error {
+	ticks := p.timer.Subscribe(keepAliveInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C():
+		}
+		if !p.storeFailed() {
+			continue
+		}
+		now := p.clock.SinceBoot()
+		for group := range p.records.Groups() {
+			if l := p.table.Leader(group); l.ProvenAt(now) && l.ProofExpiring(now) {
+				p.Probe(group)
+			}
+		}
+	}
+}
+
 // Probe starts a round of requests for a group, unless one is under way or has just
 // ended. It does not block.
 func (p *Prober) Probe(group string) { p.Prove(group) }
@@ -181,11 +207,13 @@
 
 // askReplicas asks the replicas, one after the other, until one proves that l describes
 // the only primary: it is a replica of that term and is not suspended for a later one.
-// It asks none if the record is older than MaxRecordAge. It reports whether one did.
+// It reports whether one did. A replica prolongs a proof that is still valid; only the
+// record gives a new one, because a replica that a promotion has resumed may not have heard
+// of the new term yet. None is asked if the record is older than MaxRecordAge.
 func (p *Prober) askReplicas(ctx context.Context, group string, l leader.State, replicas []topology.Endpoint) bool {
 	for _, e := range replicas {
 		asked := p.clock.SinceBoot()
-		if age, known := l.RecordAge(asked); !known || age > MaxRecordAge {
+		if age, known := l.RecordAge(asked); !known || age > MaxRecordAge || !l.ProvenAt(asked) {
 			return false
 		}
 		s, _, ok := p.status(ctx, e)
@@ -193,7 +221,7 @@
 			continue
 		}
 		p.table.UpdateLeader(group, func(current leader.State) leader.State {
-			if current.Endpoint != l.Endpoint || current.Term != l.Term {
+			if current.Endpoint != l.Endpoint || current.Term != l.Term || !current.ProvenAt(asked) {
 				return current
 			}
 			return current.WithProof(asked)
--- a/internal/policy/failover/failover.go
+++ b/internal/policy/failover/failover.go
@@ -24,9 +24,9 @@
 	// maxCommitWait is how long a commit may wait for a replica before the
 	// primary counts as stalled.
 	maxCommitWait = 500 * time.Millisecond
-	// maxChangeTime is how long a change of primary may take before another
+	// MaxChangeTime is how long a change of primary may take before another
 	// proxy takes it over. The proxy that runs it gives up well before.
-	maxChangeTime = 4 * time.Second
+	MaxChangeTime = 4 * time.Second
 	// lockTimeout is how long the holder of the promotion lock may show no
 	// progress before another proxy may take the lock.
 	lockTimeout = 4 * time.Second
@@ -135,7 +135,7 @@
 	case e.Successors == 0 || e.ListAge < minListAge:
 		return None
 	case e.Closed:
-		return reasonIf(e.ClosedBySelf || e.StateAge > maxChangeTime, Abandoned)
+		return reasonIf(e.ClosedBySelf || e.StateAge > MaxChangeTime, Abandoned)
 	case !e.HasPrimary:
 		return reasonIf(e.StateAge > maxLeaderlessTime, Leaderless)
 	case e.Leaving:
