Give members of the stand-in a start, and let them start again without a log

The platform's members say in each entry when their process started, and one that starts again under its ID holds nothing. The stand-in had one start for all members, and its members always kept their logs.

A start by Restart, or after Down, now shows in the entry. StartEmpty starts a member under its ID without a log.

--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,6 +56,8 @@
 	group *Group
 	tasks *task.Group
 	slots chan struct{}
+	// startedAt is when the process last started, in Unix milliseconds.
+	startedAt atomic.Int64
 
 	// The mutex of the group guards the fields below.
 	primary bool
@@ -102,6 +105,7 @@
 		return nil, errors.WithStack(err)
 	}
 	m.Address, m.listener = listener.Addr().String(), listener
+	m.noteStart()
 	g.mutex.Lock()
 	m.primary = len(g.members) == 0
 	m.term = 1
@@ -132,9 +136,7 @@
 	if m.fault.Down && !f.Down {
 		m.suspended = 0
 		m.primary = m.primary && newest == m
-		if !m.listen() {
-			m.tasks.GoIsolated("member listener", m.listenAgain)
-		}
+		m.comeBack()
 	}
 	m.fault = f
 	if f.Down {
@@ -149,6 +151,40 @@
 	g.changed.Broadcast()
 }
 
+// StartEmpty starts the member's process again under its ID, as one that holds and knows
+// nothing of before. It ends all faults.
+func (m *Member) StartEmpty() {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m.primary, m.term, m.suspended, m.log, m.visibleEntries = false, 0, 0, nil, 0
+	m.rejectedConnections, m.statementsRun = 0, 0
+	if m.fault.Down {
+		m.comeBack()
+	} else {
+		m.noteStart()
+		m.disconnect()
+	}
+	m.fault = Fault{}
+	g.replicate()
+	g.announceAll()
+	g.changed.Broadcast()
+}
+
+// comeBack starts the process of a member that is down. The caller holds the mutex.
+func (m *Member) comeBack() {
+	m.noteStart()
+	if !m.listen() {
+		m.tasks.GoIsolated("member listener", m.listenAgain)
+	}
+}
+
+// noteStart records that the process starts now.
+func (m *Member) noteStart() { m.startedAt.Store(time.Now().UnixMilli()) }
+
+// StartedAt returns when the process last started, in Unix milliseconds. It takes no lock.
+func (m *Member) StartedAt() int64 { return m.startedAt.Load() }
+
 // listen listens on the member's address again and accepts connections. It returns false
 // if the address is in use. The caller holds the mutex.
 func (m *Member) listen() bool {
@@ -188,6 +224,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	m.suspended, m.rejectedConnections, m.statementsRun = 0, 0, 0
+	m.noteStart()
 	m.disconnect()
 	g.replicate()
 	g.announceAll()
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -157,7 +157,7 @@
 	t.mutex.Unlock()
 	entry := map[string]any{
 		"service": group, "address": address, "zone": zone, "version": "v1", "slots": m.Slots, "state": "ready",
-		"cold-left-ms": 0, "db-role": "replica", "sequence": sequence, "born": 1700000000000,
+		"cold-left-ms": 0, "db-role": "replica", "sequence": sequence, "born": m.StartedAt(),
 	}
 	if primary {
 		entry["db-role"] = "primary"
