--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -5,12 +5,14 @@
 package member
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 )
 
@@ -36,6 +38,10 @@
 	// becomes the primary. Both may be nil. They must be set before the group is used.
 	OnAllSuspended func()
 	OnPromotion    func(next *Member)
+	// DelayPromotion is called when a promotion is requested, and returns the time after
+	// which the group executes it or refuses it; nil for no delay. It must be set before
+	// the group is used.
+	DelayPromotion func(id string) time.Duration
 
 	// mutex guards the fields below, and the state of all members.
 	mutex sync.Mutex
@@ -97,10 +103,15 @@
 }
 
 // Promote makes a member the primary of the next term after PromoteTime. It
-// returns at once, and does nothing if the member is a primary already. It
-// fails if the group has no member with the ID, or that member does not run.
+// returns at once, or after DelayPromotion, and does nothing if the member is a
+// primary by then. It fails if the group has no member with the ID, or that member
+// does not run.
 func (g *Group) Promote(id string, token uint64) error {
-	next, err := g.checkPromotion(id, token)
+	g.noteToken(token)
+	if g.DelayPromotion != nil {
+		timer.Sleep(context.Background(), g.DelayPromotion(id))
+	}
+	next, err := g.checkPromotion(id)
 	if next == nil {
 		return err
 	}
@@ -111,15 +122,21 @@
 	return nil
 }
 
-// checkPromotion validates a promotion and returns the replica to promote, or
-// nil if the member is a primary already.
-func (g *Group) checkPromotion(id string, token uint64) (*Member, error) {
+// noteToken counts a fencing token that is lower than an earlier one.
+func (g *Group) noteToken(token uint64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if token < g.highestToken {
 		g.loweredTokens++
 	}
 	g.highestToken = max(g.highestToken, token)
+}
+
+// checkPromotion validates a promotion and returns the replica to promote, or
+// nil if the member is a primary already.
+func (g *Group) checkPromotion(id string) (*Member, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	for _, m := range g.members {
 		if m.ID != id {
 			continue
@@ -140,7 +157,7 @@
 func (g *Group) completePromotion(m *Member) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if m.terminated {
+	if m.terminated || m.primary {
 		return
 	}
 	newestTerm := uint64(0)
