Let a simulated member end while a read runs

Cause: a terminated member dropped its log, but went on counting the entries that reads can see. A read that was under way then panicked while it held the lock of the group. Change: Terminate counts no entries as visible.

--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -238,7 +238,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.members = slices.DeleteFunc(slices.Clone(g.members), func(other *Member) bool { return other == m })
-	m.terminated, m.primary, m.log = true, false, nil
+	m.terminated, m.primary, m.log, m.visibleEntries = true, false, nil, 0
 	m.fault.Down = true
 	_ = m.listener.Close()
 	m.disconnect()
--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -158,3 +158,34 @@
 	lost, _ := group.Violations()
 	assert.Equal(t, lost, 0)
 }
+
+// TestAMemberMayEndDuringARead guards against a read that looks for entries in the log of a
+// terminated member, which ended its goroutine while it held the lock of the group.
+func TestAMemberMayEndDuringARead(t *testing.T) {
+	group, members, g := start(t, 3)
+	slow, err := group.Add(g, "slow", 2, 8, 50*time.Millisecond)
+	assert.NilError(t, err)
+	c, err := testbed.Dial(slow.Address, "g")
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = c.Do("READ x")
+	assert.NilError(t, err)
+	g.GoIsolated("end of the member", func(context.Context) {
+		time.Sleep(20 * time.Millisecond)
+		slow.Terminate()
+	})
+	_, err = c.Do("READ x")
+	assert.Assert(t, err != nil)
+	answered := make(chan bool)
+	g.GoIsolated("use of the group", func(context.Context) {
+		time.Sleep(100 * time.Millisecond)
+		primary, _ := members[0].State()
+		answered <- primary
+	})
+	select {
+	case primary := <-answered:
+		assert.Assert(t, primary)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the group does not answer any more")
+	}
+}
