Keep a terminated member ended when a fault of it is over

Callers: a simulated member that was terminated while it had a fault listened again on its address, which another member may have by then. Change: SetFault does nothing to a terminated member. Evidence: a new test of lab/member.

--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -126,12 +126,15 @@
 	announce(m.primary, m.leaving)
 }
 
-// SetFault replaces the injected faults. A member that is no longer Down has kept its
+// SetFault replaces the injected faults. It does nothing to a terminated member. A member that is no longer Down has kept its
 // log and is not suspended; it is a replica if another one was promoted meanwhile.
 func (m *Member) SetFault(f Fault) {
 	g := m.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if m.terminated {
+		return
+	}
 	newest := g.newestPrimary()
 	if m.fault.Down && !f.Down {
 		m.suspended = 0
--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -159,6 +159,16 @@
 	assert.Equal(t, lost, 0)
 }
 
+// TestATerminatedMemberDoesNotComeBackWithTheEndOfAFault guards against a member that
+// listens again on an address that another one may have by then.
+func TestATerminatedMemberDoesNotComeBackWithTheEndOfAFault(t *testing.T) {
+	_, members, _ := start(t, 3)
+	members[2].Terminate()
+	members[2].SetFault(member.Fault{})
+	_, err := testbed.Dial(members[2].Address, "g")
+	assert.Assert(t, err != nil)
+}
+
 // TestAMemberMayEndDuringARead guards against a read that looks for entries in the log of a
 // terminated member, which ended its goroutine while it held the lock of the group.
 func TestAMemberMayEndDuringARead(t *testing.T) {
