Describe lost commits of a simulated group with the members that hold them

Callers: Group.OnLost says which acknowledged commits a promotion dropped or an old primary acknowledged too late, and which member holds them, so that a soak can be compared with the users' record. Group.Whole says whether all members run and hold the same log; a replica may then lose its log without a loss. Evidence: go test -race ./internal/lab/member.

--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -5,8 +5,10 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +44,10 @@
 	// which the group executes it or refuses it; nil for no delay. It must be set before
 	// the group is used.
 	DelayPromotion func(id string) time.Duration
+	// OnLost is called with a description whenever acknowledged commits are lost; it may
+	// be nil. It must be set before the group is used, and must not call the group, whose
+	// mutex is held.
+	OnLost func(description string)
 
 	// mutex guards the fields below, and the state of all members.
 	mutex sync.Mutex
@@ -165,11 +171,7 @@
 		newestTerm = max(newestTerm, other.term)
 	}
 	m.term, m.primary, m.suspended = newestTerm+1, true, 0
-	for p := range g.acknowledged {
-		if !m.hasCommit(p) {
-			g.recordLostCommit(p)
-		}
-	}
+	g.recordLostCommits(m)
 	for _, other := range g.members {
 		if other != m && !other.fault.NotReplicating && !other.fault.Down {
 			other.follow(m)
@@ -179,10 +181,64 @@
 	g.changed.Broadcast()
 }
 
-// recordLostCommit counts an acknowledged commit as lost. The caller holds the mutex.
-func (g *Group) recordLostCommit(p position.Position) {
+// recordLostCommits counts the acknowledged commits that a new primary lacks as lost. The
+// caller holds the mutex.
+func (g *Group) recordLostCommits(next *Member) {
+	var lost []position.Position
+	for p := range g.acknowledged {
+		if !next.hasCommit(p) {
+			lost = append(lost, p)
+			delete(g.acknowledged, p)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	g.lostCommits += len(lost)
+	oldest, newest := slices.MinFunc(lost, comparePositions), slices.MaxFunc(lost, comparePositions)
+	g.reportLost("%s leads term %d with a log that ended at %v and lacks %d acknowledged commits, %v to %v; members: %s",
+		next.ID, next.term, next.logEnd(), len(lost), oldest, newest, g.holders(newest))
+}
+
+// recordLateCommit counts a commit as lost that a primary acknowledged although a primary of
+// a newer term lacks it. The caller holds the mutex.
+func (g *Group) recordLateCommit(old, newest *Member, p position.Position) {
 	delete(g.acknowledged, p)
 	g.lostCommits++
+	g.reportLost("%s acknowledged %v although %s leads term %d without it; members: %s", old.ID, p, newest.ID, newest.term, g.holders(p))
+}
+
+// reportLost calls OnLost. The caller holds the mutex.
+func (g *Group) reportLost(format string, arguments ...any) {
+	if g.OnLost != nil {
+		g.OnLost(g.Name + ": " + fmt.Sprintf(format, arguments...))
+	}
+}
+
+// holders describes the members and whether each holds a commit. The caller holds the
+// mutex.
+func (g *Group) holders(p position.Position) string {
+	text := ""
+	for _, m := range g.members {
+		text += fmt.Sprintf(" [%s holds=%v primary=%v term=%d end=%v suspended=%d fault=%+v]",
+			m.ID, m.hasCommit(p), m.primary, m.term, m.logEnd(), m.suspended, m.fault)
+	}
+	return text
+}
+
+// comparePositions orders positions by term, and by log within a term.
+func comparePositions(a, b position.Position) int {
+	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Log, b.Log))
+}
+
+// Whole reports whether all members run, receive and hold the same log.
+func (g *Group) Whole() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	primary := g.newestPrimary()
+	return primary != nil && !slices.ContainsFunc(g.members, func(m *Member) bool {
+		return m.fault != (Fault{}) || m.leaving || m.suspended > 0 || m.term != primary.term || m.logEnd() != primary.logEnd()
+	})
 }
 
 // allSuspended reports whether replication to every running replica is suspended.
@@ -238,7 +294,7 @@
 		if g.replicateAndCount(m, e) >= g.Synchronous {
 			g.acknowledged[p] = true
 			if newest := g.newestPrimary(); !newest.hasCommit(p) {
-				g.recordLostCommit(p)
+				g.recordLateCommit(m, newest, p)
 			}
 			return p, nil
 		}
--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
@@ -159,6 +160,29 @@
 	assert.Equal(t, lost, 0)
 }
 
+// TestLostCommitsAreDescribedWithTheirHolders promotes the replica that has missed a commit.
+func TestLostCommitsAreDescribedWithTheirHolders(t *testing.T) {
+	group, members, _ := start(t, 3)
+	descriptions := make(chan string, 1)
+	group.OnLost = func(description string) { descriptions <- description }
+	assert.Assert(t, group.Whole())
+	members[2].SetFault(member.Fault{NotReplicating: true})
+	c, err := testbed.Dial(members[0].Address, "g")
+	assert.NilError(t, err)
+	defer c.Close()
+	a, err := c.Do("WRITE x 1")
+	assert.NilError(t, err)
+	assert.Assert(t, a.OK())
+	assert.Assert(t, !group.Whole())
+	assert.NilError(t, group.Promote("m-2", 1))
+	description := <-descriptions
+	assert.Assert(t, cmp.Contains(description, "m-2 leads term 2"))
+	assert.Assert(t, cmp.Contains(description, "lacks 1 acknowledged commits, 1.2 to 1.2"))
+	assert.Assert(t, cmp.Contains(description, "[m-1 holds=true"))
+	lost, _ := group.Violations()
+	assert.Equal(t, lost, 1)
+}
+
 // TestATerminatedMemberDoesNotComeBackWithTheEndOfAFault guards against a member that
 // listens again on an address that another one may have by then.
 func TestATerminatedMemberDoesNotComeBackWithTheEndOfAFault(t *testing.T) {
