Let proxies see the simulated store with rewritten values

Callers: Testbed.ServeView serves the store on another port, with values that are rewritten when they are read. A test can thus give the proxies of each data centre addresses of their own for the members, and cut one data centre off.

--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -168,6 +168,17 @@
 	t.Store.Put(endpointPrefix+m.ID, encode(entry))
 }
 
+// ServeView serves the store on another port, with values that are rewritten when they
+// are read, and returns the address.
+func (t *Testbed) ServeView(r keyvalue.Rewrite) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	t.Store.ServeView(t.tasks, l, r)
+	return l.Addr().String(), nil
+}
+
 // Deregister removes the entry of a member from the platform's store.
 func (t *Testbed) Deregister(m *member.Member) { t.Store.Delete(endpointPrefix + m.ID) }
 
