Let the soak run two dozen proxies like those of the users' machines

Each data centre reaches the members by relays of its own. New faults: members that join, leave, restart and lose their log, replicas that apply late, a data centre without the store or without some members, processes that stand still, promotions that are executed late, a slow store, and faults of the member that leads when they begin. The schedules of the seeds before are unchanged. A run prints each loss with the members that hold it.

--- a/cmd/eelgrasslab/soak.go
+++ b/cmd/eelgrasslab/soak.go
@@ -16,13 +16,21 @@
 // soakCommand runs proxies as processes under random faults, and checks what
 // they guarantee.
 type soakCommand struct {
-	Seed    uint64 `long:"seed" default:"1" description:"First seed"`
-	Seeds   uint64 `long:"seeds" default:"1" description:"Number of seeds to run, one after another"`
-	Seconds int    `long:"seconds" default:"15" description:"Seconds during which faults begin, for each seed"`
-	Proxies int    `long:"proxies" default:"4" description:"Number of proxies, each a process"`
-	Groups  int    `long:"groups" default:"2" description:"Database groups of three members"`
-	Folder  string `long:"folder" value-name:"DIR" description:"Where settings and logs are kept; a temporary folder if empty"`
-	Quiet   bool   `long:"quiet" description:"Do not print the schedule"`
+	Seed        uint64   `long:"seed" default:"1" description:"First seed"`
+	Seeds       uint64   `long:"seeds" default:"1" description:"Number of seeds to run, one after another"`
+	Seconds     int      `long:"seconds" default:"15" description:"Seconds during which faults begin, for each seed"`
+	Proxies     int      `long:"proxies" default:"4" description:"Number of proxies, each a process"`
+	Groups      int      `long:"groups" default:"2" description:"Database groups of three members"`
+	DataCentres int      `long:"data-centres" default:"1" description:"Data centres in which the proxies are, in turn"`
+	Clients     int      `long:"clients" default:"6" description:"Clients of each group"`
+	Slots       int      `long:"slots" default:"2" description:"Statements that run at a member at a time"`
+	StatementMs int      `long:"statement-ms" default:"1" description:"Milliseconds that a statement takes"`
+	PauseMs     int      `long:"pause-ms" default:"1500" description:"Longest pause between two faults, in milliseconds"`
+	Harsh       bool     `long:"harsh" description:"Inject faults like those of the users' machines, unless --fault is given"`
+	Faults      []string `long:"fault" description:"Fault to inject; repeat it to make one more likely"`
+	Binary      string   `long:"binary" value-name:"FILE" description:"Program that runs as a proxy; built from the source if empty"`
+	Folder      string   `long:"folder" value-name:"DIR" description:"Where settings and logs are kept; a temporary folder if empty"`
+	Quiet       bool     `long:"quiet" description:"Do not print the schedule"`
 }
 
 // Execute builds the programs and runs the seeds one after another, each in a
@@ -36,16 +44,18 @@
 		}
 		folder = temporary
 	}
-	binary, err := soak.Build(folder)
-	if err != nil {
-		return err
+	binary := c.Binary
+	if binary == "" {
+		built, err := soak.Build(folder)
+		if err != nil {
+			return err
+		}
+		binary = built
 	}
 	violations := 0
 	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
-		plan := soak.Plan{
-			Seed: seed, Length: time.Duration(c.Seconds) * time.Second, Proxies: c.Proxies, Groups: c.Groups,
-			Binary: binary, Folder: filepath.Join(folder, fmt.Sprintf("seed-%d", seed)), Output: os.Stdout,
-		}
+		plan := c.plan(seed)
+		plan.Binary, plan.Folder, plan.Output = binary, filepath.Join(folder, fmt.Sprintf("seed-%d", seed)), os.Stdout
 		if c.Quiet {
 			plan.Output = nil
 		}
@@ -53,8 +63,8 @@
 		if err != nil {
 			return errors.WithMessagef(err, "seed %d", seed)
 		}
-		fmt.Printf("Seed=%d Served=%d Failed=%d Starts=%d Violations=%d\n%s", seed, result.Served, result.Failed,
-			result.Starts, len(result.Violations), strings.Join(append(result.Violations, ""), "\n"))
+		fmt.Printf("Seed=%d Served=%d Failed=%d Starts=%d Promotions=%d Violations=%d\n%s", seed, result.Served, result.Failed,
+			result.Starts, result.Promotions, len(result.Violations), strings.Join(append(result.Violations, ""), "\n"))
 		violations += len(result.Violations)
 	}
 	if violations > 0 {
@@ -62,3 +72,18 @@
 	}
 	return nil
 }
+
+// plan returns the plan of a seed, without binary, folder and output.
+func (c *soakCommand) plan(seed uint64) soak.Plan {
+	plan := soak.DefaultPlan(seed)
+	plan.Length, plan.Proxies, plan.Groups = time.Duration(c.Seconds)*time.Second, c.Proxies, c.Groups
+	plan.DataCentres, plan.ClientsPerGroup, plan.Slots = c.DataCentres, c.Clients, c.Slots
+	plan.StatementTime, plan.FaultPause = time.Duration(c.StatementMs)*time.Millisecond, time.Duration(c.PauseMs)*time.Millisecond
+	switch {
+	case len(c.Faults) > 0:
+		plan.Faults = c.Faults
+	case c.Harsh:
+		plan.Faults = soak.HarshFaults()
+	}
+	return plan
+}
--- a/internal/lab/soak/fault.go
+++ b/internal/lab/soak/fault.go
@@ -28,35 +28,32 @@
 // before length.
 func (r *runner) drawSchedule(random *rand.Rand, length time.Duration) []fault {
 	var faults []fault
-	for at := time.Second; at < length; at += time.Duration(300+random.IntN(1500)) * time.Millisecond {
-		f := r.drawFault(random)
+	for at := time.Second; at < length; at += r.plan.FaultPause/5 + time.Duration(random.IntN(int(r.plan.FaultPause.Milliseconds())))*time.Millisecond {
+		f := drawings[r.plan.Faults[random.IntN(len(r.plan.Faults))]](r, random)
 		f.at, f.duration = at, time.Duration(200+random.IntN(3000))*time.Millisecond
 		faults = append(faults, f)
 	}
 	return faults
 }
 
-// drawFault draws one fault without its times.
-func (r *runner) drawFault(random *rand.Rand) fault {
-	switch random.IntN(12) {
-	case 0, 1, 2, 3:
-		return r.memberFault(random)
-	case 4, 5:
-		return r.storeFault(random)
-	case 6:
-		return fault{name: "new configuration version", begin: func() { r.testbed.Configure(nil) }, end: func() {}}
-	case 7, 8:
-		return r.relayFault(random)
-	default:
-		return r.processFault(random)
-	}
+// memberFaults holds the faults of one member, with their names in the schedule.
+var memberFaults = []struct {
+	name  string
+	fault member.Fault
+}{
+	{"is down", member.Fault{Down: true}},
+	{"is unresponsive", member.Fault{Unresponsive: true}},
+	{"receives no log", member.Fault{NotReplicating: true}},
+	{"is isolated", member.Fault{Isolated: true}},
+	{"lags", member.Fault{Lag: 800 * time.Millisecond}},
+	{"loses answers", member.Fault{LoseAnswers: true}},
 }
 
 // memberFault draws a fault of one member: in half of the draws of the primary at the
 // time of the draw, otherwise of any member, the primary included. The fault is skipped
 // at its start if another member of the group, or the same one, still has a fault.
 func (r *runner) memberFault(random *rand.Rand) fault {
-	g := r.testbed.Groups[random.IntN(len(r.testbed.Groups))]
+	g := r.randomGroup(random)
 	members := g.Members()
 	m := members[random.IntN(len(members))]
 	if random.IntN(2) == 0 {
@@ -64,34 +61,9 @@
 			m = p
 		}
 	}
-	kinds := []struct {
-		name  string
-		fault member.Fault
-	}{
-		{"is down", member.Fault{Down: true}},
-		{"is unresponsive", member.Fault{Unresponsive: true}},
-		{"receives no log", member.Fault{NotReplicating: true}},
-		{"is isolated", member.Fault{Isolated: true}},
-		{"lags", member.Fault{Lag: 800 * time.Millisecond}},
-		{"loses answers", member.Fault{LoseAnswers: true}},
-	}
-	k := kinds[random.IntN(len(kinds))]
-	injected := false
-	return fault{
-		name: fmt.Sprintf("member %s %s", m.ID, k.name),
-		begin: func() {
-			if injected = !r.faultyGroups[g.Name]; injected {
-				r.faultyGroups[g.Name] = true
-				m.SetFault(k.fault)
-			}
-		},
-		end: func() {
-			if injected {
-				m.SetFault(member.Fault{})
-				delete(r.faultyGroups, g.Name)
-			}
-		},
-	}
+	k := memberFaults[random.IntN(len(memberFaults))]
+	return r.exclusive(g, fmt.Sprintf("member %s %s", m.ID, k.name),
+		func() { m.SetFault(k.fault) }, func() { m.SetFault(member.Fault{}) })
 }
 
 // storeFault draws a fault of the platform's store. When a fault that withholds events
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,16 +20,15 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/lab/keyvalue"
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
-	"eelgrassladder.example/eelgrassladder/internal/lab/relay"
 	"eelgrassladder.example/eelgrassladder/internal/lab/testbed"
 )
 
-const (
-	// recoveryLimit bounds the wait for service, for each proxy and group, before the
-	// first fault and after the last. The users demand service within this time.
-	recoveryLimit   = 12 * time.Second
-	clientsPerGroup = 6
-)
+// recoveryLimit bounds the wait for service, for each proxy and group, before the first
+// fault and after the last. The users demand service within this time.
+const recoveryLimit = 12 * time.Second
+
+// logTime is the layout of times in the logs of the proxies.
+const logTime = "15:04:05.000000"
 
 // Plan describes a run. It is immutable.
 type Plan struct {
@@ -37,6 +38,18 @@
 	Length time.Duration
 	// Proxies and Groups are the numbers of proxies and of database groups.
 	Proxies, Groups int
+	// DataCentres is the number of data centres in which the proxies are, in turn. Each
+	// reaches the members by relays of its own.
+	DataCentres int
+	// ClientsPerGroup is the number of clients of each group. Slots is how many statements
+	// run at a member at a time, and StatementTime how long each takes.
+	ClientsPerGroup, Slots int
+	StatementTime          time.Duration
+	// Faults names the faults to draw, one of them at a time. Each is as likely as the
+	// number of times that it is named.
+	Faults []string
+	// FaultPause is the longest pause between the starts of two faults.
+	FaultPause time.Duration
 	// Binary is the path of the program that runs as a proxy.
 	Binary string
 	// Folder is where settings and logs of the proxies are written.
@@ -51,8 +64,20 @@
 	Violations []string
 	// Served and Failed count the operations of clients that succeeded or failed.
 	Served, Failed int
-	// Starts counts the starts of proxies' processes.
-	Starts int
+	// Starts counts the starts of proxies' processes, and Promotions the promotions that
+	// the groups accepted.
+	Starts, Promotions int
+}
+
+// DefaultPlan returns a plan for a few proxies in one data centre, with fast members and
+// with the usual faults.
+func DefaultPlan(seed uint64) Plan {
+	p := testbed.DefaultPlan()
+	return Plan{
+		Seed: seed, Length: 15 * time.Second, Proxies: 4, Groups: 2, DataCentres: 1,
+		ClientsPerGroup: 6, Slots: p.Slots, StatementTime: p.StatementTime,
+		Faults: UsualFaults(), FaultPause: 1500 * time.Millisecond,
+	}
 }
 
 // runner is the state of one run. Run creates it.
@@ -61,13 +86,20 @@
 	began     time.Time
 	testbed   *testbed.Testbed
 	processes []*process
-	// relays are all relays, in order of creation. Faults are injected into them.
-	relays     []namedRelay
-	clients    []*client
-	violations violations
+	// network holds the relays.
+	network network
+	// promotions counts accepted promotions, and promotionDelay is the time by which the
+	// platform delays them, in nanoseconds.
+	promotions, promotionDelay atomic.Int64
+	clients                    []*client
+	violations                 violations
 	// faultyGroups holds the names of the groups that have a member with a fault. Only
 	// the goroutine of runSchedule uses it.
 	faultyGroups map[string]bool
+	// outputMutex guards the output. No other lock is taken while it is held.
+	outputMutex sync.Mutex
+	// joined counts the members that the schedule adds.
+	joined int
 }
 
 // Build compiles the program of a proxy into the folder and returns its path. The error
@@ -82,21 +114,30 @@
 // any fault; violated guarantees are in the result.
 func Run(ctx context.Context, p Plan) (Result, error) {
 	r := &runner{plan: p, faultyGroups: map[string]bool{}}
+	if err := r.checkFaults(); err != nil {
+		return Result{}, err
+	}
 	platform := task.New(ctx)
 	defer func() {
 		platform.Stop()
 		_ = platform.Wait() // the tasks end with the error of their context
 	}()
 	platformPlan := testbed.DefaultPlan()
-	platformPlan.Groups, platformPlan.Connections = p.Groups, 24
-	platformPlan.AdvertisedAddress = func(id, address string) (string, error) {
-		return r.addRelay(platform, "proxies to "+id, address)
-	}
+	platformPlan.Groups, platformPlan.Connections = p.Groups, max(24, 2*p.Proxies)
+	platformPlan.Slots, platformPlan.StatementTime = p.Slots, p.StatementTime
 	t, err := testbed.New(platform, platformPlan)
 	if err != nil {
 		return Result{}, err
 	}
 	r.testbed = t
+	for _, g := range t.Groups {
+		g.OnPromotion = func(*member.Member) { r.promotions.Add(1) }
+		g.DelayPromotion = func(string) time.Duration { return time.Duration(r.promotionDelay.Load()) }
+		g.OnLost = func(description string) { r.printf("%s  LOST %s\n", time.Now().Format(logTime), description) }
+	}
+	if r.network.views, err = r.serveViews(platform); err != nil {
+		return Result{}, err
+	}
 	proxies := task.New(ctx)
 	defer func() {
 		proxies.Stop()
@@ -120,15 +161,18 @@
 	}
 	for i := range r.plan.Proxies {
 		name := fmt.Sprintf("proxy-%d", i)
-		store, err := r.addRelay(platform, name+" to the store", r.testbed.StoreAddress)
+		dataCentre := i % r.plan.DataCentres
+		store, err := r.network.add(platform, name+" to the store", r.network.views[dataCentre])
 		if err != nil {
 			return err
 		}
-		p, err := newProcess(r.testbed.Settings(name), store, r.plan.Binary, r.plan.Folder)
+		settings := r.testbed.Settings(name)
+		settings.DataCentre = fmt.Sprintf("zone-%d", dataCentre)
+		p, err := newProcess(settings, store, r.plan.Binary, r.plan.Folder)
 		if err != nil {
 			return err
 		}
-		if p.callerAddress, err = r.addRelay(platform, "clients to "+name, p.settings.Callers); err != nil {
+		if p.callerAddress, err = r.network.add(platform, "clients to "+name, p.settings.Callers); err != nil {
 			return err
 		}
 		r.processes = append(r.processes, p)
@@ -140,11 +184,12 @@
 // work runs the clients while the faults are injected.
 func (r *runner) work(ctx context.Context) {
 	r.began = time.Now()
+	r.printf("  0.000 s  faults begin at %s\n", r.began.Format(logTime))
 	random := rand.New(rand.NewPCG(r.plan.Seed, 1))
 	faults := r.drawSchedule(random, r.plan.Length)
 	clientsContext, stopClients := context.WithCancel(ctx)
 	g := task.New(clientsContext)
-	for i := range r.plan.Groups * clientsPerGroup {
+	for i := range r.plan.Groups * r.plan.ClientsPerGroup {
 		c := &client{
 			run: r, group: i % r.plan.Groups, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
 			ledger: ledger{item: fmt.Sprintf("item-%d", i), refused: map[int]bool{}},
@@ -161,9 +206,8 @@
 // serves again and no acknowledged write is lost, and returns the result.
 func (r *runner) finish(ctx context.Context) Result {
 	r.testbed.Store.SetConditions(keyvalue.Conditions{})
-	for _, named := range r.relays {
-		named.relay.SetConditions(relay.Conditions{})
-	}
+	r.network.repair()
+	r.promotionDelay.Store(0)
 	for _, g := range r.testbed.Groups {
 		for _, m := range g.Members() {
 			m.SetFault(member.Fault{})
@@ -186,6 +230,7 @@
 	for _, p := range r.processes {
 		result.Starts += p.starts
 	}
+	result.Promotions = int(r.promotions.Load())
 	result.Violations = r.violations.messages
 	return result
 }
@@ -225,8 +270,10 @@
 	c.read(s, "primary", &minimum)
 }
 
-// printf writes to Plan.Output.
+// printf writes to Plan.Output. It is safe for concurrent use.
 func (r *runner) printf(format string, arguments ...any) {
+	r.outputMutex.Lock()
+	defer r.outputMutex.Unlock()
 	if r.plan.Output != nil {
 		_, _ = fmt.Fprintf(r.plan.Output, format, arguments...) // the output is for people; its errors are ignored
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -14,11 +14,36 @@
 	binary, err := soak.Build(t.TempDir())
 	assert.NilError(t, err)
 	for _, seed := range []uint64{1, 2} {
-		result, err := soak.Run(context.Background(), soak.Plan{
-			Seed: seed, Length: 8 * time.Second, Proxies: 3, Groups: 2, Binary: binary, Folder: t.TempDir(),
-		})
+		plan := soak.DefaultPlan(seed)
+		plan.Length, plan.Proxies, plan.Binary, plan.Folder = 8*time.Second, 3, binary, t.TempDir()
+		result, err := soak.Run(context.Background(), plan)
 		assert.NilError(t, err)
 		assert.Equal(t, len(result.Violations), 0, "seed %d: %v", seed, result.Violations)
 		assert.Assert(t, result.Served > 500, "seed %d: %+v", seed, result)
 	}
 }
+
+// TestTheSoakFindsNoBrokenPromiseOnSlowMachines is the same in three data centres with few
+// slots, processes that stand still, late promotions, and members that come and go.
+func TestTheSoakFindsNoBrokenPromiseOnSlowMachines(t *testing.T) {
+	binary, err := soak.Build(t.TempDir())
+	assert.NilError(t, err)
+	for _, seed := range []uint64{8101, 8102} {
+		plan := soak.DefaultPlan(seed)
+		plan.Length, plan.Proxies, plan.DataCentres, plan.Binary, plan.Folder = 8*time.Second, 6, 3, binary, t.TempDir()
+		plan.ClientsPerGroup, plan.StatementTime = 16, 10*time.Millisecond
+		plan.Faults, plan.FaultPause = soak.HarshFaults(), 500*time.Millisecond
+		result, err := soak.Run(context.Background(), plan)
+		assert.NilError(t, err)
+		assert.Equal(t, len(result.Violations), 0, "seed %d: %v", seed, result.Violations)
+		assert.Assert(t, result.Served > 500, "seed %d: %+v", seed, result)
+		assert.Assert(t, result.Promotions > 0, "seed %d: %+v", seed, result)
+	}
+}
+
+func TestTheSoakRefusesAFaultThatDoesNotExist(t *testing.T) {
+	plan := soak.DefaultPlan(1)
+	plan.Faults = append(plan.Faults, "Earthquake")
+	_, err := soak.Run(context.Background(), plan)
+	assert.ErrorContains(t, err, "Earthquake")
+}
