Tell which lost commits clients were told of, and add a takeover to the soak

Callers: the soak reports each lost commit whose client was told that it was acknowledged, besides those that only the primary had acknowledged to a proxy. The fault Takeover cuts one data centre off from a primary that others reach, makes promotions late and adds a member meanwhile.

--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -44,10 +44,10 @@
 	// which the group executes it or refuses it; nil for no delay. It must be set before
 	// the group is used.
 	DelayPromotion func(id string) time.Duration
-	// OnLost is called with a description whenever acknowledged commits are lost; it may
-	// be nil. It must be set before the group is used, and must not call the group, whose
-	// mutex is held.
-	OnLost func(description string)
+	// OnLost is called with a description and the values by item of each commit, whenever
+	// acknowledged commits are lost; it may be nil. It must be set before the group is
+	// used, and must not call the group, whose mutex is held.
+	OnLost func(description string, commits []map[string]string)
 
 	// mutex guards the fields below, and the state of all members.
 	mutex sync.Mutex
@@ -196,7 +196,7 @@
 	}
 	g.lostCommits += len(lost)
 	oldest, newest := slices.MinFunc(lost, comparePositions), slices.MaxFunc(lost, comparePositions)
-	g.reportLost("%s leads term %d with a log that ended at %v and lacks %d acknowledged commits, %v to %v; members: %s",
+	g.reportLost(lost, "%s leads term %d with a log that ended at %v and lacks %d acknowledged commits, %v to %v; members: %s",
 		next.ID, next.term, next.logEnd(), len(lost), oldest, newest, g.holders(newest))
 }
 
@@ -205,14 +205,21 @@
 func (g *Group) recordLateCommit(old, newest *Member, p position.Position) {
 	delete(g.acknowledged, p)
 	g.lostCommits++
-	g.reportLost("%s acknowledged %v although %s leads term %d without it; members: %s", old.ID, p, newest.ID, newest.term, g.holders(p))
+	g.reportLost([]position.Position{p}, "%s acknowledged %v although %s leads term %d without it; members: %s", old.ID, p, newest.ID, newest.term, g.holders(p))
 }
 
-// reportLost calls OnLost. The caller holds the mutex.
-func (g *Group) reportLost(format string, arguments ...any) {
-	if g.OnLost != nil {
-		g.OnLost(g.Name + ": " + fmt.Sprintf(format, arguments...))
+// reportLost calls OnLost for the commits at the positions. The caller holds the mutex.
+func (g *Group) reportLost(lost []position.Position, format string, arguments ...any) {
+	if g.OnLost == nil {
+		return
+	}
+	var commits []map[string]string
+	for _, p := range lost {
+		if i := slices.IndexFunc(g.members, func(m *Member) bool { return m.hasCommit(p) }); i >= 0 {
+			commits = append(commits, g.members[i].writesAt(p))
+		}
 	}
+	g.OnLost(g.Name+": "+fmt.Sprintf(format, arguments...), commits)
 }
 
 // holders describes the members and whether each holds a commit. The caller holds the
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -310,10 +310,23 @@
 // hasCommit reports whether the log has an entry at exactly this position. The
 // caller holds the mutex.
 func (m *Member) hasCommit(p position.Position) bool {
-	i, found := slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
+	i, found := m.find(p)
+	return found && m.log[i].position == p
+}
+
+// writesAt returns the values by item of the commit at a position that the log has. The
+// caller holds the mutex.
+func (m *Member) writesAt(p position.Position) map[string]string {
+	i, _ := m.find(p)
+	return m.log[i].writes
+}
+
+// find returns the index of the entry with the log index of a position, and whether there
+// is one. The caller holds the mutex.
+func (m *Member) find(p position.Position) (int, bool) {
+	return slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
 		return cmp.Compare(e.position.Log, p.Log)
 	})
-	return found && m.log[i].position == p
 }
 
 // logEnd returns the position of the last entry, or the zero position. The
--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -164,7 +164,10 @@
 func TestLostCommitsAreDescribedWithTheirHolders(t *testing.T) {
 	group, members, _ := start(t, 3)
 	descriptions := make(chan string, 1)
-	group.OnLost = func(description string) { descriptions <- description }
+	group.OnLost = func(description string, commits []map[string]string) {
+		assert.Check(t, cmp.DeepEqual(commits, []map[string]string{{"x": "1"}}))
+		descriptions <- description
+	}
 	assert.Assert(t, group.Whole())
 	members[2].SetFault(member.Fault{NotReplicating: true})
 	c, err := testbed.Dial(members[0].Address, "g")
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -29,6 +30,8 @@
 	// refused holds the values whose writes failed with a guarantee that they were
 	// not applied.
 	refused map[int]bool
+	// told holds the values whose writes were acknowledged to the client.
+	told map[int]bool
 	// served and failed count operations.
 	served, failed int
 }
@@ -124,6 +127,7 @@
 	case a.OK():
 		c.ledger.served++
 		c.ledger.acknowledged = value
+		c.ledger.told[value] = true
 		*minimum = value
 	case notAppliedCodes[a.Code]:
 		c.ledger.failed++
@@ -187,9 +191,26 @@
 
 // violations collects descriptions of violated guarantees.
 type violations struct {
-	// mutex guards messages. No other lock is taken while it is held.
+	// mutex guards the fields below. No other lock is taken while it is held.
 	mutex    sync.Mutex
 	messages []string
+	// lostCommits holds the values by item of commits that a primary acknowledged and that
+	// are lost. Their clients may have been told that the outcome is unknown.
+	lostCommits []map[string]string
+}
+
+// addLost adds lost commits.
+func (v *violations) addLost(commits []map[string]string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.lostCommits = append(v.lostCommits, commits...)
+}
+
+// lost returns the lost commits.
+func (v *violations) lost() []map[string]string {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return slices.Clone(v.lostCommits)
 }
 
 // recordViolation records a violated guarantee with the time since the start of the
--- a/internal/lab/soak/harsh.go
+++ b/internal/lab/soak/harsh.go
@@ -24,7 +24,7 @@
 	"Relay": (*runner).relayFault, "Process": (*runner).processFault,
 	"Primary": (*runner).primaryFault, "Lag": (*runner).lagFault, "Join": (*runner).joinFault, "Restart": (*runner).restartFault, "Empty": (*runner).emptyFault,
 	"Cut": (*runner).cutFault, "StoreCut": (*runner).storeCutFault, "Stop": (*runner).stopFault,
-	"Promotion": (*runner).promotionFault, "SlowStore": (*runner).slowStoreFault,
+	"Promotion": (*runner).promotionFault, "Takeover": (*runner).takeoverFault, "SlowStore": (*runner).slowStoreFault,
 }
 
 // UsualFaults returns the names of the faults of a run on a machine with time to spare.
@@ -110,20 +110,12 @@
 }
 
 // joinFault adds a member to a group and makes another one leave, which ends at the end
-// of the fault.
+// of the fault if another member leads by then.
 func (r *runner) joinFault(random *rand.Rand) fault {
 	g := r.randomGroup(random)
 	index, leavesFirst := random.IntN(3), random.IntN(2) == 0
 	r.joined++
 	id := fmt.Sprintf("%s-j%d", g.Name, r.joined)
-	join := func() {
-		if m, err := r.testbed.AddMember(g, id); err == nil {
-			err = r.testbed.Register(m, index)
-			if err != nil {
-				r.printf("could not register %s: %v\n", id, err)
-			}
-		}
-	}
 	var leaving *member.Member
 	return r.exclusive(g, fmt.Sprintf("%s joins %s, and member %d leaves", id, g.Name, index),
 		func() {
@@ -131,15 +123,17 @@
 			leaving = members[index%len(members)]
 			if leavesFirst {
 				leaving.Leave()
-				join()
+				r.join(g, id, index)
 			} else {
-				join()
+				r.join(g, id, index)
 				leaving.Leave()
 			}
 		},
 		func() {
-			if primary, _ := leaving.State(); primary {
-				r.printf("%s leads still and stays\n", leaving.ID)
+			// What only the leaving member holds would be lost with it, whatever proxies do.
+			primary := g.Primary()
+			if primary == nil || primary == leaving || !primary.Received().UpToDateWith(leaving.Received()) {
+				r.printf("%s stays: no other member leads with its log\n", leaving.ID)
 				return
 			}
 			leaving.Terminate()
@@ -147,6 +141,53 @@
 		})
 }
 
+// takeoverFault cuts the proxies of a data centre off from a primary that the others still
+// reach, makes promotions late, and adds a member to the group while the change of primary
+// is probably under way.
+func (r *runner) takeoverFault(random *rand.Rand) fault {
+	g, dataCentre := r.randomGroup(random), random.IntN(r.plan.DataCentres)
+	late := time.Duration(1000+random.IntN(2500)) * time.Millisecond
+	joinsAfter := time.Duration(700+random.IntN(1500)) * time.Millisecond
+	r.joined++
+	id := fmt.Sprintf("%s-j%d", g.Name, r.joined)
+	var cut []namedRelay
+	var joining *time.Timer
+	return r.exclusive(g, fmt.Sprintf("zone-%d loses the primary of %s, promotions are %v late, and %s joins after %v", dataCentre, g.Name, late, id, joinsAfter),
+		func() {
+			if primary := g.Primary(); primary != nil {
+				cut = r.network.named(func(name string) bool { return name == fmt.Sprintf("zone-%d to %s", dataCentre, primary.ID) })
+			}
+			setConditions(cut, relay.Conditions{BlockForward: true, BlockBackward: true})
+			r.promotionDelay.Store(int64(late))
+			joining = time.AfterFunc(joinsAfter, func() { r.join(g, id, dataCentre) })
+		},
+		func() {
+			joining.Stop()
+			reconnect(cut)
+			r.promotionDelay.Store(0)
+		})
+}
+
+// join adds a member in a zone to a group.
+func (r *runner) join(g *member.Group, id string, zone int) {
+	m, err := r.testbed.AddMember(g, id)
+	if err == nil {
+		err = r.testbed.Register(m, zone)
+	}
+	if err != nil {
+		r.printf("%s could not join: %v\n", id, err)
+	}
+}
+
+// reconnect ends a cut. It resets the open connections: a write that arrived now, long after
+// its client was told that its outcome is unknown, would overwrite later ones.
+func reconnect(cut []namedRelay) {
+	for _, named := range cut {
+		named.relay.ResetOpen()
+	}
+	setConditions(cut, relay.Conditions{})
+}
+
 // restartFault restarts a member's process, which keeps its log.
 func (r *runner) restartFault(random *rand.Rand) fault {
 	g, index := r.randomGroup(random), random.IntN(8)
@@ -183,7 +224,7 @@
 			}
 			setConditions(cut, relay.Conditions{BlockForward: true, BlockBackward: true})
 		},
-		end: func() { setConditions(cut, relay.Conditions{}) },
+		end: func() { reconnect(cut) },
 	}
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,7 +134,10 @@
 	for _, g := range t.Groups {
 		g.OnPromotion = func(*member.Member) { r.promotions.Add(1) }
 		g.DelayPromotion = func(string) time.Duration { return time.Duration(r.promotionDelay.Load()) }
-		g.OnLost = func(description string) { r.printf("%s  LOST %s\n", time.Now().Format(logTime), description) }
+		g.OnLost = func(description string, commits []map[string]string) {
+			r.printf("%s  LOST %s; %v\n", time.Now().Format(logTime), description, commits)
+			r.violations.addLost(commits)
+		}
 	}
 	if r.network.views, err = r.serveViews(platform); err != nil {
 		return Result{}, err
@@ -192,7 +196,7 @@
 	for i := range r.plan.Groups * r.plan.ClientsPerGroup {
 		c := &client{
 			run: r, group: i % r.plan.Groups, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
-			ledger: ledger{item: fmt.Sprintf("item-%d", i), refused: map[int]bool{}},
+			ledger: ledger{item: fmt.Sprintf("item-%d", i), refused: map[int]bool{}, told: map[int]bool{}},
 		}
 		r.clients = append(r.clients, c)
 		g.GoIsolated("client", c.work)
@@ -219,6 +223,7 @@
 	var result Result
 	for _, c := range r.clients {
 		r.verifyLastWrite(c)
+		r.verifyLostWrites(c)
 		result.Served += c.ledger.served
 		result.Failed += c.ledger.failed
 	}
@@ -257,6 +262,17 @@
 	return nil
 }
 
+// verifyLostWrites reports the lost commits whose client was told that they were
+// acknowledged.
+func (r *runner) verifyLostWrites(c *client) {
+	for _, writes := range r.violations.lost() {
+		value, written := writes[c.ledger.item]
+		if n, err := strconv.Atoi(value); written && err == nil && c.ledger.told[n] {
+			r.recordViolation("%s: the value %d was acknowledged to the client and is lost", c.ledger.item, n)
+		}
+	}
+}
+
 // verifyLastWrite reads a client's item through the first proxy and checks its value
 // against the client's ledger.
 func (r *runner) verifyLastWrite(c *client) {
