--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -126,12 +126,15 @@
 	announce(m.primary, m.leaving)
 }
 
-// SetFault replaces the injected faults. A member that is no longer Down has kept its
+// SetFault replaces the injected faults. It does nothing to a terminated member. A member that is no longer Down has kept its
 // log and is not suspended; it is a replica if another one was promoted meanwhile.
 func (m *Member) SetFault(f Fault) {
 	g := m.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if m.terminated {
+		return
+	}
 	newest := g.newestPrimary()
 	if m.fault.Down && !f.Down {
 		m.suspended = 0
@@ -238,7 +241,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.members = slices.DeleteFunc(slices.Clone(g.members), func(other *Member) bool { return other == m })
-	m.terminated, m.primary, m.log = true, false, nil
+	m.terminated, m.primary, m.log, m.visibleEntries = true, false, nil, 0
 	m.fault.Down = true
 	_ = m.listener.Close()
 	m.disconnect()
@@ -307,10 +310,23 @@
 // hasCommit reports whether the log has an entry at exactly this position. The
 // caller holds the mutex.
 func (m *Member) hasCommit(p position.Position) bool {
-	i, found := slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
+	i, found := m.find(p)
+	return found && m.log[i].position == p
+}
+
+// writesAt returns the values by item of the commit at a position that the log has. The
+// caller holds the mutex.
+func (m *Member) writesAt(p position.Position) map[string]string {
+	i, _ := m.find(p)
+	return m.log[i].writes
+}
+
+// find returns the index of the entry with the log index of a position, and whether there
+// is one. The caller holds the mutex.
+func (m *Member) find(p position.Position) (int, bool) {
+	return slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
 		return cmp.Compare(e.position.Log, p.Log)
 	})
-	return found && m.log[i].position == p
 }
 
 // logEnd returns the position of the last entry, or the zero position. The
--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
@@ -158,3 +159,70 @@
 	lost, _ := group.Violations()
 	assert.Equal(t, lost, 0)
 }
+
+// TestLostCommitsAreDescribedWithTheirHolders promotes the replica that has missed a commit.
+func TestLostCommitsAreDescribedWithTheirHolders(t *testing.T) {
+	group, members, _ := start(t, 3)
+	descriptions := make(chan string, 1)
+	group.OnLost = func(description string, commits []map[string]string) {
+		assert.Check(t, cmp.DeepEqual(commits, []map[string]string{{"x": "1"}}))
+		descriptions <- description
+	}
+	assert.Assert(t, group.Whole())
+	members[2].SetFault(member.Fault{NotReplicating: true})
+	c, err := testbed.Dial(members[0].Address, "g")
+	assert.NilError(t, err)
+	defer c.Close()
+	a, err := c.Do("WRITE x 1")
+	assert.NilError(t, err)
+	assert.Assert(t, a.OK())
+	assert.Assert(t, !group.Whole())
+	assert.NilError(t, group.Promote("m-2", 1))
+	description := <-descriptions
+	assert.Assert(t, cmp.Contains(description, "m-2 leads term 2"))
+	assert.Assert(t, cmp.Contains(description, "lacks 1 acknowledged commits, 1.2 to 1.2"))
+	assert.Assert(t, cmp.Contains(description, "[m-1 holds=true"))
+	lost, _ := group.Violations()
+	assert.Equal(t, lost, 1)
+}
+
+// TestATerminatedMemberDoesNotComeBackWithTheEndOfAFault guards against a member that
+// listens again on an address that another one may have by then.
+func TestATerminatedMemberDoesNotComeBackWithTheEndOfAFault(t *testing.T) {
+	_, members, _ := start(t, 3)
+	members[2].Terminate()
+	members[2].SetFault(member.Fault{})
+	_, err := testbed.Dial(members[2].Address, "g")
+	assert.Assert(t, err != nil)
+}
+
+// TestAMemberMayEndDuringARead guards against a read that looks for entries in the log of a
+// terminated member, which ended its goroutine while it held the lock of the group.
+func TestAMemberMayEndDuringARead(t *testing.T) {
+	group, members, g := start(t, 3)
+	slow, err := group.Add(g, "slow", 2, 8, 50*time.Millisecond)
+	assert.NilError(t, err)
+	c, err := testbed.Dial(slow.Address, "g")
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = c.Do("READ x")
+	assert.NilError(t, err)
+	g.GoIsolated("end of the member", func(context.Context) {
+		time.Sleep(20 * time.Millisecond)
+		slow.Terminate()
+	})
+	_, err = c.Do("READ x")
+	assert.Assert(t, err != nil)
+	answered := make(chan bool)
+	g.GoIsolated("use of the group", func(context.Context) {
+		time.Sleep(100 * time.Millisecond)
+		primary, _ := members[0].State()
+		answered <- primary
+	})
+	select {
+	case primary := <-answered:
+		assert.Assert(t, primary)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the group does not answer any more")
+	}
+}
