List members that have joined even if the old primary was stopped

What callers could see: a lost commit after a planned change of primary, if a proxy could not be told of it, the other replicas receive nothing, and a member joined the primary a moment before that was stopped. The store lists the member only later.

--- a/internal/host/failover/inform.go
+++ b/internal/host/failover/inform.go
@@ -78,17 +78,21 @@
 }
 
 // awaitReportsEnd waits until no proxy can still report a commit of the old primary as
-// acknowledged, and each member that has helped to acknowledge one is listed. A proxy that
-// was not informed reports commits while its last proof is valid, and gets no new one once
-// all recorded members are suspended. It does not wait if all proxies are informed or the
-// old primary was stopped. It reports whether it waited.
+// acknowledged, and each member that has helped to acknowledge one is listed. It does not
+// wait if all proxies are informed: their reports say which commits were acknowledged. A
+// proxy that was not informed reports commits until the old primary was stopped, or while
+// its last proof is valid; it gets no new one once all recorded members are suspended.
+// awaitReportsEnd reports whether it waited.
 func (c *change) awaitReportsEnd(ctx context.Context) bool {
 	ct := c.controller
-	if c.informed || c.oldStopped.Load() {
+	if c.informed {
 		return false
 	}
 	if c.membersListedAt == 0 {
-		c.membersListedAt = ct.clock.SinceBoot() + leader.ProofLifetime + maxListingTime
+		c.membersListedAt = ct.clock.SinceBoot() + maxListingTime
+		if !c.oldStopped.Load() {
+			c.membersListedAt += leader.ProofLifetime
+		}
 	}
 	remaining := c.membersListedAt - ct.clock.SinceBoot()
 	if remaining <= 0 {
