--- a/internal/policy/failover/newtermmodel_test.go
+++ b/internal/policy/failover/newtermmodel_test.go
@@ -69,4 +69,5 @@
 		members: slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(c.list), c.oldPrimary)))),
 	}
 	m.readRecord(p)
+	p.leader = p.leader.WithProof(m.now)
 }
