Merge the starts of members and the present proofs into the model

The recorded members of the model are those with a recorded start; a proxy that is cut off compares it with the start that it last read. The sequences of members that start again without their logs cut the other proxy off, which would tell what it knows otherwise. A replica that restarts during the wait is not the recorded one any more: its sequence moved to TestEachAddedRuleIsNeeded. The second list of a change that waits shows the restart that compareEnds notices, so its scenario omits awaitReports in both runs.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -84,9 +84,11 @@
 	oldLog leader.Acknowledged
 	// replicaTerm is the newest term that a replica reported before the change.
 	replicaTerm uint64
-	// listedAddresses holds the addresses, by ID, of the members that the store
-	// listed after the record was closed.
-	listedAddresses map[string]string
+	// checkedEnds holds the ends of the members' logs before the record was closed, by ID.
+	checkedEnds map[string]position.Position
+	// listed holds the members that the store listed after the record was closed; nil
+	// if the list was not read yet.
+	listed []topology.Endpoint
 	// listAskedAt is the boot time at which that list was asked for.
 	listAskedAt time.Duration
 	// leaderAnswered is true if a member has answered that it leads the record's term
@@ -96,9 +98,14 @@
 	oldStopped atomic.Bool
 	// informed is true if every other proxy knows of the closed record.
 	informed bool
-	// reportsEnd is the boot time from which no proxy reports a commit of the old primary
-	// as acknowledged; zero if that is not known yet.
-	reportsEnd time.Duration
+	// closedAt is the boot time from which this proxy has treated the record as closed.
+	closedAt time.Duration
+	// membersListedAt is the boot time from which no proxy reports a commit of the old
+	// primary as acknowledged, and each member that received one is listed; zero if that is
+	// not known yet.
+	membersListedAt time.Duration
+	// suspended holds the IDs of the members that were suspended for this change.
+	suspended map[string]bool
 }
 
 // replacePrimary carries out a decision, unless it is outdated. It reports whether
@@ -231,6 +238,7 @@
 	ct.mutex.Unlock()
 	ct.state.LearnPromotionLock(taken.WithRevision(revision, c.began))
 	ct.state.LearnRecord(c.record)
+	c.closedAt = ct.clock.SinceBoot()
 	return nil
 }
 
@@ -261,8 +269,8 @@
 	oldAnswer := c.stopOld(ctx)
 	c.noteOldLog(oldAnswer)
 	s, err := c.suspendMembers(ctx)
-	if err == nil && s.leading == nil && c.awaitReportsEnd(ctx) {
-		// Members may have joined and acknowledged commits meanwhile.
+	for err == nil && s.leading == nil && c.awaitReportsEnd(ctx) {
+		// Members may have joined, or started again, and acknowledged commits meanwhile.
 		s, err = c.suspendMembers(ctx)
 	}
 	if err != nil {
@@ -307,7 +315,8 @@
 	}
 	memberCount := len(others)
 	others = slices.DeleteFunc(others, func(e topology.Endpoint) bool { return !c.required(e) })
-	term, leading, err := c.newestTerm(ctx, others)
+	answers := c.statuses(ctx, others)
+	term, leading, err := c.newestTerm(answers)
 	if err != nil {
 		return suspension{}, err
 	}
@@ -318,6 +327,7 @@
 	if s.replicas, err = c.suspendAll(ctx, others, s.term); err != nil {
 		return suspension{}, err
 	}
+	c.noteSuspended(answers, s.replicas)
 	if len(others) < memberCount && !c.oldStopped.Load() {
 		// Require the unlisted members' answers in the next attempt.
 		c.leaderAnswered = false
@@ -332,16 +342,16 @@
 	term uint64
 	// logEnd is the end of its log when it was first seen to lead.
 	logEnd position.Position
-	// members holds the addresses, by ID, of the members whose logs were compared.
-	members map[string]string
+	// members are the members whose logs were compared.
+	members []topology.Endpoint
 }
 
 // successorFrom returns the successor from the answer of a member that leads. The
 // others are the members other than the old primary that were asked.
 func (c *change) successorFrom(a answer, others []topology.Endpoint) successor {
-	members := addresses(others)
+	members := others
 	if c.old.Address != "" {
-		members[c.old.ID] = c.old.Address
+		members = append(slices.Clone(others), c.old)
 	}
 	return successor{id: a.endpoint.ID, term: a.status.Term, logEnd: a.status.Received, members: members}
 }
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -9,6 +9,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -22,12 +23,7 @@
 func (c *change) requiredPosition() (leader.Acknowledged, error) {
 	ct := c.controller
 	record := ct.state.Record(c.group)
-	departed := append(policy.Compare(record.Members, ct.state.Endpoints().Group(c.group)).Left, ct.unrecordedDepartures(c.group, record.Acknowledged)...)
-	// The old primary does not count as departed: another member has received each
-	// commit that it acknowledged.
-	departed = slices.DeleteFunc(departed, func(id string) bool { return id == c.old.ID })
-	slices.Sort(departed)
-	departed = slices.Compact(departed)
+	departed := c.incomparable(record)
 	group, configured := ct.state.Routes().Group(c.group)
 	floor, known := policy.AcknowledgedCommits{
 		Replicated: !configured || group.Synchronous > 0,
@@ -40,6 +36,23 @@
 	return floor, nil
 }
 
+// incomparable returns the IDs of members whose logs are gone or can't be compared: those
+// that have left, or started again, since the record was written or, if it does not cover
+// what they had received, since this proxy saw them.
+func (c *change) incomparable(record leadership.Record) []string {
+	ct := c.controller
+	ids := append(policy.Compare(record, ct.state.Endpoints().Group(c.group)).Incomparable(),
+		ct.unrecordedDepartures(c.group, record)...)
+	if c.listed != nil {
+		ids = append(ids, policy.Compare(record, c.listed).Incomparable()...)
+	}
+	// The old primary does not count: another member has received each commit that it
+	// acknowledged.
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == c.old.ID })
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // noteOldLog stores the end of the old primary's log in c.oldLog, under whichever ID
 // it answered. It ignores a log that lacks the record's acknowledged position: a
 // restarted process may have lost its log.
@@ -62,7 +75,7 @@
 	if err != nil {
 		return nil, 0, errors.WithMessagef(err, "reading the members of group %s", c.group)
 	}
-	c.listedAddresses, c.listAskedAt = addresses(listed), asked
+	c.listed, c.listAskedAt = listed, asked
 	c.controller.noteListed(c.group, listed)
 	return c.controller.replicas(c.group, c.old.ID), revision, nil
 }
@@ -88,9 +101,24 @@
 	return found
 }
 
+// checkNotShortened returns an error if the log of a member ends before where it ended when
+// the change was checked. The member has then started again since, maybe after the list was
+// read, and lost its log.
+func (c *change) checkNotShortened(replicas []answer) error {
+	for _, a := range replicas {
+		if checked, ok := c.checkedEnds[a.endpoint.ID]; ok && !a.status.Received.UpToDateWith(checked) {
+			return errors.Errorf("the log of endpoint %s ends at %v, but ended at %v before the change", a.endpoint.ID, a.status.Received, checked)
+		}
+	}
+	return nil
+}
+
 // elect returns the endpoint to promote: a replica, or the old primary if no replica's
 // log holds all acknowledged commits. The revision of the store's list is only logged.
 func (c *change) elect(replicas []answer, old answer, listRevision uint64) (topology.Endpoint, error) {
+	if err := c.checkNotShortened(replicas); err != nil {
+		return topology.Endpoint{}, err
+	}
 	floor, err := c.requiredPosition()
 	if err != nil {
 		return topology.Endpoint{}, err
@@ -123,10 +151,9 @@
 // answer of a member that leads a later term than the old primary, or nil. A member
 // that leads the old primary's own term does not count: it is that primary under
 // another ID, and its replicas may be suspended.
-func (c *change) newestTerm(ctx context.Context, others []topology.Endpoint) (uint64, *answer, error) {
+func (c *change) newestTerm(answers []answer) (uint64, *answer, error) {
 	term := c.record.Term
 	var leading *answer
-	answers := c.statuses(ctx, others)
 	for i, a := range answers {
 		if a.err != nil {
 			continue
--- a/internal/policy/failover/cut_test.go
+++ b/internal/policy/failover/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -66,3 +67,20 @@
 		})
 	}
 }
+
+// replicaRestartsDuringTheWait restarts a replica, whose proof outlives the wait for the
+// last proof, and lets a member join after that.
+func replicaRestartsDuringTheWait(m *model, a, b *proxyModel) {
+	m.cutOff(b)
+	a.unreachable[0] = true
+	m.beginChange(a)
+	m.stepUntil(0, a, awaiting)
+	m.step(0, a)
+	m.now += 700 * time.Millisecond
+	m.crashAndRestart(2)
+	m.probe(b, 2)
+	m.stepUntil(0, a, promoting)
+	m.join(0)
+	m.write(b)
+	m.stepUntil(0, a, settling)
+}
--- a/internal/policy/failover/formerrules_test.go
+++ b/internal/policy/failover/formerrules_test.go
@@ -64,3 +64,15 @@
 		}
 	}
 }
+
+// commitKnownToOneProxy restarts both proxies, then makes proxy b send a commit
+// that only the primary and one replica receive. That replica leaves before
+// proxy a first reads the list, so a knows neither the commit nor the replica.
+func commitKnownToOneProxy(m *model, a, b *proxyModel) {
+	m.members[1].detached = true
+	m.restartProxies(a, b)
+	m.readStore(b)
+	m.write(b)
+	m.leave(m.members[2])
+	m.advance(a, 4*time.Second)
+}
--- a/internal/policy/failover/scenarios_test.go
+++ b/internal/policy/failover/scenarios_test.go
@@ -38,18 +38,6 @@
 	m.readStore(p)
 }
 
-// commitKnownToOneProxy restarts both proxies, then makes proxy b send a commit
-// that only the primary and one replica receive. That replica leaves before
-// proxy a first reads the list, so a knows neither the commit nor the replica.
-func commitKnownToOneProxy(m *model, a, b *proxyModel) {
-	m.members[1].detached = true
-	m.restartProxies(a, b)
-	m.readStore(b)
-	m.write(b)
-	m.leave(m.members[2])
-	m.advance(a, 4*time.Second)
-}
-
 // TestEachAddedRuleIsNeeded runs, for each rule that was added since, a sequence
 // that breaks a guarantee without the rule and keeps it with all rules.
 func TestEachAddedRuleIsNeeded(t *testing.T) {
@@ -125,6 +113,19 @@
 				m.changePrimary(a)
 			},
 		},
+		"a member that starts again is not the recorded one": {
+			omit:     func(r *rules) { r.compareStarts = false },
+			scenario: startsAgainBeforeTheChange,
+		},
+		"a replica that restarts while the change waits for proofs is not the recorded one": {
+			omit:     func(r *rules) { r.compareStarts = false },
+			scenario: replicaRestartsDuringTheWait,
+		},
+		"no log ends before where it ended when the change began": {
+			omit:     func(r *rules) { r.compareEnds = false },
+			alsoOmit: func(r *rules) { r.awaitReports = false },
+			scenario: startsAgainDuringTheChange,
+		},
 		"the old primary is demoted": {
 			omit: func(r *rules) { r.demoteFirst = false },
 			scenario: func(m *model, a, b *proxyModel) {
