--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -20,7 +20,11 @@
 // had the names of the keys.
 const (
 	storedRecord = `{"Endpoint":"pg-2","Term":7,"Closed":true,"Holder":"proxy-1","Kept":{"Term":6,"Log":41},` +
-		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"},"Starts":{"pg-1":1700000000001,"pg-2":1700000000002}}`
+		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"},"Starts":{"pg-1":1700000000001,"pg-2":1700000000002},` +
+		`"Elected":{"Endpoint":"pg-1","After":11,"Repeated":true}}`
+	// formerRecord is the same record of a build that knows neither starts nor elections.
+	formerRecord = `{"Endpoint":"pg-2","Term":7,"Closed":true,"Holder":"proxy-1","Kept":{"Term":6,"Log":41},` +
+		`"Members":{"pg-1":"10.0.0.1:5","pg-2":"10.0.0.2:5"}}`
 	storedLock = `{"Holder":"proxy-1","Busy":true}`
 )
 
@@ -30,11 +34,15 @@
 		Acknowledged: position.Position{Term: 6, Log: 41},
 		Members:      map[string]string{"pg-1": "10.0.0.1:5", "pg-2": "10.0.0.2:5"},
 		Starts:       map[string]int64{"pg-1": 1_700_000_000_001, "pg-2": 1_700_000_000_002},
+		Elected:      leadership.Election{Endpoint: "pg-1", After: 11, Repeated: true},
 	}
 }
 
 func TestRecordsAreStoredAsOtherBuildsExpect(t *testing.T) {
 	assert.Equal(t, string(fullRecord().Bytes()), storedRecord)
+	former := fullRecord()
+	former.Starts, former.Elected = nil, leadership.Election{}
+	assert.Equal(t, string(former.Bytes()), formerRecord)
 	empty := leadership.Record{Group: "g", Revision: 12}
 	assert.Equal(t, string(empty.Bytes()), `{"Endpoint":"","Term":0,"Closed":false,"Holder":""}`)
 }
@@ -43,16 +51,30 @@
 	got, err := leadership.Parse("g", []byte(storedRecord), 12)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, fullRecord())
+	got, err = leadership.Parse("g", []byte(formerRecord), 12)
+	assert.NilError(t, err)
+	former := fullRecord()
+	former.Starts, former.Elected = nil, leadership.Election{}
+	assert.DeepEqual(t, got, former)
+}
+
+func TestAnElectionStaysUntilItsMemberLeads(t *testing.T) {
+	r := leadership.Record{Group: "g", Revision: 12, Endpoint: "pg-2", Term: 7}.WithClosed("proxy-1").WithElected("pg-1", false)
+	want := leadership.Election{Endpoint: "pg-1", After: 12}
+	assert.Equal(t, r.Elected, want)
+	assert.Equal(t, r.WithRevision(13).WithClosed("proxy-2").WithPrimary("pg-1", 8).Elected, want)
+	assert.Equal(t, r.WithoutElected("pg-3").Elected, want)
+	assert.Equal(t, r.WithoutElected("pg-1").Elected, leadership.Election{})
+	assert.Assert(t, r.WithElected("pg-1", true).WithoutElected("pg-1").Elected.Repeated, "an earlier order may still be executed")
 }
 
 // TestARecordOfAFormerBuildHasNoStarts covers a record that was written before members'
 // starts were stored, or since by a proxy of such a build.
 func TestARecordOfAFormerBuildHasNoStarts(t *testing.T) {
-	former, _, _ := strings.Cut(storedRecord, `,"Starts"`)
-	got, err := leadership.Parse("g", []byte(former+"}"), 12)
+	got, err := leadership.Parse("g", []byte(formerRecord), 12)
 	assert.NilError(t, err)
 	want := fullRecord()
-	want.Starts = nil
+	want.Starts, want.Elected = nil, leadership.Election{}
 	assert.DeepEqual(t, got, want)
 	assert.DeepEqual(t, got.Member("pg-1"), topology.Endpoint{ID: "pg-1", Group: "g", Address: "10.0.0.1:5"})
 	assert.Assert(t, !got.SameMembers(fullRecord()))
--- a/internal/policy/failover/changemodel_test.go
+++ b/internal/policy/failover/changemodel_test.go
@@ -34,6 +34,8 @@
 	// starts holds the starts of the recorded members, by index; none if no proxy has
 	// recorded them yet. It is never modified.
 	starts map[int]int
+	// election is the member whose promotion is ordered.
+	election electionModel
 }
 
 // The steps of a change of primary, in order. A changeModel holds the one that
@@ -48,7 +50,8 @@
 	suspending        // suspends the members
 	awaiting          // waits until a proxy that was not told has no proof any more
 	checking          // asks the members again whether they are suspended
-	promoting         // promotes a member
+	electing          // elects a member and records the election
+	promoting         // orders the promotion of the member
 	settling          // waits until old proofs have expired
 	opening           // opens the record with the next primary
 )
@@ -61,6 +64,8 @@
 	initialRecord recordModel
 	// token is the fencing token: the revision at which the lock was taken.
 	token uint64
+	// revision is the revision at which the change last wrote the record.
+	revision uint64
 	// oldPrimary and nextPrimary are indexes of members.
 	oldPrimary, nextPrimary int
 	// began is when the record was closed.
@@ -103,7 +108,7 @@
 // beginChange makes a proxy begin a change, based on the record that it has
 // read, and reports whether it did.
 func (m *model) beginChange(p *proxyModel) bool {
-	if p.change != nil || p.leader.Endpoint == "" || p.listSince == 0 || m.now-p.listSince < minListAge {
+	if p.change != nil || p.leader.Endpoint == "" || p.listSince == 0 || m.now-p.listSince < minListAge || m.blocksChange(p) {
 		return false
 	}
 	p.change = &changeModel{initialRecord: p.record, oldPrimary: memberIndex(p.leader.Endpoint), checkedEnds: map[int]position.Position{}}
@@ -152,6 +157,8 @@
 		m.stepAwait(c)
 	case checking:
 		m.stepCheck(p, c)
+	case electing:
+		m.stepElect(p, c)
 	case promoting:
 		m.stepPromote(p, c)
 	case settling:
@@ -161,13 +168,14 @@
 	}
 }
 
-// stepUntil runs a proxy's change up to a step, or to its end. The clock advances while the
-// change waits for the proofs of a proxy that was not told.
+// stepUntil runs a proxy's change up to a step, or to its end. It returns earlier if the
+// change waits or tries again, except that the clock advances while it waits for the proofs
+// of a proxy that was not told.
 func (m *model) stepUntil(index int, p *proxyModel, step int) {
 	for p.change != nil && p.change.step < step {
 		previous := p.change.step
 		m.step(index, p)
-		if p.change == nil || p.change.step != previous {
+		if p.change == nil || p.change.step > previous {
 			continue
 		}
 		if previous != awaiting {
@@ -192,9 +200,10 @@
 	m.record = recordModel{
 		revision: m.revision, endpoint: c.oldPrimary, term: max(p.leader.Term, m.record.term), closed: true, holder: index,
 		lockRevision: m.revision, busy: true, acknowledged: newerPosition(m.record.acknowledged, p.reported), primaryEnd: m.record.primaryEnd,
-		starts: m.record.starts,
+		starts:   m.record.starts,
+		election: m.record.election,
 	}
-	c.token, c.began, c.step = m.revision, m.now, informing
+	c.token, c.revision, c.began, c.step = m.revision, m.revision, m.now, informing
 	m.readRecord(p)
 }
 
@@ -269,7 +278,7 @@
 	if !m.rules.stopFirst && c.stopLate {
 		m.stop(p, c)
 	}
-	c.step = promoting
+	c.step = electing
 	if !m.rules.recheck {
 		return
 	}
@@ -315,58 +324,3 @@
 		return !candidate.Received.UpToDateWith(c.checkedEnds[memberIndex(candidate.ID)])
 	})
 }
-
-// stepPromote promotes the elected candidate, or abandons the change.
-func (m *model) stepPromote(p *proxyModel, c *changeModel) {
-	if m.rules.freshToken && m.now-c.began > maxTimeToPromote {
-		p.change = nil
-		return
-	}
-	if m.rules.consultProxies && !c.oldAnswered && (!p.knowsCommit() || m.anyLeft(p)) && (p.listSince == 0 || p.exchangedAt <= p.listSince) {
-		p.change = nil
-		return
-	}
-	if !c.oldEnd.UpToDateWith(m.record.acknowledged) || c.oldEnd.IsZero() {
-		c.oldAnswered = false // it has lost its log
-	}
-	if m.anyRestarted(p, c) && !c.oldAnswered && (p.exchangedAt <= c.began || p.reported.IsZero()) {
-		p.change = nil
-		return
-	}
-	if m.rules.compareEnds && m.anyShorter(c) {
-		p.change = nil
-		return
-	}
-	best, ok := m.elect(p, c)
-	if !ok {
-		p.change = nil
-		return
-	}
-	if c.token < m.highestToken {
-		m.violate("token %d was used after token %d", c.token, m.highestToken)
-	}
-	m.highestToken = max(m.highestToken, c.token)
-	next := m.members[memberIndex(best.ID)]
-	if !next.up() || next.primary {
-		p.change = nil
-		return
-	}
-	next.term, next.primary, next.suspended = m.newestTerm()+1, true, 0
-	m.promotedTerm = next.term
-	if next.lacks(m.acknowledged) {
-		m.violate("member %s became the primary with log end %v, but %v was acknowledged", best.ID, next.end(), m.acknowledged)
-	}
-	for _, r := range m.members {
-		if r == next || r.primary || !r.up() || r.partitioned || next.partitioned {
-			continue
-		}
-		r.suspended = 0
-		if !m.termsHeldBack {
-			m.learnTerm(r, next)
-		}
-	}
-	c.nextPrimary, c.nextEnd, c.promotedAt, c.step = memberIndex(best.ID), next.end(), m.now, settling
-	if m.rules.proofsFromPromotion {
-		c.lastProof = m.now
-	}
-}
--- a/internal/policy/failover/model_test.go
+++ b/internal/policy/failover/model_test.go
@@ -83,6 +83,12 @@
 	// recentRecords accepts proofs from members only until maxRecordAge after the proxy
 	// knew the record to be open.
 	recentRecords bool
+	// recordElection names the elected member in the group's record before its promotion
+	// is ordered. No other member is promoted while the order may still be executed.
+	recordElection bool
+	// keepElection keeps the election in the opened record if the member was ordered more
+	// than once.
+	keepElection bool
 }
 
 // formerRules returns the rules that were in force when a change of primary
@@ -102,6 +108,7 @@
 	r.confirmCommits, r.recordedProofs, r.informProxies, r.awaitReports = true, true, true, true
 	r.awaitDeparted, r.awaitListing, r.renewWait, r.recentRecords = true, true, true, true
 	r.compareStarts, r.compareEnds = true, true
+	r.recordElection, r.keepElection = true, true
 	return r
 }
 
@@ -126,6 +133,10 @@
 	// termsHeldBack is true while a promotion reaches only the promoted member: the
 	// others learn of the new term later.
 	termsHeldBack bool
+	// promotionsLate is true while promotions are executed late or never, and orders holds
+	// those that may still be executed, oldest first.
+	promotionsLate bool
+	orders         []orderModel
 	// violation describes the first broken guarantee; empty for none.
 	violation string
 }
--- a/internal/policy/failover/newtermmodel_test.go
+++ b/internal/policy/failover/newtermmodel_test.go
@@ -1,6 +1,7 @@
 package failover_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -59,14 +60,15 @@
 // change has closed it.
 func (m *model) stepOpen(p *proxyModel, c *changeModel) {
 	p.change = nil
-	if p.cutOffFromStore || m.record.revision != c.token {
+	if p.cutOffFromStore || m.record.revision != c.revision {
 		return
 	}
 	m.revision++
 	m.record = recordModel{
 		revision: m.revision, endpoint: c.nextPrimary, term: m.members[c.nextPrimary].term, holder: m.record.holder, lockRevision: m.revision,
 		acknowledged: newerPosition(m.record.acknowledged, c.nextEnd), primaryEnd: m.record.primaryEnd,
-		starts: c.recordedStarts(),
+		starts:   c.recordedStarts(),
+		election: m.withoutElected(m.record.election, fmt.Sprint(c.nextPrimary)),
 	}
 	m.readRecord(p)
 	p.leader = p.leader.WithProof(m.now)
--- a/internal/policy/failover/randomevents_test.go
+++ b/internal/policy/failover/randomevents_test.go
@@ -22,6 +22,7 @@
 	"restart a proxy":     {"restart a proxy"},
 	"exchange":            {"exchange"},
 	"hold back terms":     {"hold back terms", "release terms"},
+	"late promotions":     {"promote late", "promote in time", "execute a late promotion", "execute a late promotion"},
 	"cut off from store":  {"lose contact with the store", "regain contact with the store"},
 	"cut off from proxy":  {"lose contact with a proxy", "regain contact with a proxy"},
 	"cut off a proxy":     {"cut off a proxy", "lose contact between the proxies", "reconnect a proxy", "wait for the last proof"},
@@ -31,7 +32,7 @@
 // can be repeated.
 var eventKindNames = []string{
 	"detach", "leave", "restart", "pending write", "restart all proxies", "restart a proxy", "exchange", "cut off from proxy",
-	"cut off from store", "hold back terms", "start empty", "cut off a proxy",
+	"cut off from store", "hold back terms", "start empty", "late promotions", "cut off a proxy",
 }
 
 // usualEvents can happen in each run. One that is listed n times is n times as
@@ -105,6 +106,10 @@
 		m.termsHeldBack = true
 	case "release terms":
 		m.releaseTerms()
+	case "promote late", "promote in time":
+		m.promotionsLate = event == "promote late"
+	case "execute a late promotion":
+		m.executeLate()
 	case "step after departure":
 		m.recordDepartures(p)
 	case "restart all proxies":
@@ -260,11 +265,14 @@
 // proxy counts it as recorded, it can prove a primary that is being or was replaced to a
 // proxy that has not heard of the change, and no request of another proxy can prevent that.
 //
+// No member starts while an order to promote may still be executed.
+//
 // This takes two failures within one change: a proxy that is cut off and a member that
 // starts. TestSequencesThatTheRulesDoNotCoverBreakAGuarantee shows what follows.
 func (m *model) startBreaksChange(r *memberModel) bool {
 	counts := slices.Contains(m.members, r) || slices.ContainsFunc(m.proxies[:], func(p *proxyModel) bool { return len(p.record.starts) == 0 })
-	return counts && m.anyProxyBehind()
+	m.dropOrders()
+	return len(m.orders) > 0 || (counts && m.anyProxyBehind())
 }
 
 // anyProxyBehind reports whether some proxy uses a primary that was replaced, or that is
