--- a/internal/policy/failover/emptystart_test.go
+++ b/internal/policy/failover/emptystart_test.go
@@ -13,6 +13,7 @@
 	m.startEmpty(m.members[2])
 	m.crash(m.members[0])
 	m.readStore(a)
+	m.cutOff(b)
 	m.changePrimary(a)
 }
 
@@ -22,6 +23,7 @@
 	m.members[1].detached = true
 	m.write(b)
 	m.crash(m.members[0])
+	m.cutOff(b)
 	m.beginChange(a)
 	m.stepUntil(0, a, suspending)
 	m.startEmpty(m.members[2])
@@ -43,6 +45,7 @@
 	m.members[3].partitioned = true
 	m.startEmpty(m.members[3])
 	m.crash(m.members[0])
+	m.cutOff(b)
 	m.changePrimary(a)
 }
 
--- a/internal/policy/failover/promotionmodel_test.go
+++ b/internal/policy/failover/promotionmodel_test.go
@@ -25,8 +25,6 @@
 type orderModel struct {
 	member int
 	sentAt time.Duration
-	// memberStarts is the number of member starts when the list was read for the election.
-	memberStarts int
 }
 
 // noteElection records when a proxy learns of the election in the record that it has read.
@@ -99,7 +97,7 @@
 	}
 	m.highestToken = max(m.highestToken, c.token)
 	if m.promotionsLate {
-		m.orders = append(m.orders, orderModel{member: c.nextPrimary, sentAt: m.now, memberStarts: c.memberStarts})
+		m.orders = append(m.orders, orderModel{member: c.nextPrimary, sentAt: m.now})
 		c.step, c.candidates = listing, nil
 		return
 	}
