Answer a notice of a closed record only once the table has applied it

What callers could see: a commit that is reported as acknowledged after the proxy has told a change of primary that it reports no more.

Cause: the watch could have kept the same record a moment before and not applied it to the table yet. The notice then found a known revision and answered at once.

Change: a record of the known revision is applied again before LearnRecord returns. Found by reading; the tests cover what an answer says and when.

--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -306,20 +306,22 @@
 	}
 }
 
-// LearnRecord adopts a record of the store, if it is newer than the known one.
+// LearnRecord adopts a record of the store, if it is not older than the known one. When it
+// returns, the table has applied the record or a newer one.
 func (s *clusterState) LearnRecord(r leadership.Record) {
 	if s.keepRecord(r) {
 		s.onRecord(r.Group)
 	}
 }
 
-// keepRecord keeps a record if it is newer than the known one, and reports whether it
-// is.
+// keepRecord keeps a record if it is newer than the known one. It reports whether the
+// record may not have been applied yet: another goroutine may have kept the same one just
+// now.
 func (s *clusterState) keepRecord(r leadership.Record) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if r.Revision <= s.records[r.Group].Revision {
-		return false
+	if known := s.records[r.Group].Revision; r.Revision <= known {
+		return r.Revision == known
 	}
 	records := maps.Clone(s.records)
 	if records == nil {
