Ask for a proof again before a commit is in doubt

What callers could see: INDOUBT for a commit, although a proof could be had: the round of requests for proofs that the commit joined had ended a moment before, or had left out its group because a read for another one was under way.

Change: a commit asks again, with 30 ms between rounds, until 300 ms or its deadline are over. Found by reading.

--- a/internal/host/gateway/confirmation.go
+++ b/internal/host/gateway/confirmation.go
@@ -6,6 +6,11 @@
 // It leaves time for one read of the store and one request to a replica.
 const proveTimeout = 300 * time.Millisecond
 
+// provePause is the shortest time between two rounds of requests for a proof that a commit
+// waits for. A round that ends at once, as while the store refuses calls, is not repeated
+// without a pause.
+const provePause = 30 * time.Millisecond
+
 // unconfirmedDetail is the detail of the reply for an acknowledged commit that is in
 // doubt.
 const unconfirmedDetail = "the primary that acknowledged the commit is being replaced, or is not known to be the only one"
@@ -35,21 +40,41 @@
 }
 
 // proven reports whether commits at the endpoint can be confirmed. If the proof has expired,
-// it waits for another, at most proveTimeout and until the statement's deadline.
+// it asks for another until it has one, at most for proveTimeout and until the statement's
+// deadline.
 func (e *execution) proven(endpoint string) bool {
 	g, group := e.gateway, e.route.Group
-	if g.table.Leader(group).Confirms(endpoint, g.clock.SinceBoot()) {
-		return true
-	}
-	if g.table.Leader(group).BeingReplaced(endpoint, g.clock.SinceBoot()) {
-		return false
-	}
 	timeout := g.timer.Once(min(proveTimeout, e.deadline.Sub(g.timer.Now())))
 	defer timeout.Stop()
-	select {
-	case <-g.prover.Prove(group):
-	case <-timeout.C():
-	case <-g.tasks.Context().Done():
+	for {
+		known, now := g.table.Leader(group), g.clock.SinceBoot()
+		switch {
+		case known.Confirms(endpoint, now):
+			return true
+		case known.BeingReplaced(endpoint, now):
+			return false
+		}
+		pause := g.timer.Once(provePause)
+		if !g.awaitAll(timeout.C(), g.prover.Prove(group), pause.C()) {
+			return g.table.Leader(group).Confirms(endpoint, g.clock.SinceBoot())
+		}
+	}
+}
+
+// awaitAll waits for the end of a round of requests for proofs and of a pause. It returns
+// false if the timeout or the end of the process comes first.
+func (g *Gateway) awaitAll(timeout <-chan time.Time, round <-chan struct{}, pause <-chan time.Time) bool {
+	for round != nil || pause != nil {
+		select {
+		case <-round:
+			round = nil
+		case <-pause:
+			pause = nil
+		case <-timeout:
+			return false
+		case <-g.tasks.Context().Done():
+			return false
+		}
 	}
-	return g.table.Leader(group).Confirms(endpoint, g.clock.SinceBoot())
+	return true
 }
