Register as soon as the store has been read

What callers could see: a proxy that has just started refuses writes and reads at primaries for 0.4 s, since it has no proof before it is registered.

Cause: the first look whether the store had been read came too early and was repeated after 0.4 s. Change: it is repeated after 10 ms.

--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -24,6 +24,9 @@
 	registrationLease = 8 * time.Second
 	// renewInterval is how often the lease of a registration is renewed.
 	renewInterval = 2500 * time.Millisecond
+	// startDelay is the wait before another look whether the store has been read, as it
+	// must be before the first registration.
+	startDelay = 10 * time.Millisecond
 	// renewRetryDelay is the wait after a failed registration or renewal.
 	renewRetryDelay = 400 * time.Millisecond
 )
@@ -75,7 +78,7 @@
 // waits until the store has been read, which shows an entry of an earlier process.
 func (n *Node) register(ctx context.Context) error {
 	for ctx.Err() == nil && !n.leaving.Load() {
-		wait := renewRetryDelay
+		wait := startDelay
 		if n.storeRead.Load() {
 			wait = renewInterval
 			if err := n.renew(ctx); err != nil {
