--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -77,6 +77,9 @@
 	old topology.Endpoint
 	// record is the closed record that this change wrote.
 	record leadership.Record
+	// written is that record as the store has it now: with the elected member, once
+	// there is one.
+	written leadership.Record
 	// began is the boot time at which the change took the promotion lock.
 	began time.Duration
 	// oldLog is the end of the old primary's log; zero if the old primary has not
@@ -84,9 +87,11 @@
 	oldLog leader.Acknowledged
 	// replicaTerm is the newest term that a replica reported before the change.
 	replicaTerm uint64
-	// listedAddresses holds the addresses, by ID, of the members that the store
-	// listed after the record was closed.
-	listedAddresses map[string]string
+	// checkedEnds holds the ends of the members' logs before the record was closed, by ID.
+	checkedEnds map[string]position.Position
+	// listed holds the members that the store listed after the record was closed; nil
+	// if the list was not read yet.
+	listed []topology.Endpoint
 	// listAskedAt is the boot time at which that list was asked for.
 	listAskedAt time.Duration
 	// leaderAnswered is true if a member has answered that it leads the record's term
@@ -231,6 +236,7 @@
 		return err
 	}
 	c.record = record.WithRevision(revision)
+	c.written = c.record
 	ct.mutex.Lock()
 	ct.changesUnderWay++
 	ct.mutex.Unlock()
@@ -286,15 +292,10 @@
 	if err != nil {
 		return successor{}, err
 	}
-	lock := ct.state.PromotionLock()
-	if ct.clock.SinceBoot()-c.began > maxTimeToPromote || lock.Holder != ct.name {
-		return successor{}, errors.Errorf("the change took the promotion lock %v ago (at most %v is allowed), and proxy %s holds the lock now",
-			ct.clock.SinceBoot()-c.began, maxTimeToPromote, lock.Holder)
+	orderedAt, err := c.order(ctx, elected)
+	if err != nil {
+		return successor{}, err
 	}
-	ct.notePromotion()
-	orderedAt := c.logOrdered(elected, lock.Revision)
-	err = ct.promoter.Promote(ctx, c.group, elected.ID, lock.Revision)
-	c.logOrderAnswered(elected, orderedAt, err)
 	promoted, err := c.awaitPrimary(ctx, elected)
 	if err != nil {
 		return successor{}, err
@@ -340,16 +341,16 @@
 	term uint64
 	// logEnd is the end of its log when it was first seen to lead.
 	logEnd position.Position
-	// members holds the addresses, by ID, of the members whose logs were compared.
-	members map[string]string
+	// members are the members whose logs were compared.
+	members []topology.Endpoint
 }
 
 // successorFrom returns the successor from the answer of a member that leads. The
 // others are the members other than the old primary that were asked.
 func (c *change) successorFrom(a answer, others []topology.Endpoint) successor {
-	members := addresses(others)
+	members := others
 	if c.old.Address != "" {
-		members[c.old.ID] = c.old.Address
+		members = append(slices.Clone(others), c.old)
 	}
 	return successor{id: a.endpoint.ID, term: a.status.Term, logEnd: a.status.Received, members: members}
 }
@@ -411,14 +412,19 @@
 // later change drops anything that the new primary holds now.
 func (c *change) openRecord(ctx context.Context, newPrimary successor) {
 	ct := c.controller
-	record := c.record.WithPrimary(newPrimary.id, newPrimary.term).WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
+	c.adoptWritten()
+	record := c.written.WithPrimary(newPrimary.id, newPrimary.term).WithoutElected(newPrimary.id).
+		WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
 	ct.state.LearnUnwritten(record)
+	if now := ct.clock.SinceBoot(); now-c.began < policy.MaxChangeTime {
+		ct.proveOpened(record, now) // nobody else may change the primary yet
+	}
 	for ctx.Err() == nil {
 		current := ct.state.Record(c.group)
-		if current.Revision > c.record.Revision {
+		if current.Revision > c.written.Revision {
 			break
 		}
-		expected := []eelgrassladder.Expectation{{Key: leadership.Key(c.group), Revision: c.record.Revision}}
+		expected := []eelgrassladder.Expectation{{Key: leadership.Key(c.group), Revision: c.written.Revision}}
 		puts := []eelgrassladder.Put{{Key: leadership.Key(c.group), Value: record.Bytes()}}
 		lock := ct.state.PromotionLock()
 		if lock.Holder == ct.name && lock.Busy && ct.onlyChange() {
@@ -445,8 +451,8 @@
 	c.demoteOld(ctx, newPrimary.term)
 }
 
-// proveOpened notes that the primary of a record was the only one when the store took the
-// record, which it was asked to at the boot time asked.
+// proveOpened notes that the primary of a record was the only one at the boot time asked or
+// later.
 func (ct *Controller) proveOpened(r leadership.Record, asked time.Duration) {
 	ct.table.UpdateLeader(r.Group, func(l leader.State) leader.State {
 		if !l.Open() || l.Endpoint != r.Endpoint || l.Term != r.Term {
--- a/internal/host/failover/check.go
+++ b/internal/host/failover/check.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -20,6 +21,9 @@
 	if len(replicas) == 0 {
 		return errors.New("the group has no replica")
 	}
+	if err := c.checkOrders(); err != nil {
+		return err
+	}
 	// The primary is asked first: a healthy replica has received, when it is asked
 	// later, all that the primary had when it answered.
 	old := answer{err: errNotAsked}
@@ -40,6 +44,10 @@
 		}
 	}
 	answers = slices.DeleteFunc(answers, func(a answer) bool { return a.err != nil })
+	c.checkedEnds = make(map[string]position.Position, len(answers))
+	for _, a := range answers {
+		c.checkedEnds[a.endpoint.ID] = a.status.Received
+	}
 	if err := c.checkElectable(old, answers); err != nil {
 		return err
 	}
@@ -68,7 +76,7 @@
 // and an old primary is stopped.
 func (c *change) required(e topology.Endpoint) bool {
 	_, listed := c.controller.state.Endpoints().Endpoint(e.ID)
-	return !c.leaderAnswered || listed || c.listedAddresses[e.ID] != ""
+	return !c.leaderAnswered || listed || slices.ContainsFunc(c.listed, func(l topology.Endpoint) bool { return l.ID == e.ID })
 }
 
 // readmitDeparted returns the answers of departed members that are still alive, and
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -5,12 +5,16 @@
 package member
 
 import (
+	"cmp"
+	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 )
 
@@ -36,6 +40,14 @@
 	// becomes the primary. Both may be nil. They must be set before the group is used.
 	OnAllSuspended func()
 	OnPromotion    func(next *Member)
+	// DelayPromotion is called when a promotion is requested, and returns the time after
+	// which the group executes it or refuses it; nil for no delay. It must be set before
+	// the group is used.
+	DelayPromotion func(id string) time.Duration
+	// OnLost is called with a description and the values by item of each commit, whenever
+	// acknowledged commits are lost; it may be nil. It must be set before the group is
+	// used, and must not call the group, whose mutex is held.
+	OnLost func(description string, commits []map[string]string)
 
 	// mutex guards the fields below, and the state of all members.
 	mutex sync.Mutex
@@ -97,10 +109,15 @@
 }
 
 // Promote makes a member the primary of the next term after PromoteTime. It
-// returns at once, and does nothing if the member is a primary already. It
-// fails if the group has no member with the ID, or that member does not run.
+// returns at once, or after DelayPromotion, and does nothing if the member is a
+// primary by then. It fails if the group has no member with the ID, or that member
+// does not run.
 func (g *Group) Promote(id string, token uint64) error {
-	next, err := g.checkPromotion(id, token)
+	g.noteToken(token)
+	if g.DelayPromotion != nil {
+		timer.Sleep(context.Background(), g.DelayPromotion(id))
+	}
+	next, err := g.checkPromotion(id)
 	if next == nil {
 		return err
 	}
@@ -111,15 +128,21 @@
 	return nil
 }
 
-// checkPromotion validates a promotion and returns the replica to promote, or
-// nil if the member is a primary already.
-func (g *Group) checkPromotion(id string, token uint64) (*Member, error) {
+// noteToken counts a fencing token that is lower than an earlier one.
+func (g *Group) noteToken(token uint64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if token < g.highestToken {
 		g.loweredTokens++
 	}
 	g.highestToken = max(g.highestToken, token)
+}
+
+// checkPromotion validates a promotion and returns the replica to promote, or
+// nil if the member is a primary already.
+func (g *Group) checkPromotion(id string) (*Member, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	for _, m := range g.members {
 		if m.ID != id {
 			continue
@@ -140,7 +163,7 @@
 func (g *Group) completePromotion(m *Member) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if m.terminated {
+	if m.terminated || m.primary {
 		return
 	}
 	newestTerm := uint64(0)
@@ -148,11 +171,7 @@
 		newestTerm = max(newestTerm, other.term)
 	}
 	m.term, m.primary, m.suspended = newestTerm+1, true, 0
-	for p := range g.acknowledged {
-		if !m.hasCommit(p) {
-			g.recordLostCommit(p)
-		}
-	}
+	g.recordLostCommits(m)
 	for _, other := range g.members {
 		if other != m && !other.fault.NotReplicating && !other.fault.Down {
 			other.follow(m)
@@ -162,10 +181,71 @@
 	g.changed.Broadcast()
 }
 
-// recordLostCommit counts an acknowledged commit as lost. The caller holds the mutex.
-func (g *Group) recordLostCommit(p position.Position) {
+// recordLostCommits counts the acknowledged commits that a new primary lacks as lost. The
+// caller holds the mutex.
+func (g *Group) recordLostCommits(next *Member) {
+	var lost []position.Position
+	for p := range g.acknowledged {
+		if !next.hasCommit(p) {
+			lost = append(lost, p)
+			delete(g.acknowledged, p)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	g.lostCommits += len(lost)
+	oldest, newest := slices.MinFunc(lost, comparePositions), slices.MaxFunc(lost, comparePositions)
+	g.reportLost(lost, "%s leads term %d with a log that ended at %v and lacks %d acknowledged commits, %v to %v; members: %s",
+		next.ID, next.term, next.logEnd(), len(lost), oldest, newest, g.holders(newest))
+}
+
+// recordLateCommit counts a commit as lost that a primary acknowledged although a primary of
+// a newer term lacks it. The caller holds the mutex.
+func (g *Group) recordLateCommit(old, newest *Member, p position.Position) {
 	delete(g.acknowledged, p)
 	g.lostCommits++
+	g.reportLost([]position.Position{p}, "%s acknowledged %v although %s leads term %d without it; members: %s", old.ID, p, newest.ID, newest.term, g.holders(p))
+}
+
+// reportLost calls OnLost for the commits at the positions. The caller holds the mutex.
+func (g *Group) reportLost(lost []position.Position, format string, arguments ...any) {
+	if g.OnLost == nil {
+		return
+	}
+	var commits []map[string]string
+	for _, p := range lost {
+		if i := slices.IndexFunc(g.members, func(m *Member) bool { return m.hasCommit(p) }); i >= 0 {
+			commits = append(commits, g.members[i].writesAt(p))
+		}
+	}
+	g.OnLost(g.Name+": "+fmt.Sprintf(format, arguments...), commits)
+}
+
+// holders describes the members and whether each holds a commit. The caller holds the
+// mutex.
+func (g *Group) holders(p position.Position) string {
+	text := ""
+	for _, m := range g.members {
+		text += fmt.Sprintf(" [%s holds=%v primary=%v term=%d end=%v suspended=%d fault=%+v]",
+			m.ID, m.hasCommit(p), m.primary, m.term, m.logEnd(), m.suspended, m.fault)
+	}
+	return text
+}
+
+// comparePositions orders positions by term, and by log within a term.
+func comparePositions(a, b position.Position) int {
+	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Log, b.Log))
+}
+
+// Whole reports whether all members run, receive and hold the same log.
+func (g *Group) Whole() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	primary := g.newestPrimary()
+	return primary != nil && !slices.ContainsFunc(g.members, func(m *Member) bool {
+		return m.fault != (Fault{}) || m.leaving || m.suspended > 0 || m.term != primary.term || m.logEnd() != primary.logEnd()
+	})
 }
 
 // allSuspended reports whether replication to every running replica is suspended.
@@ -221,7 +301,7 @@
 		if g.replicateAndCount(m, e) >= g.Synchronous {
 			g.acknowledged[p] = true
 			if newest := g.newestPrimary(); !newest.hasCommit(p) {
-				g.recordLostCommit(p)
+				g.recordLateCommit(m, newest, p)
 			}
 			return p, nil
 		}
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,6 +56,8 @@
 	group *Group
 	tasks *task.Group
 	slots chan struct{}
+	// startedAt is when the process last started, in Unix milliseconds.
+	startedAt atomic.Int64
 
 	// The mutex of the group guards the fields below.
 	primary bool
@@ -102,6 +105,7 @@
 		return nil, errors.WithStack(err)
 	}
 	m.Address, m.listener = listener.Addr().String(), listener
+	m.noteStart()
 	g.mutex.Lock()
 	m.primary = len(g.members) == 0
 	m.term = 1
@@ -122,19 +126,20 @@
 	announce(m.primary, m.leaving)
 }
 
-// SetFault replaces the injected faults. A member that is no longer Down has kept its
+// SetFault replaces the injected faults. It does nothing to a terminated member. A member that is no longer Down has kept its
 // log and is not suspended; it is a replica if another one was promoted meanwhile.
 func (m *Member) SetFault(f Fault) {
 	g := m.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if m.terminated {
+		return
+	}
 	newest := g.newestPrimary()
 	if m.fault.Down && !f.Down {
 		m.suspended = 0
 		m.primary = m.primary && newest == m
-		if !m.listen() {
-			m.tasks.GoIsolated("member listener", m.listenAgain)
-		}
+		m.comeBack()
 	}
 	m.fault = f
 	if f.Down {
@@ -149,6 +154,40 @@
 	g.changed.Broadcast()
 }
 
+// StartEmpty starts the member's process again under its ID, as one that holds and knows
+// nothing of before. It ends all faults.
+func (m *Member) StartEmpty() {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m.primary, m.term, m.suspended, m.log, m.visibleEntries = false, 0, 0, nil, 0
+	m.rejectedConnections, m.statementsRun = 0, 0
+	if m.fault.Down {
+		m.comeBack()
+	} else {
+		m.noteStart()
+		m.disconnect()
+	}
+	m.fault = Fault{}
+	g.replicate()
+	g.announceAll()
+	g.changed.Broadcast()
+}
+
+// comeBack starts the process of a member that is down. The caller holds the mutex.
+func (m *Member) comeBack() {
+	m.noteStart()
+	if !m.listen() {
+		m.tasks.GoIsolated("member listener", m.listenAgain)
+	}
+}
+
+// noteStart records that the process starts now.
+func (m *Member) noteStart() { m.startedAt.Store(time.Now().UnixMilli()) }
+
+// StartedAt returns when the process last started, in Unix milliseconds. It takes no lock.
+func (m *Member) StartedAt() int64 { return m.startedAt.Load() }
+
 // listen listens on the member's address again and accepts connections. It returns false
 // if the address is in use. The caller holds the mutex.
 func (m *Member) listen() bool {
@@ -188,6 +227,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	m.suspended, m.rejectedConnections, m.statementsRun = 0, 0, 0
+	m.noteStart()
 	m.disconnect()
 	g.replicate()
 	g.announceAll()
@@ -201,7 +241,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.members = slices.DeleteFunc(slices.Clone(g.members), func(other *Member) bool { return other == m })
-	m.terminated, m.primary, m.log = true, false, nil
+	m.terminated, m.primary, m.log, m.visibleEntries = true, false, nil, 0
 	m.fault.Down = true
 	_ = m.listener.Close()
 	m.disconnect()
@@ -270,10 +310,23 @@
 // hasCommit reports whether the log has an entry at exactly this position. The
 // caller holds the mutex.
 func (m *Member) hasCommit(p position.Position) bool {
-	i, found := slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
+	i, found := m.find(p)
+	return found && m.log[i].position == p
+}
+
+// writesAt returns the values by item of the commit at a position that the log has. The
+// caller holds the mutex.
+func (m *Member) writesAt(p position.Position) map[string]string {
+	i, _ := m.find(p)
+	return m.log[i].writes
+}
+
+// find returns the index of the entry with the log index of a position, and whether there
+// is one. The caller holds the mutex.
+func (m *Member) find(p position.Position) (int, bool) {
+	return slices.BinarySearchFunc(m.log, p, func(e entry, p position.Position) int {
 		return cmp.Compare(e.position.Log, p.Log)
 	})
-	return found && m.log[i].position == p
 }
 
 // logEnd returns the position of the last entry, or the zero position. The
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -5,11 +5,13 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
 const (
@@ -42,6 +44,25 @@
 	// Members holds the addresses of the members by ID. It includes members that have
 	// left since Acknowledged became known. The map is never modified.
 	Members map[string]string `json:",omitempty"`
+	// Starts holds topology.Endpoint.StartedAt of the members by ID: a member that has
+	// started again since need not have the log that it had. It lacks members whose start
+	// is not known; records of former builds have no starts. The map is never modified.
+	Starts map[string]int64 `json:",omitempty"`
+	// Elected is the member whose promotion was ordered, or is about to be, and an order
+	// for which may still be executed; zero for none.
+	Elected Election `json:",omitzero"`
+}
+
+// Election names the member that a change of primary orders to promote. It is immutable.
+type Election struct {
+	// Endpoint is the ID of the member.
+	Endpoint string
+	// After is the revision of the record to which the election was added. It tells the
+	// orders for one member apart.
+	After uint64
+	// Repeated is true if an earlier order for the member may still be executed too. One
+	// of the orders can then be executed after the member has led by another.
+	Repeated bool `json:",omitzero"`
 }
 
 // Key returns the key of a group's record.
@@ -90,11 +111,11 @@
 	return r.Revision == 0 || (!r.Closed && r.Endpoint == endpoint && r.Term == term)
 }
 
-// Lists reports whether the record lists the member. A record without members lists all
-// of them: no proxy has written them yet.
-func (r Record) Lists(id string) bool {
-	_, ok := r.Members[id]
-	return ok || len(r.Members) == 0
+// Lists reports whether the record lists the endpoint, and the endpoint has not started
+// again since. A record without members lists all of them: no proxy has written them yet.
+func (r Record) Lists(e topology.Endpoint) bool {
+	_, ok := r.Members[e.ID]
+	return len(r.Members) == 0 || (ok && !e.Restarted(r.Member(e.ID)))
 }
 
 // WithClosed returns the record as closed by a proxy that replaces the primary.
@@ -118,9 +139,42 @@
 	return r
 }
 
-// WithMembers returns the record with the addresses of the members by ID.
-func (r Record) WithMembers(members map[string]string) Record {
-	r.Members = members
+// WithMembers returns the record with the members, of which it keeps the ID, the address
+// and the start.
+func (r Record) WithMembers(members []topology.Endpoint) Record {
+	r.Members, r.Starts = make(map[string]string, len(members)), make(map[string]int64, len(members))
+	for _, e := range members {
+		r.Members[e.ID] = e.Address
+		if e.StartedAt != 0 {
+			r.Starts[e.ID] = e.StartedAt
+		}
+	}
+	return r
+}
+
+// Member returns the recorded member with the ID.
+func (r Record) Member(id string) topology.Endpoint {
+	return topology.Endpoint{ID: id, Group: r.Group, Address: r.Members[id], StartedAt: r.Starts[id]}
+}
+
+// SameMembers reports whether two records name the same members, with the same starts.
+func (r Record) SameMembers(other Record) bool {
+	return maps.Equal(r.Members, other.Members) && maps.Equal(r.Starts, other.Starts)
+}
+
+// WithElected returns the record with the member whose promotion is ordered next. Repeated
+// is true if an earlier order for it may still be executed.
+func (r Record) WithElected(endpoint string, repeated bool) Record {
+	r.Elected = Election{Endpoint: endpoint, After: r.Revision, Repeated: repeated}
+	return r
+}
+
+// WithoutElected returns the record without the election of a member, which leads by now.
+// The election stays if it is of another member, or if the member was ordered repeatedly.
+func (r Record) WithoutElected(endpoint string) Record {
+	if r.Elected.Endpoint == endpoint && !r.Elected.Repeated {
+		r.Elected = Election{}
+	}
 	return r
 }
 
--- a/internal/policy/failover/changemodel_test.go
+++ b/internal/policy/failover/changemodel_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
-	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -31,6 +31,11 @@
 	// was closed or opened. primaryEnd is the end of the primary's log,
 	// recorded after a member left.
 	acknowledged, primaryEnd position.Position
+	// starts holds the starts of the recorded members, by index; none if no proxy has
+	// recorded them yet. It is never modified.
+	starts map[int]int
+	// election is the member whose promotion is ordered.
+	election electionModel
 }
 
 // The steps of a change of primary, in order. A changeModel holds the one that
@@ -38,11 +43,15 @@
 // the replicas.
 const (
 	closing    = iota // closes the record
+	informing         // tells the other proxy
+	hearing           // waits for what the other proxy knows to be acknowledged
 	stopping          // demotes the old primary
 	listing           // reads the list of members
 	suspending        // suspends the members
+	awaiting          // waits until a proxy that was not told has no proof any more
 	checking          // asks the members again whether they are suspended
-	promoting         // promotes a member
+	electing          // elects a member and records the election
+	promoting         // orders the promotion of the member
 	settling          // waits until old proofs have expired
 	opening           // opens the record with the next primary
 )
@@ -55,16 +64,32 @@
 	initialRecord recordModel
 	// token is the fencing token: the revision at which the lock was taken.
 	token uint64
+	// revision is the revision at which the change last wrote the record.
+	revision uint64
 	// oldPrimary and nextPrimary are indexes of members.
 	oldPrimary, nextPrimary int
 	// began is when the record was closed.
 	began time.Duration
+	// told is true if the other proxy was told of the closed record, at toldAt.
+	told   bool
+	toldAt time.Duration
+	// informed is true if no other proxy needs to be waited for.
+	informed bool
+	// oldStopped is true if the old primary was made a replica.
+	oldStopped bool
+	// reportsEnd is when the last proof that the other proxy can have expires; zero
+	// before the members were suspended.
+	reportsEnd time.Duration
+	// suspended holds the indexes of the members that were suspended last.
+	suspended map[int]bool
 	// list holds the indexes of the members that must answer.
 	list []int
+	// checkedEnds holds the ends of the members' logs when the change began.
+	checkedEnds map[int]position.Position
 	// stopLate is true if the old primary is stopped after the replicas.
 	stopLate bool
-	// memberStarts is the number of member starts when the list was read.
-	memberStarts int
+	// starts holds the starts in the list when it was read.
+	starts map[int]int
 	// term is the term for which members are suspended.
 	term       uint64
 	candidates []failover.Candidate
@@ -83,17 +108,18 @@
 // beginChange makes a proxy begin a change, based on the record that it has
 // read, and reports whether it did.
 func (m *model) beginChange(p *proxyModel) bool {
-	if p.change != nil || p.leader.Endpoint == "" || p.listSince == 0 || m.now-p.listSince < minListAge {
+	if p.change != nil || p.leader.Endpoint == "" || p.listSince == 0 || m.now-p.listSince < minListAge || m.blocksChange(p) {
 		return false
 	}
-	p.change = &changeModel{initialRecord: p.record, oldPrimary: memberIndex(p.leader.Endpoint)}
+	p.change = &changeModel{initialRecord: p.record, oldPrimary: memberIndex(p.leader.Endpoint), checkedEnds: map[int]position.Position{}}
+	for i, r := range m.members {
+		if m.answers(p, i) {
+			p.change.checkedEnds[i] = r.end()
+		}
+	}
 	return true
 }
 
-// newTermTimeout is how long a change waits for the members to hear of the new term, as in
-// the package host/failover.
-const newTermTimeout = 250 * time.Millisecond
-
 // maxTimeToPromote is how long after it has taken the promotion lock a proxy may
 // promote a member.
 const maxTimeToPromote = 2500 * time.Millisecond
@@ -107,20 +133,32 @@
 	switch c.step {
 	case closing:
 		m.stepClose(index, p, c)
+	case informing:
+		m.stepInform(index, c)
+	case hearing:
+		m.stepHear(index, p, c)
 	case stopping:
 		c.step = listing
 		if m.rules.stopFirst || !c.stopLate {
 			m.stop(p, c)
 		}
 	case listing:
+		if p.cutOffFromStore {
+			p.change = nil
+			return
+		}
 		if m.rules.freshList {
 			m.readList(p)
 		}
-		c.list, c.step, c.memberStarts = m.mustAnswer(p, c.began), suspending, m.memberStarts
+		c.list, c.step, c.starts = m.mustAnswer(p, c.began), suspending, maps.Clone(p.starts)
 	case suspending:
 		m.stepSuspend(p, c)
+	case awaiting:
+		m.stepAwait(c)
 	case checking:
 		m.stepCheck(p, c)
+	case electing:
+		m.stepElect(p, c)
 	case promoting:
 		m.stepPromote(p, c)
 	case settling:
@@ -130,14 +168,20 @@
 	}
 }
 
-// stepUntil runs a proxy's change up to a step, or to its end.
+// stepUntil runs a proxy's change up to a step, or to its end. It returns earlier if the
+// change waits or tries again, except that the clock advances while it waits for the proofs
+// of a proxy that was not told.
 func (m *model) stepUntil(index int, p *proxyModel, step int) {
 	for p.change != nil && p.change.step < step {
 		previous := p.change.step
 		m.step(index, p)
-		if p.change != nil && p.change.step == previous {
+		if p.change == nil || p.change.step > previous {
+			continue
+		}
+		if previous != awaiting {
 			return
 		}
+		m.now = p.change.reportsEnd
 	}
 }
 
@@ -148,7 +192,7 @@
 	if !m.rules.oneHolder {
 		mayTake = true
 	}
-	if c.initialRecord.revision != m.record.revision || !mayTake || (m.rules.oneHolder && p.record.lockRevision != m.record.lockRevision) {
+	if p.cutOffFromStore || c.initialRecord.revision != m.record.revision || !mayTake || (m.rules.oneHolder && p.record.lockRevision != m.record.lockRevision) {
 		p.change = nil
 		return
 	}
@@ -156,8 +200,10 @@
 	m.record = recordModel{
 		revision: m.revision, endpoint: c.oldPrimary, term: max(p.leader.Term, m.record.term), closed: true, holder: index,
 		lockRevision: m.revision, busy: true, acknowledged: newerPosition(m.record.acknowledged, p.reported), primaryEnd: m.record.primaryEnd,
+		starts:   m.record.starts,
+		election: m.record.election,
 	}
-	c.token, c.began, c.step = m.revision, m.now, stopping
+	c.token, c.revision, c.began, c.step = m.revision, m.revision, m.now, informing
 	m.readRecord(p)
 }
 
@@ -180,6 +226,7 @@
 	c.oldAnswered, c.oldEnd = true, old.end()
 	if m.rules.demoteFirst {
 		m.suspend(old, m.newestTerm()+1)
+		c.oldStopped = true
 	}
 }
 
@@ -193,7 +240,8 @@
 			return
 		}
 	}
-	c.term = m.newestTerm() + 1
+	m.noteSuspended(c)
+	c.term, c.candidates = m.newestTerm()+1, nil
 	for _, i := range c.list {
 		r := m.members[i]
 		if i == c.oldPrimary {
@@ -208,11 +256,13 @@
 		}
 		// A primary answers the request but is not suspended by it.
 		if !r.primary || m.rules.demoteStale {
+			c.oldStopped = c.oldStopped || (r.primary && r.term >= m.record.term)
 			m.suspend(r, c.term)
+			c.suspended[i] = true
 		}
 		c.candidates = append(c.candidates, failover.Candidate{ID: fmt.Sprint(i), Received: r.end()})
 	}
-	c.lastProof, c.step = m.now, checking
+	c.lastProof, c.step = m.now, awaiting
 }
 
 // suspend makes a member a replica that receives nothing from primaries of
@@ -228,7 +278,7 @@
 	if !m.rules.stopFirst && c.stopLate {
 		m.stop(p, c)
 	}
-	c.step = promoting
+	c.step = electing
 	if !m.rules.recheck {
 		return
 	}
@@ -254,7 +304,7 @@
 	if m.rules.askAfterDeparture {
 		floor = newerPosition(floor, p.record.primaryEnd)
 	}
-	if m.rules.askOldPrimary && c.oldAnswered && (!p.knowsCommit() || m.anyLeft(p)) {
+	if m.rules.askOldPrimary && c.oldAnswered && (!p.knowsCommit() || m.anyLeft(p) || m.anyRestarted(p, c)) {
 		floor = newerPosition(floor, c.oldEnd)
 	}
 	best, ok := failover.Elect(c.candidates, floor)
@@ -267,105 +317,10 @@
 	return best, ok
 }
 
-// stepPromote promotes the elected candidate, or abandons the change.
-func (m *model) stepPromote(p *proxyModel, c *changeModel) {
-	if m.rules.freshToken && m.now-c.began > maxTimeToPromote {
-		p.change = nil
-		return
-	}
-	if m.rules.consultProxies && !c.oldAnswered && (!p.knowsCommit() || m.anyLeft(p)) && (p.listSince == 0 || p.exchangedAt <= p.listSince) {
-		p.change = nil
-		return
-	}
-	best, ok := m.elect(p, c)
-	if !ok {
-		p.change = nil
-		return
-	}
-	if c.token < m.highestToken {
-		m.violate("token %d was used after token %d", c.token, m.highestToken)
-	}
-	m.highestToken = max(m.highestToken, c.token)
-	next := m.members[memberIndex(best.ID)]
-	if !next.up() || next.primary {
-		p.change = nil
-		return
-	}
-	next.term, next.primary, next.suspended = m.newestTerm()+1, true, 0
-	m.promotedTerm = next.term
-	if next.lacks(m.acknowledged) {
-		m.violate("member %s became the primary with log end %v, but %v was acknowledged", best.ID, next.end(), m.acknowledged)
-	}
-	for _, r := range m.members {
-		if r == next || r.primary || !r.up() || r.partitioned || next.partitioned {
-			continue
-		}
-		r.suspended = 0
-		if !m.termsHeldBack {
-			m.learnTerm(r, next)
-		}
-	}
-	c.nextPrimary, c.nextEnd, c.promotedAt, c.step = memberIndex(best.ID), next.end(), m.now, settling
-	if m.rules.proofsFromPromotion {
-		c.lastProof = m.now
-	}
-}
-
-// learnTerm makes a member a replica of the next primary.
-func (m *model) learnTerm(r, next *memberModel) {
-	r.term = next.term
-	if !r.detached {
-		r.log = slices.Clone(next.log)
-	}
-}
-
-// releaseTerms lets all members that reach the newest primary learn of its term.
-func (m *model) releaseTerms() {
-	m.termsHeldBack = false
-	for _, next := range m.members {
-		if !next.primary || next.term != m.promotedTerm || !next.up() || next.partitioned {
-			continue
-		}
-		for _, r := range m.members {
-			if r != next && !r.primary && r.up() && !r.partitioned && r.term < next.term && r.suspended <= next.term {
-				m.learnTerm(r, next)
-			}
-		}
-	}
-}
-
-// provesOldTerm reports whether a member that must answer the change could still prove
-// the old primary.
-func (m *model) provesOldTerm(c *changeModel) bool {
-	term := m.members[c.nextPrimary].term
-	return slices.ContainsFunc(c.list, func(i int) bool {
-		r := m.members[i]
-		return i != c.oldPrimary && r.up() && !r.primary && r.term < term && r.suspended < term
+// anyShorter reports whether the log of a candidate ends before where it ended
+// when the change began.
+func (m *model) anyShorter(c *changeModel) bool {
+	return slices.ContainsFunc(c.candidates, func(candidate failover.Candidate) bool {
+		return !candidate.Received.UpToDateWith(c.checkedEnds[memberIndex(candidate.ID)])
 	})
 }
-
-// stepSettle waits until the proofs of the old primary have expired.
-func (m *model) stepSettle(c *changeModel) {
-	if m.rules.awaitNewTerm && m.provesOldTerm(c) && m.now-c.promotedAt < newTermTimeout {
-		c.lastProof = m.now
-	}
-	if m.rules.awaitProofs && m.now-c.lastProof < leader.ProofLifetime {
-		return
-	}
-	c.step = opening
-}
-
-// stepOpen opens the group's record with the next primary, unless another
-// change has closed it.
-func (m *model) stepOpen(p *proxyModel, c *changeModel) {
-	p.change = nil
-	if m.record.revision != c.token {
-		return
-	}
-	m.revision++
-	m.record = recordModel{
-		revision: m.revision, endpoint: c.nextPrimary, term: m.members[c.nextPrimary].term, holder: m.record.holder, lockRevision: m.revision,
-		acknowledged: newerPosition(m.record.acknowledged, c.nextEnd), primaryEnd: m.record.primaryEnd,
-	}
-	m.readRecord(p)
-}
--- a/internal/policy/failover/membermodel_test.go
+++ b/internal/policy/failover/membermodel_test.go
@@ -36,12 +36,17 @@
 	// left is true once the member has left for good, together with its log.
 	left     bool
 	joinedAt time.Duration
+	// listedFrom is when the store lists it for the first time.
+	listedFrom time.Duration
 	// heartbeatsEndedAt is when it crashed, left or lost contact with the
 	// store. Its entry in the store expires entryLifetime later.
 	heartbeatsEndedAt time.Duration
 	// addressTakenBy is the index of the member that now has its address; zero
 	// for none.
 	addressTakenBy int
+	// start counts the starts of its process, and listedStart is the start in its
+	// entry in the store.
+	start, listedStart int
 	// pending are the commits that no replica has received yet.
 	pending []commitModel
 }
@@ -76,7 +81,7 @@
 func (m *model) listed() []int {
 	indices := make([]int, 0, len(m.members))
 	for i, r := range m.members {
-		if !r.left && ((!r.crashed && !r.cutOffFromStore) || m.now-r.heartbeatsEndedAt <= entryLifetime) {
+		if !r.left && m.now >= r.listedFrom && ((!r.crashed && !r.cutOffFromStore) || m.now-r.heartbeatsEndedAt <= entryLifetime) {
 			indices = append(indices, i)
 		}
 	}
@@ -171,12 +176,38 @@
 		r.primary = false
 	}
 	m.follow(r)
+	r.countStart()
+}
+
+// startEmpty starts a member again under its identity, as one that holds and
+// knows nothing of before.
+func (m *model) startEmpty(r *memberModel) {
+	if r.left {
+		return
+	}
+	r.crashed, r.primary, r.term, r.suspended, r.log, r.pending = false, false, 0, 0, nil, nil
+	m.follow(r)
+	r.countStart()
+}
+
+// countStart counts the start of a member, which writes its entry unless it is
+// cut off from the store.
+func (r *memberModel) countStart() {
+	r.start++
+	r.writeEntry()
+}
+
+// writeEntry writes the member's start to its entry in the store, if it reaches
+// the store.
+func (r *memberModel) writeEntry() {
+	if !r.cutOffFromStore {
+		r.listedStart = r.start
+	}
 }
 
 // follow lets a member that has just started follow the newest primary that it
 // reaches.
 func (m *model) follow(r *memberModel) {
-	m.memberStarts++
 	for _, p := range m.members {
 		if p != r && !r.primary && p.primary && p.up() && !p.partitioned && !r.partitioned {
 			r.term = max(r.term, p.term)
--- a/internal/policy/failover/randomevents_test.go
+++ b/internal/policy/failover/randomevents_test.go
@@ -1,6 +1,7 @@
 package failover_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -15,20 +16,23 @@
 	"detach":              {"detach", "attach"},
 	"leave":               {"leave", "join"},
 	"restart":             {"crash", "restart", "restart renamed", "crash and restart"},
+	"start empty":         {"start empty"},
 	"pending write":       {"pending write", "receive", "receive"},
 	"restart all proxies": {"restart all proxies"},
 	"restart a proxy":     {"restart a proxy"},
 	"exchange":            {"exchange"},
 	"hold back terms":     {"hold back terms", "release terms"},
+	"late promotions":     {"promote late", "promote in time", "execute a late promotion", "execute a late promotion"},
 	"cut off from store":  {"lose contact with the store", "regain contact with the store"},
 	"cut off from proxy":  {"lose contact with a proxy", "regain contact with a proxy"},
+	"cut off a proxy":     {"cut off a proxy", "lose contact between the proxies", "reconnect a proxy", "wait for the last proof"},
 }
 
 // eventKindNames are the keys of eventKinds in a fixed order, so that a run
 // can be repeated.
 var eventKindNames = []string{
 	"detach", "leave", "restart", "pending write", "restart all proxies", "restart a proxy", "exchange", "cut off from proxy",
-	"cut off from store", "hold back terms",
+	"cut off from store", "hold back terms", "start empty", "late promotions", "cut off a proxy",
 }
 
 // usualEvents can happen in each run. One that is listed n times is n times as
@@ -85,12 +89,27 @@
 		m.readStore(p)
 	case "lose contact with a proxy", "regain contact with a proxy":
 		p.unreachable[member] = event == "lose contact with a proxy" && !m.wouldLoseLastCommit(m.members[member], m.proxies[0].reported, m.proxies[1].reported)
+	case "cut off a proxy":
+		m.cutOff(p)
+	case "lose contact between the proxies":
+		m.proxiesApart = true
+	case "reconnect a proxy":
+		m.reconnect(p)
+	case "wait for the last proof":
+		if c := p.change; c != nil && c.step == awaiting && m.now < c.reportsEnd {
+			m.releaseTerms()
+			m.now = c.reportsEnd
+		}
 	case "exchange":
 		m.exchange()
 	case "hold back terms":
 		m.termsHeldBack = true
 	case "release terms":
 		m.releaseTerms()
+	case "promote late", "promote in time":
+		m.promotionsLate = event == "promote late"
+	case "execute a late promotion":
+		m.executeLate()
 	case "step after departure":
 		m.recordDepartures(p)
 	case "restart all proxies":
@@ -141,6 +160,7 @@
 		// when contact is regained. It then has no effect on a running member, and
 		// renews the entry of a crashed one.
 		r.cutOffFromStore, r.heartbeatsEndedAt = event == "lose contact with the store" && m.knownToAllProxies(i), m.now
+		r.writeEntry()
 	case "receive":
 		m.receive(r)
 	case "demote":
@@ -164,6 +184,10 @@
 			m.crash(r)
 			m.restart(r)
 		}
+	case "start empty":
+		if !losesLastCommit && !m.emptyStartIsUnnoticed(i) && !m.emptyStartBreaksChange() && !m.startBreaksChange(r) {
+			m.startEmpty(r)
+		}
 	case "leave":
 		if !losesLastCommit {
 			m.leave(r)
@@ -214,61 +238,54 @@
 	return true
 }
 
-// startBreaksChange reports whether a commit could be acknowledged without the
-// knowledge of a change of primary if member r started now. A new member is
-// passed as a zero memberModel. A member that starts is not suspended, so
-// every commit that it receives is acknowledged, and no request of a proxy can
-// prevent that.
-//
-// This takes two failures within one change: a primary that answers only some
-// proxies, or is down at the moment of the request, and a member that starts.
+// emptyStartIsUnnoticed reports whether a guarantee could be broken before a proxy
+// notices that member i has started again without its log: its entry does not show
+// it, no record and not every proxy knows its former start, a proxy takes it for the
+// primary and reads there, or it may be the member that is being promoted.
 // TestSequencesThatTheRulesDoNotCoverBreakAGuarantee shows what follows.
-func (m *model) startBreaksChange(r *memberModel) bool {
-	// r leads again, and a member has started since the change read the list.
-	for _, p := range m.proxies {
-		if c := p.change; c != nil && c.step > listing && r.primary && c.memberStarts != m.memberStarts {
-			return true
-		}
-	}
-	// r could give a proof to a proxy that uses a replaced primary.
-	if !r.primary && m.couldFollowOldPrimary(r) {
-		return true
-	}
-	// r could receive commits of a primary that is being replaced.
-	for _, other := range m.members {
-		if other != r && !r.primary && other.up() && other.primary && m.mayStillAcknowledge(other) {
-			return true
-		}
-	}
-	return false
+func (m *model) emptyStartIsUnnoticed(i int) bool {
+	r := m.members[i]
+	_, recorded := m.record.starts[i]
+	return r.cutOffFromStore || r.primary || (!recorded && !m.knownToAllProxies(i)) || slices.ContainsFunc(m.proxies[:], func(p *proxyModel) bool {
+		return p.leader.Endpoint == fmt.Sprint(i) || (p.change != nil && p.change.step == promoting)
+	})
 }
 
-// couldFollowOldPrimary reports whether member r, if it starts now, reaches no
-// primary of the newest term while a proxy still uses an older term. The
-// member could then be in the older term and not suspended, and so give that
-// proxy a proof.
-func (m *model) couldFollowOldPrimary(r *memberModel) bool {
-	proxyBehind := false
-	for _, p := range m.proxies {
-		proxyBehind = proxyBehind || p.leader.Term < m.promotedTerm
-	}
-	for _, other := range m.members {
-		if other.primary && other.up() && other.term == m.promotedTerm && !other.partitioned && !r.partitioned {
-			return false
-		}
-	}
-	return proxyBehind
+// emptyStartBreaksChange reports whether a member that starts again without its log could
+// break a guarantee because a change of primary is comparing logs, or because a proxy
+// uses a primary that was replaced.
+func (m *model) emptyStartBreaksChange() bool {
+	return slices.ContainsFunc(m.proxies[:], func(p *proxyModel) bool {
+		return p.leader.Term < m.promotedTerm || (p.change != nil && p.change.step > closing && p.change.step <= promoting)
+	})
 }
 
-// mayStillAcknowledge reports whether primary r may acknowledge commits that a
-// change of primary does not see: some proxy's change, even of another primary
-// than r, has read the list and not promoted a member yet; or r's term is older
-// than that of the last promotion.
-func (m *model) mayStillAcknowledge(r *memberModel) bool {
-	for _, p := range m.proxies {
-		if c := p.change; c != nil && c.step > listing && c.step <= promoting {
+// startBreaksChange reports whether the start of member r could break a guarantee. A new
+// member is passed as a zero memberModel. A member that starts is not suspended. If a
+// proxy counts it as recorded, it can prove a primary that is being or was replaced to a
+// proxy that has not heard of the change, and no request of another proxy can prevent that.
+//
+// No member starts while an order to promote may still be executed.
+//
+// This takes two failures within one change: a proxy that is cut off and a member that
+// starts. TestSequencesThatTheRulesDoNotCoverBreakAGuarantee shows what follows.
+func (m *model) startBreaksChange(r *memberModel) bool {
+	counts := slices.Contains(m.members, r) || slices.ContainsFunc(m.proxies[:], func(p *proxyModel) bool { return len(p.record.starts) == 0 })
+	m.dropOrders()
+	return len(m.orders) > 0 || (counts && m.anyProxyBehind())
+}
+
+// anyProxyBehind reports whether some proxy uses a primary that was replaced, or that is
+// being replaced by a change that has asked the members already.
+func (m *model) anyProxyBehind() bool {
+	for i, p := range m.proxies {
+		if !p.leader.Open() {
+			continue
+		}
+		other := m.proxies[1-i].change
+		if p.leader.Term < m.promotedTerm || (other != nil && other.step > listing) {
 			return true
 		}
 	}
-	return r.term < m.promotedTerm
+	return false
 }
