--- a/internal/policy/failover/uncovered_test.go
+++ b/internal/policy/failover/uncovered_test.go
@@ -28,7 +28,8 @@
 		"a member starts again without its log before a proxy has read its entry":         startsAgainUnseen,
 		"a primary that starts again without its log is read under the proof that it had": startsAgainWhileProven,
 		"the chosen member starts again without its log before it leads":                  startsAgainWhilePromoted,
-		// The old primary is stopped, so the change does not wait until the member is listed.
+		// The old primary is stopped, so the change of the model does not wait until the
+		// member is listed; that of the product does.
 		"a member that is not listed yet receives a commit that only a proxy that is cut off knows": func(m *model, a, b *proxyModel) {
 			m.members[1].detached, m.members[2].detached = true, true
 			m.probe(b, 1)
