Split the steps of a change of primary into files

The read of the registered proxies has its own time limit, so that a slow store does not use up that of the notices. No decision has changed.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -246,21 +246,6 @@
 	return nil
 }
 
-// suspension is the state of a group whose members have been suspended. It is immutable.
-type suspension struct {
-	// others are the members other than the old primary that were asked, and replicas
-	// their answers.
-	others   []topology.Endpoint
-	replicas []answer
-	// term is the term for which they are suspended.
-	term uint64
-	// listRevision is the revision of the store's list of members.
-	listRevision uint64
-	// leading is the answer of a member that leads a later term than the old primary; nil
-	// for none. The members are not suspended then.
-	leading *answer
-}
-
 // promote stops the old primary, suspends the other members, has the one with the
 // longest log promoted, and waits until it leads and no proxy can still take the old
 // primary for the current one. If a member already leads a newer term, that member
@@ -305,36 +290,6 @@
 	return c.successorFrom(promoted, s.others), c.awaitProofExpiry(ctx, c.awaitNewTerm(ctx, s.others, promoted.status.Term))
 }
 
-// suspendMembers suspends all members other than the old primary that must answer. It
-// reads their list anew.
-func (c *change) suspendMembers(ctx context.Context) (suspension, error) {
-	others, listRevision, err := c.readMembers(ctx)
-	if err != nil {
-		return suspension{}, err
-	}
-	memberCount := len(others)
-	others = slices.DeleteFunc(others, func(e topology.Endpoint) bool { return !c.required(e) })
-	answers := c.statuses(ctx, others)
-	term, leading, err := c.newestTerm(answers)
-	if err != nil {
-		return suspension{}, err
-	}
-	s := suspension{others: others, term: term + 1, listRevision: listRevision, leading: leading}
-	if leading != nil {
-		return s, nil
-	}
-	if s.replicas, err = c.suspendAll(ctx, others, s.term); err != nil {
-		return suspension{}, err
-	}
-	c.noteSuspended(answers, s.replicas)
-	if len(others) < memberCount && !c.oldStopped.Load() {
-		// Require the unlisted members' answers in the next attempt.
-		c.leaderAnswered = false
-		return suspension{}, errors.New("the old primary is not stopped, and unlisted members were left out")
-	}
-	return s, nil
-}
-
 // successor is the new primary.
 type successor struct {
 	id   string
@@ -406,58 +361,3 @@
 	}
 	return control.Refused(err)
 }
-
-// openRecord opens the record for the new primary and then demotes the old one.
-// The record states the end of the new primary's log as acknowledged, so that no
-// later change drops anything that the new primary holds now.
-func (c *change) openRecord(ctx context.Context, newPrimary successor) {
-	ct := c.controller
-	c.adoptWritten()
-	record := c.written.WithPrimary(newPrimary.id, newPrimary.term).WithoutElected(newPrimary.id).
-		WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
-	ct.state.LearnUnwritten(record)
-	if now := ct.clock.SinceBoot(); now-c.began < policy.MaxChangeTime {
-		ct.proveOpened(record, now) // nobody else may change the primary yet
-	}
-	for ctx.Err() == nil {
-		current := ct.state.Record(c.group)
-		if current.Revision > c.written.Revision {
-			break
-		}
-		expected := []eelgrassladder.Expectation{{Key: leadership.Key(c.group), Revision: c.written.Revision}}
-		puts := []eelgrassladder.Put{{Key: leadership.Key(c.group), Value: record.Bytes()}}
-		lock := ct.state.PromotionLock()
-		if lock.Holder == ct.name && lock.Busy && ct.onlyChange() {
-			lock = lock.WithHolder(ct.name, false)
-			expected = append(expected, eelgrassladder.Expectation{Key: leadership.PromotionLockKey, Revision: lock.Revision})
-			puts = append(puts, eelgrassladder.Put{Key: leadership.PromotionLockKey, Value: lock.Bytes()})
-		}
-		asked := ct.clock.SinceBoot()
-		revision, err := ct.store.Apply(ctx, expected, puts, nil)
-		if err == nil {
-			ct.state.LearnRecord(record.WithRevision(revision))
-			ct.proveOpened(record, asked)
-			if len(puts) > 1 {
-				ct.state.LearnPromotionLock(lock.WithRevision(revision, ct.clock.SinceBoot()))
-			}
-			klog.InfoS("Change of primary done", "Group", c.group, "Primary", newPrimary.id, "Term", newPrimary.term,
-				"Log", newPrimary.logEnd.String(), "Reason", c.reason.String(), "TookMs", (ct.clock.SinceBoot() - c.began).Milliseconds())
-			ct.reporter.Ended(c.group, c.reason, Done)
-			break
-		}
-		klog.InfoS("Could not open the record for the new primary; retrying", "Group", c.group, "Error", err.Error())
-		timer.Pause(ctx, ct.timer, openRetryDelay)
-	}
-	c.demoteOld(ctx, newPrimary.term)
-}
-
-// proveOpened notes that the primary of a record was the only one at the boot time asked or
-// later.
-func (ct *Controller) proveOpened(r leadership.Record, asked time.Duration) {
-	ct.table.UpdateLeader(r.Group, func(l leader.State) leader.State {
-		if !l.Open() || l.Endpoint != r.Endpoint || l.Term != r.Term {
-			return l
-		}
-		return l.WithProof(asked)
-	})
-}
--- a/internal/host/failover/inform.go
+++ b/internal/host/failover/inform.go
@@ -40,11 +40,9 @@
 func (c *change) informProxies(ctx context.Context) {
 	ct := c.controller
 	closed := heartbeat.Record{Group: c.group, Revision: c.record.Revision, Value: c.record.Bytes()}
+	proxies, allKnown, err := c.otherProxies(ctx)
 	limited, cancel := context.WithTimeout(ctx, informTimeout)
 	defer cancel()
-	proxies, allKnown := ct.state.DepartedProxies()
-	registered, err := ct.state.RegisteredProxies(limited)
-	maps.Copy(proxies, registered)
 	var mutex sync.Mutex
 	var silent []string
 	g := task.New(limited)
@@ -72,6 +70,17 @@
 		"Silent", silent, "AllKnown", allKnown, "Told", ct.table.Leader(c.group).Acknowledged.Position.String())
 }
 
+// otherProxies returns the names of the other proxies that may run, by address, and whether
+// those are all. An error means that the store did not say which are registered.
+func (c *change) otherProxies(ctx context.Context) (names map[string]string, allKnown bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
+	defer cancel()
+	names, allKnown = c.controller.state.DepartedProxies()
+	registered, err := c.controller.state.RegisteredProxies(ctx)
+	maps.Copy(names, registered)
+	return names, allKnown, err
+}
+
 // learnReport notes the position that another proxy knows to be acknowledged.
 func (ct *Controller) learnReport(group, name string, r heartbeat.PrimaryReport, asked time.Duration) {
 	if r.Acknowledged.IsZero() {
@@ -106,20 +115,3 @@
 	timer.Pause(ctx, ct.timer, remaining)
 	return true
 }
-
-// noteSuspended notes which members are suspended for the change now. The wait of
-// awaitReportsEnd begins again if one that was suspended before has answered before that it
-// is not: it has started again, and may have proved the old primary.
-func (c *change) noteSuspended(before, now []answer) {
-	for _, a := range before {
-		if c.suspended[a.endpoint.ID] && a.err == nil && !a.status.Primary && a.status.SuspendedTerm <= c.record.Term {
-			c.membersListedAt = 0
-		}
-	}
-	for _, a := range now {
-		if c.suspended == nil {
-			c.suspended = map[string]bool{}
-		}
-		c.suspended[a.endpoint.ID] = true
-	}
-}
--- /dev/null
+++ b/internal/host/failover/open.go
@@ -0,0 +1,69 @@
+package failover
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
+)
+
+// openRecord opens the record for the new primary and then demotes the old one.
+// The record states the end of the new primary's log as acknowledged, so that no
+// later change drops anything that the new primary holds now.
+func (c *change) openRecord(ctx context.Context, newPrimary successor) {
+	ct := c.controller
+	c.adoptWritten()
+	record := c.written.WithPrimary(newPrimary.id, newPrimary.term).WithoutElected(newPrimary.id).
+		WithAcknowledged(newPrimary.logEnd).WithMembers(newPrimary.members)
+	ct.state.LearnUnwritten(record)
+	if now := ct.clock.SinceBoot(); now-c.began < policy.MaxChangeTime {
+		ct.proveOpened(record, now) // nobody else may change the primary yet
+	}
+	for ctx.Err() == nil {
+		current := ct.state.Record(c.group)
+		if current.Revision > c.written.Revision {
+			break
+		}
+		expected := []eelgrassladder.Expectation{{Key: leadership.Key(c.group), Revision: c.written.Revision}}
+		puts := []eelgrassladder.Put{{Key: leadership.Key(c.group), Value: record.Bytes()}}
+		lock := ct.state.PromotionLock()
+		if lock.Holder == ct.name && lock.Busy && ct.onlyChange() {
+			lock = lock.WithHolder(ct.name, false)
+			expected = append(expected, eelgrassladder.Expectation{Key: leadership.PromotionLockKey, Revision: lock.Revision})
+			puts = append(puts, eelgrassladder.Put{Key: leadership.PromotionLockKey, Value: lock.Bytes()})
+		}
+		asked := ct.clock.SinceBoot()
+		revision, err := ct.store.Apply(ctx, expected, puts, nil)
+		if err == nil {
+			ct.state.LearnRecord(record.WithRevision(revision))
+			ct.proveOpened(record, asked)
+			if len(puts) > 1 {
+				ct.state.LearnPromotionLock(lock.WithRevision(revision, ct.clock.SinceBoot()))
+			}
+			klog.InfoS("Change of primary done", "Group", c.group, "Primary", newPrimary.id, "Term", newPrimary.term,
+				"Log", newPrimary.logEnd.String(), "Reason", c.reason.String(), "TookMs", (ct.clock.SinceBoot() - c.began).Milliseconds())
+			ct.reporter.Ended(c.group, c.reason, Done)
+			break
+		}
+		klog.InfoS("Could not open the record for the new primary; retrying", "Group", c.group, "Error", err.Error())
+		timer.Pause(ctx, ct.timer, openRetryDelay)
+	}
+	c.demoteOld(ctx, newPrimary.term)
+}
+
+// proveOpened notes that the primary of a record was the only one at the boot time asked or
+// later.
+func (ct *Controller) proveOpened(r leadership.Record, asked time.Duration) {
+	ct.table.UpdateLeader(r.Group, func(l leader.State) leader.State {
+		if !l.Open() || l.Endpoint != r.Endpoint || l.Term != r.Term {
+			return l
+		}
+		return l.WithProof(asked)
+	})
+}
--- a/internal/model/leader/leader.go
+++ b/internal/model/leader/leader.go
@@ -13,9 +13,10 @@
 
 const (
 	// ProofLifetime is how long after a proof the primary may still answer reads that
-	// must see all acknowledged commits. A change of primary waits for the same time
-	// before the new primary takes writes, so it adds to the gap in writes if the old
-	// primary is cut off rather than down.
+	// must see all acknowledged commits, and its commits may be reported as acknowledged. A
+	// change of primary that could not tell all proxies waits for the same time before it
+	// compares logs, and each one before the new primary takes writes, so it adds to the gap
+	// in writes if the old primary is cut off rather than down.
 	ProofLifetime = 800 * time.Millisecond
 	// proofRenewAge is the age from which a proof is renewed. A request to a replica
 	// takes a few milliseconds, or a quarter of a second if it fails.
