Do not open connections to primaries before a proxy is ready

What callers saw: INDOUBT for a write right after the crash of a primary, through a proxy that had not used it before. Looking for proofs of all primaries at the start left a connection to each; a write on one that the crash has reset may have run.

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -118,9 +118,6 @@
 	// ID of the lease of its entry; zero before the first.
 	registered          atomic.Bool
 	registrationLeaseID atomic.Uint64
-	// prepared is true once the process is registered and has looked for proofs of all
-	// primaries.
-	prepared atomic.Bool
 	// leaving is true once the process is stopping.
 	leaving atomic.Bool
 }
@@ -201,10 +198,10 @@
 	return err
 }
 
-// Ready reports whether the process can serve new clients: it has read the store, is
-// registered, knows routes, has looked for proofs of their primaries, and is not stopping.
+// Ready reports whether the process can serve new clients: it has read the store, has been
+// registered, without which it has no proof of a primary, knows routes, and is not stopping.
 func (n *Node) Ready() bool {
-	return n.prepared.Load() && !n.leaving.Load() && n.state.Routes().Version > 0
+	return n.storeRead.Load() && n.state.WasRegistered() && !n.leaving.Load() && n.state.Routes().Version > 0
 }
 
 // serve answers HTTP requests until ctx ends.
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -84,8 +84,6 @@
 			if err := n.renew(ctx); err != nil {
 				klog.V(1).InfoS("Could not register the proxy in the store", "Error", err.Error())
 				wait = renewRetryDelay
-			} else if !n.prepared.Load() {
-				n.prepare(ctx)
 			}
 		}
 		timer.Pause(ctx, n.timer, wait)
@@ -93,23 +91,6 @@
 	return nil
 }
 
-// prepare looks for proofs of all primaries once, so that the first clients do not wait for
-// them.
-func (n *Node) prepare(ctx context.Context) {
-	var rounds []<-chan struct{}
-	for group := range n.state.Groups() {
-		rounds = append(rounds, n.prober.Prove(group))
-	}
-	for _, ended := range rounds {
-		select {
-		case <-ended:
-		case <-ctx.Done():
-			return
-		}
-	}
-	n.prepared.Store(true)
-}
-
 // renew renews the lease of the registration. It registers the proxy anew if the
 // lease has ended or the store no longer has the entry.
 func (n *Node) renew(ctx context.Context) error {
