Confirm a commit without a timer where its proof is valid

Each commit set up a timer before it looked at the proof, and the pause between two rounds of requests was never stopped. A valid proof is now seen first, and the pause ends with the round. The conversion of a position that another proxy reports stood in gossip and in failover; both call leader.State.WithReported. Behaviour is the same.

--- a/internal/host/failover/inform.go
+++ b/internal/host/failover/inform.go
@@ -83,11 +83,8 @@
 
 // learnReport notes the position that another proxy knows to be acknowledged.
 func (ct *Controller) learnReport(group, name string, r heartbeat.PrimaryReport, asked time.Duration) {
-	if r.Acknowledged.IsZero() {
-		return
-	}
 	ct.table.UpdateLeader(group, func(l leader.State) leader.State {
-		return l.WithAcknowledged(leader.Acknowledged{Position: r.Acknowledged, Observed: true, Source: name, At: asked - r.AcknowledgedAge})
+		return l.WithReported(r.Acknowledged, name, asked-r.AcknowledgedAge)
 	})
 }
 
--- a/internal/host/gateway/confirmation.go
+++ b/internal/host/gateway/confirmation.go
@@ -44,32 +44,35 @@
 // deadline.
 func (e *execution) proven(endpoint string) bool {
 	g, group := e.gateway, e.route.Group
+	if g.table.Leader(group).Confirms(endpoint, g.clock.SinceBoot()) {
+		return true // without a timer, as for most commits
+	}
 	timeout := g.timer.Once(min(proveTimeout, e.deadline.Sub(g.timer.Now())))
 	defer timeout.Stop()
-	for {
-		known, now := g.table.Leader(group), g.clock.SinceBoot()
-		switch {
-		case known.Confirms(endpoint, now):
+	for !g.table.Leader(group).BeingReplaced(endpoint, g.clock.SinceBoot()) {
+		inTime := g.awaitRound(group, timeout.C())
+		if g.table.Leader(group).Confirms(endpoint, g.clock.SinceBoot()) {
 			return true
-		case known.BeingReplaced(endpoint, now):
-			return false
 		}
-		pause := g.timer.Once(provePause)
-		if !g.awaitAll(timeout.C(), g.prover.Prove(group), pause.C()) {
-			return g.table.Leader(group).Confirms(endpoint, g.clock.SinceBoot())
+		if !inTime {
+			return false
 		}
 	}
+	return false
 }
 
-// awaitAll waits for the end of a round of requests for proofs and of a pause. It returns
-// false if the timeout or the end of the process comes first.
-func (g *Gateway) awaitAll(timeout <-chan time.Time, round <-chan struct{}, pause <-chan time.Time) bool {
-	for round != nil || pause != nil {
+// awaitRound waits for the end of a round of requests for proofs, and at least for
+// provePause. It returns false if the timeout or the end of the process comes first.
+func (g *Gateway) awaitRound(group string, timeout <-chan time.Time) bool {
+	round, pause := g.prover.Prove(group), g.timer.Once(provePause)
+	defer pause.Stop()
+	paused := pause.C()
+	for round != nil || paused != nil {
 		select {
 		case <-round:
 			round = nil
-		case <-pause:
-			pause = nil
+		case <-paused:
+			paused = nil
 		case <-timeout:
 			return false
 		case <-g.tasks.Context().Done():
--- a/internal/host/gateway/learn.go
+++ b/internal/host/gateway/learn.go
@@ -10,7 +10,8 @@
 )
 
 // learn updates the table with what an answer of the primary shows: its term, the end
-// of its log and, for a write to a replicated group, an acknowledged position. Asked is the boot time at which the request was sent.
+// of its log and, for a write to a replicated group, an acknowledged position. Asked is the
+// boot time at which the request was sent.
 func (g *Gateway) learn(a scheduler.Assignment, group string, asked time.Duration, r statement.Reply, wrote bool) {
 	if !a.Primary || r.Position.IsZero() {
 		return
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -90,9 +90,9 @@
 	}
 	if reply.Code == statement.OK && t.wrote {
 		e.session.written = e.session.written.Covering(reply.Position)
-		e.committed = g.replicated(t.route.Group)
-		if !e.commitConfirmed(t.endpoint.ID) {
-			e.committed = false
+		if e.commitConfirmed(t.endpoint.ID) {
+			e.committed = g.replicated(t.route.Group)
+		} else {
 			reply = statement.ErrorReply(statement.InDoubt, unconfirmedDetail)
 		}
 	}
--- a/internal/host/gossip/gossip.go
+++ b/internal/host/gossip/gossip.go
@@ -204,9 +204,7 @@
 func (g *Gossip) learn(m heartbeat.Message, sent time.Duration) {
 	for _, r := range m.Primaries {
 		g.table.UpdateLeader(r.Group, func(l leader.State) leader.State {
-			if !r.Acknowledged.IsZero() {
-				l = l.WithAcknowledged(leader.Acknowledged{Position: r.Acknowledged, Observed: true, Source: m.Sender, At: sent - r.AcknowledgedAge})
-			}
+			l = l.WithReported(r.Acknowledged, m.Sender, sent-r.AcknowledgedAge)
 			return withReport(withRecordReport(l, r, sent), r, sent)
 		})
 	}
--- a/internal/model/leader/acknowledged.go
+++ b/internal/model/leader/acknowledged.go
@@ -45,6 +45,15 @@
 	return s
 }
 
+// WithReported returns the state with the position that another proxy knew to be
+// acknowledged at a boot time; a zero position reports none.
+func (s State) WithReported(p position.Position, proxy string, at time.Duration) State {
+	if p.IsZero() {
+		return s
+	}
+	return s.WithAcknowledged(Acknowledged{Position: p, Observed: true, Source: proxy, At: at})
+}
+
 // WithRecord returns the state with the acknowledged position in the record of a
 // primary's term. It also reports whether that primary lacks commits that were known
 // to be acknowledged. Those commits are lost: the position falls back to that of the
