--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -20,6 +20,9 @@
 	Registry *prometheus.Registry
 	// PlatformCalls counts calls to the platform by Method and Result.
 	PlatformCalls *prometheus.CounterVec
+	// UnexpectedAnswers counts, by Endpoint and Verdict, the answers of endpoints that are
+	// not the own ones of the statements that waited for an answer.
+	UnexpectedAnswers *prometheus.CounterVec
 	// requests counts answers to clients by Consistency, Kind and Code.
 	requests *prometheus.CounterVec
 	// latency measures, by Consistency and Code, the seconds from the complete
@@ -49,6 +52,9 @@
 		PlatformCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_platform_calls_total", Help: "Calls to the platform.",
 		}, []string{"Method", "Result"}),
+		UnexpectedAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_node_unexpected_answers_total", Help: "Answers of endpoints that do not belong to the statement that waited.",
+		}, []string{"Endpoint", "Verdict"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_requests_total", Help: "Answers to statements of clients.",
 		}, []string{"Consistency", "Kind", "Code"}),
@@ -72,7 +78,7 @@
 			Name: "eelgrassladder_node_older_records_total", Help: "Records of primaries that were applied after a newer one.",
 		}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
+	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
 	return n
 }
 
