--- a/connection.go
+++ b/connection.go
@@ -49,6 +49,11 @@
 	Close()
 }
 
+// ErrUnclearAnswer is returned when an endpoint has sent an answer that cannot be assigned to
+// a statement, such as an error that repeats an earlier one. Whether the statement that waited
+// has run is unknown, unless the method that returns it has sent nothing.
+const ErrUnclearAnswer = constantError("the endpoint sent an answer that may belong to another statement")
+
 // Promoter makes a member the primary of its group.
 type Promoter interface {
 	// Ping returns nil if the platform answers this proxy now. What is sent while it does not
