Take an answer only for the statement that it belongs to

Callers got rows of another statement, and values that were not in force.

Cause: an answer on the wire names no statement, and a connection took the next one that it read for that of the statement sent last. An endpoint that sends an answer a second time shifted all later ones, for all clients that share the connection; answers without a signature shifted alike, so a SET that failed could be taken for done.

What an answer holds tells: a signature is given once, so an answer that has an earlier one is a copy and is skipped; an answer without one where one is due, or a READY alone, is skipped too if it repeats another. An error that repeats one, one that comes while an answer may be outstanding, and a new signature where none is due belong to no statement for sure: the connection ends, and the outcome of a write is unknown. A BEGIN counts only if its answer shows an open transaction, and a write that may have run outside of one is in doubt.

--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -182,5 +182,7 @@
 
 // Failure returns the outcome of a use that ended with an error instead of an answer.
 func Failure(err error) scheduler.Outcome {
-	return scheduler.Outcome{Refused: Refused(err), Reset: Reset(err)}
+	return scheduler.Outcome{
+		Answered: errors.Is(err, eelgrassladder.ErrUnclearAnswer), Refused: Refused(err), Reset: Reset(err),
+	}
 }
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -224,7 +225,11 @@
 	}
 	reply, err := c.ApplySession(e.deadline, e.session.values, e.statement)
 	if err != nil || reply.Code != statement.OK {
-		g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Answered: err == nil})
+		o := scheduler.Outcome{Answered: true}
+		if err != nil {
+			o = control.Failure(err)
+		}
+		g.table.Discard(a.Endpoint.ID, c, o)
 		e.retry(a, reply, failureText(reply, err), false)
 		return nil, false
 	}
@@ -275,7 +280,7 @@
 	sent := e.gateway.timer.Now()
 	e.gateway.table.WriteSent(id, sent)
 	reply, err := c.Run(deadline, e.statement, after)
-	e.gateway.table.WriteDone(id, sent, err == nil)
+	e.gateway.table.WriteDone(id, sent, err == nil || errors.Is(err, eelgrassladder.ErrUnclearAnswer))
 	return reply, err
 }
 
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -53,6 +53,12 @@
 	primary bool
 	// wrote is true once a write was sent to the endpoint, or is about to be.
 	wrote bool
+	// confirmed is true once the answer to a statement has shown that the transaction is
+	// open at the endpoint.
+	confirmed bool
+	// ranOutside is true once a write may have run while no transaction was open at the
+	// endpoint. The transaction has then failed, and rolling it back may not undo the write.
+	ranOutside bool
 	// failed is true once a statement has failed; the transaction can then only be
 	// rolled back.
 	failed bool
@@ -176,9 +182,12 @@
 	if s.transaction == nil {
 		return statement.ErrorReply(statement.Malformed, "no transaction is open")
 	}
-	if s.transaction.failed {
+	if t := s.transaction; t.failed {
 		s.rollBackAtEndpoint("")
 		s.transaction = nil
+		if t.ranOutside {
+			return statement.ErrorReply(statement.InDoubt, "the transaction had failed, and a write may have run outside of it")
+		}
 		return statement.ErrorReply(statement.Aborted, "the transaction had failed and was rolled back")
 	}
 	return s.run(st)
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"github.com/pkg/errors"
+
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
@@ -23,6 +25,11 @@
 		e.retry(a, reply, failureText(reply, err), false)
 		return
 	}
+	if reply.State != statement.InTransaction {
+		g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
+		e.retry(a, statement.Reply{}, "the answer to BEGIN shows no open transaction", false)
+		return
+	}
 	if !e.primaryProven(a) {
 		g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
 		e.retry(a, statement.Reply{}, "the primary may have been replaced before the transaction began", false)
@@ -63,6 +70,7 @@
 	o := outcomeOf(a, reply, nil)
 	o.Applied = reply.Position
 	if reply.Code == statement.OK {
+		t.confirmed = t.confirmed || reply.State == statement.InTransaction
 		o.Took = took
 		g.learn(a, t.route.Group, asked, reply, commitsWrites)
 	}
@@ -100,29 +108,38 @@
 }
 
 // handleEndedByEndpoint marks the transaction as failed after a reply that shows that
-// the endpoint has ended it, and finishes the execution.
+// the endpoint has ended it, and finishes the execution. A write that has succeeded nevertheless
+// ran outside the transaction.
 func (e *execution) handleEndedByEndpoint(o scheduler.Outcome, reply statement.Reply) {
 	t := e.session.transaction
 	e.gateway.table.EndStatement(t.endpoint.ID, o)
 	e.session.FailTransaction()
-	if reply.Code == statement.OK {
+	if reply.Code == statement.OK && e.statement.Writes() {
+		t.ranOutside = true
+		reply = statement.ErrorReply(statement.InDoubt, "the write ran while no transaction was open")
+	} else if reply.Code == statement.OK {
 		reply = statement.ErrorReply(statement.Aborted, "the endpoint ended the transaction")
 	}
 	e.finish(reply)
 }
 
 // failInTransaction handles a statement of the transaction that got no answer. The
-// transaction is rolled back by closing the connection, unless its commit was sent:
-// then the outcome is unknown.
+// transaction is rolled back by closing the connection, unless its commit was sent, or a write
+// while the answer to BEGIN may have been that of another statement: then the outcome is
+// unknown.
 func (e *execution) failInTransaction(c eelgrassladder.Connection, err error) {
 	t := e.session.transaction
 	o := control.Failure(err)
-	if e.statement.Kind != statement.Commit || !t.wrote {
+	commitSent := e.statement.Kind == statement.Commit && t.wrote
+	t.ranOutside = e.statement.Writes() && !t.confirmed && errors.Is(err, eelgrassladder.ErrUnclearAnswer)
+	if !commitSent && !t.ranOutside {
 		e.abort(c, o, err.Error())
 		return
 	}
 	e.gateway.table.Discard(t.endpoint.ID, c, o)
-	e.session.transaction = nil
+	if t.connection, t.failed = nil, true; commitSent {
+		e.session.transaction = nil
+	}
 	e.finishUnknown(scheduler.Assignment{Endpoint: t.endpoint}, err, 0)
 }
 
--- a/internal/policy/correlation/correlation_test.go
+++ b/internal/policy/correlation/correlation_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
-	. "eelgrassladder.example/eelgrassladder/internal/policy/correlation"
+	"eelgrassladder.example/eelgrassladder/internal/policy/correlation"
 )
 
 func TestAnAnswerIsTakenOnlyByTheStatementThatItBelongsTo(t *testing.T) {
@@ -16,38 +16,38 @@
 	lagging := statement.ErrorReply(statement.Lagging, "behind")
 	for _, c := range []struct {
 		name     string
-		expected Expected
+		expected correlation.Expected
 		reply    statement.Reply
-		evidence Evidence
-		want     Verdict
+		evidence correlation.Evidence
+		want     correlation.Verdict
 	}{
-		{"a new signature", Signed, signed, Evidence{}, Own},
-		{"a new signature after a doubtful answer", Signed, signed, Evidence{Unsettled: true}, Own},
-		{"a signed answer again", Signed, signed, Evidence{Repeats: true}, Copy},
-		{"a signed answer again, for a SET", Unsigned, signed, Evidence{Repeats: true}, Copy},
-		{"a used signature with other rows", Signed, signed, Evidence{SignatureUsed: true}, Unclear},
-		{"a new signature for a SET", Unsigned, signed, Evidence{}, Unclear},
-		{"no signature for a read", Signed, done, Evidence{}, Unclear},
-		{"no signature for a read, as before", Signed, done, Evidence{Repeats: true}, Copy},
-		{"no signature for a read, after a doubtful answer", Signed, done, Evidence{Unsettled: true}, Copy},
-		{"no signature for a SET", Unsigned, done, Evidence{}, Own},
-		{"no signature for a SET, as before", Unsigned, done, Evidence{Repeats: true}, Own},
-		{"a status", Status, status, Evidence{}, Own},
-		{"no row for a status, as before", Status, done, Evidence{Repeats: true}, Copy},
-		{"a status for a SET", Unsigned, status, Evidence{}, Unclear},
-		{"a status for a read, as before", Signed, status, Evidence{Repeats: true}, Copy},
-		{"an error", Signed, lagging, Evidence{}, Own},
-		{"an error as before", Signed, lagging, Evidence{Repeats: true}, Unclear},
-		{"an error after a doubtful answer", Signed, lagging, Evidence{Unsettled: true}, Unclear},
+		{"a new signature", correlation.Signed, signed, correlation.Evidence{}, correlation.Own},
+		{"a new signature after a doubtful answer", correlation.Signed, signed, correlation.Evidence{Unsettled: true}, correlation.Own},
+		{"a signed answer again", correlation.Signed, signed, correlation.Evidence{Repeats: true}, correlation.Copy},
+		{"a signed answer again, for a SET", correlation.Unsigned, signed, correlation.Evidence{Repeats: true}, correlation.Copy},
+		{"a used signature with other rows", correlation.Signed, signed, correlation.Evidence{SignatureUsed: true}, correlation.Unclear},
+		{"a new signature for a SET", correlation.Unsigned, signed, correlation.Evidence{}, correlation.Unclear},
+		{"no signature for a read", correlation.Signed, done, correlation.Evidence{}, correlation.Unclear},
+		{"no signature for a read, as before", correlation.Signed, done, correlation.Evidence{Repeats: true}, correlation.Copy},
+		{"no signature for a read, after a doubtful answer", correlation.Signed, done, correlation.Evidence{Unsettled: true}, correlation.Copy},
+		{"no signature for a SET", correlation.Unsigned, done, correlation.Evidence{}, correlation.Own},
+		{"no signature for a SET, as before", correlation.Unsigned, done, correlation.Evidence{Repeats: true}, correlation.Own},
+		{"a status", correlation.Status, status, correlation.Evidence{}, correlation.Own},
+		{"no row for a status, as before", correlation.Status, done, correlation.Evidence{Repeats: true}, correlation.Copy},
+		{"a status for a SET", correlation.Unsigned, status, correlation.Evidence{}, correlation.Unclear},
+		{"a status for a read, as before", correlation.Signed, status, correlation.Evidence{Repeats: true}, correlation.Copy},
+		{"an error", correlation.Signed, lagging, correlation.Evidence{}, correlation.Own},
+		{"an error as before", correlation.Signed, lagging, correlation.Evidence{Repeats: true}, correlation.Unclear},
+		{"an error after a doubtful answer", correlation.Signed, lagging, correlation.Evidence{Unsettled: true}, correlation.Unclear},
 	} {
-		t.Run(c.name, func(t *testing.T) { assert.Equal(t, Judge(c.expected, c.reply, c.evidence), c.want) })
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, correlation.Judge(c.expected, c.reply, c.evidence), c.want) })
 	}
 }
 
 func TestOnlyASignedAnswerSettlesADoubtfulOne(t *testing.T) {
 	done, signed := statement.Reply{}, statement.Reply{Signature: "s"}
-	assert.Assert(t, Settles(done, Evidence{}))
-	assert.Assert(t, !Settles(done, Evidence{Repeats: true}))
-	assert.Assert(t, !Settles(done, Evidence{Unsettled: true}))
-	assert.Assert(t, Settles(signed, Evidence{Unsettled: true}))
+	assert.Assert(t, correlation.Settles(done, correlation.Evidence{}))
+	assert.Assert(t, !correlation.Settles(done, correlation.Evidence{Repeats: true}))
+	assert.Assert(t, !correlation.Settles(done, correlation.Evidence{Unsettled: true}))
+	assert.Assert(t, correlation.Settles(signed, correlation.Evidence{Unsettled: true}))
 }
