Keep a connection whose error no outstanding answer can be

Whether an error may belong to an earlier statement depends on what that statement was: a SET can't lack a position, and a status request no primary. The history now keeps which kinds of statements may still be answered.

--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -12,14 +12,52 @@
 const (
 	// Signed is the answer to a read, a write or a commit. Its signature is unique.
 	Signed Expected = iota
-	// Unsigned is the answer to a statement that accesses no data, such as a SET.
+	// Opening is the answer to a BEGIN, which has no signature.
+	Opening
+	// Unsigned is the answer to another statement that accesses no data, such as a SET.
 	Unsigned
 	// Status is the answer to a status request or command: one row without a signature.
 	Status
 )
 
 // String returns the name of the kind.
-func (e Expected) String() string { return [...]string{"Signed", "Unsigned", "Status"}[e] }
+func (e Expected) String() string { return [...]string{"Signed", "Opening", "Unsigned", "Status"}[e] }
+
+// mayRefuse reports whether a statement with the kind of answer can be refused with a code.
+// Only what accesses data or opens a transaction can lack a position or a primary, and only
+// what takes a slot of the endpoint can find it busy.
+func (e Expected) mayRefuse(c statement.Code) bool {
+	switch c {
+	case statement.Lagging, statement.ReadOnly:
+		return e == Signed || e == Opening
+	case statement.NoStatement:
+		return e == Signed
+	case statement.Busy:
+		return e != Unsigned
+	default:
+		return true
+	}
+}
+
+// Outstanding is a set of statements whose own answers may still come, because those that
+// were taken for them may have been copies. It holds kinds of answers and is immutable.
+type Outstanding uint8
+
+// With returns the set with a statement that expects the kind of answer.
+func (o Outstanding) With(e Expected) Outstanding { return o | 1<<e }
+
+// has reports whether a statement of the set expects the kind of answer.
+func (o Outstanding) has(e Expected) bool { return o&(1<<e) != 0 }
+
+// mayRefuse reports whether a statement of the set can be refused with a code.
+func (o Outstanding) mayRefuse(c statement.Code) bool {
+	for e := Signed; e <= Status; e++ {
+		if o.has(e) && e.mayRefuse(c) {
+			return true
+		}
+	}
+	return false
+}
 
 // Evidence is what the earlier answers on the connection tell about an answer. It is
 // immutable.
@@ -28,9 +66,8 @@
 	Repeats bool
 	// SignatureUsed is true if an earlier answer had the signature, and was another one.
 	SignatureUsed bool
-	// Unsettled is true if an answer that was taken for that of an earlier statement may
-	// have been a copy, so that the earlier statement's own answer may still come.
-	Unsettled bool
+	// Outstanding are the earlier statements whose own answers may still come.
+	Outstanding Outstanding
 }
 
 // Verdict is the decision about an answer.
@@ -57,12 +94,12 @@
 	case r.Signature != "":
 		return judgeSigned(e, v)
 	case r.Code != statement.OK:
-		if v.Repeats || v.Unsettled {
+		if v.Repeats || v.Outstanding.mayRefuse(r.Code) {
 			return Unclear
 		}
 		return Own
 	case e == Signed || (e == Status) != (len(r.Rows) > 0):
-		if v.Repeats || v.Unsettled {
+		if v.Repeats || v.Outstanding != 0 {
 			return Copy
 		}
 		return Unclear
@@ -85,12 +122,15 @@
 	}
 }
 
-// Settles reports whether every earlier statement has been answered once an answer is taken
-// for the own one of a statement. An answer that repeats another leaves that as it was, or
-// makes it uncertain.
-func Settles(r statement.Reply, v Evidence) bool {
-	if r.Signature != "" {
-		return true
+// After returns the statements whose own answers may still come once an answer is taken for
+// the own one of a statement. A new signature shows that all before it have been answered.
+func (v Evidence) After(e Expected, r statement.Reply) Outstanding {
+	switch {
+	case r.Signature != "":
+		return 0
+	case v.Repeats:
+		return v.Outstanding.With(e)
+	default:
+		return v.Outstanding
 	}
-	return !v.Repeats && !v.Unsettled
 }
--- a/internal/policy/correlation/correlation_test.go
+++ b/internal/policy/correlation/correlation_test.go
@@ -14,6 +14,10 @@
 	done := statement.Reply{}
 	status := statement.Reply{Rows: []string{"replica 3 3.1209 0 12 2 17"}}
 	lagging := statement.ErrorReply(statement.Lagging, "behind")
+	malformed := statement.ErrorReply(statement.Malformed, "value")
+	busy := statement.ErrorReply(statement.Busy, "")
+	var none correlation.Outstanding
+	afterSet, afterBegin, afterStatus := none.With(correlation.Unsigned), none.With(correlation.Opening), none.With(correlation.Status)
 	for _, c := range []struct {
 		name     string
 		expected correlation.Expected
@@ -22,14 +26,14 @@
 		want     correlation.Verdict
 	}{
 		{"a new signature", correlation.Signed, signed, correlation.Evidence{}, correlation.Own},
-		{"a new signature after a doubtful answer", correlation.Signed, signed, correlation.Evidence{Unsettled: true}, correlation.Own},
+		{"a new signature after a doubtful answer", correlation.Signed, signed, correlation.Evidence{Outstanding: afterSet}, correlation.Own},
 		{"a signed answer again", correlation.Signed, signed, correlation.Evidence{Repeats: true}, correlation.Copy},
 		{"a signed answer again, for a SET", correlation.Unsigned, signed, correlation.Evidence{Repeats: true}, correlation.Copy},
 		{"a used signature with other rows", correlation.Signed, signed, correlation.Evidence{SignatureUsed: true}, correlation.Unclear},
 		{"a new signature for a SET", correlation.Unsigned, signed, correlation.Evidence{}, correlation.Unclear},
 		{"no signature for a read", correlation.Signed, done, correlation.Evidence{}, correlation.Unclear},
 		{"no signature for a read, as before", correlation.Signed, done, correlation.Evidence{Repeats: true}, correlation.Copy},
-		{"no signature for a read, after a doubtful answer", correlation.Signed, done, correlation.Evidence{Unsettled: true}, correlation.Copy},
+		{"no signature for a read, after a doubtful answer", correlation.Signed, done, correlation.Evidence{Outstanding: afterSet}, correlation.Copy},
 		{"no signature for a SET", correlation.Unsigned, done, correlation.Evidence{}, correlation.Own},
 		{"no signature for a SET, as before", correlation.Unsigned, done, correlation.Evidence{Repeats: true}, correlation.Own},
 		{"a status", correlation.Status, status, correlation.Evidence{}, correlation.Own},
@@ -38,16 +42,22 @@
 		{"a status for a read, as before", correlation.Signed, status, correlation.Evidence{Repeats: true}, correlation.Copy},
 		{"an error", correlation.Signed, lagging, correlation.Evidence{}, correlation.Own},
 		{"an error as before", correlation.Signed, lagging, correlation.Evidence{Repeats: true}, correlation.Unclear},
-		{"an error after a doubtful answer", correlation.Signed, lagging, correlation.Evidence{Unsettled: true}, correlation.Unclear},
+		{"an error that the doubtful answer may hide", correlation.Signed, malformed, correlation.Evidence{Outstanding: afterSet}, correlation.Unclear},
+		{"an error that a SET does not get", correlation.Signed, lagging, correlation.Evidence{Outstanding: afterSet}, correlation.Own},
+		{"an error that a BEGIN gets", correlation.Signed, lagging, correlation.Evidence{Outstanding: afterBegin}, correlation.Unclear},
+		{"a busy endpoint after a status", correlation.Signed, busy, correlation.Evidence{Outstanding: afterStatus}, correlation.Unclear},
+		{"a lagging endpoint after a status", correlation.Signed, lagging, correlation.Evidence{Outstanding: afterStatus}, correlation.Own},
 	} {
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, correlation.Judge(c.expected, c.reply, c.evidence), c.want) })
 	}
 }
 
-func TestOnlyASignedAnswerSettlesADoubtfulOne(t *testing.T) {
+func TestOnlyASignedAnswerShowsThatNoneIsOutstanding(t *testing.T) {
 	done, signed := statement.Reply{}, statement.Reply{Signature: "s"}
-	assert.Assert(t, correlation.Settles(done, correlation.Evidence{}))
-	assert.Assert(t, !correlation.Settles(done, correlation.Evidence{Repeats: true}))
-	assert.Assert(t, !correlation.Settles(done, correlation.Evidence{Unsettled: true}))
-	assert.Assert(t, correlation.Settles(signed, correlation.Evidence{Unsettled: true}))
+	var none correlation.Outstanding
+	afterSet := none.With(correlation.Unsigned)
+	assert.Equal(t, correlation.Evidence{}.After(correlation.Unsigned, done), none)
+	assert.Equal(t, correlation.Evidence{Repeats: true}.After(correlation.Unsigned, done), afterSet)
+	assert.Equal(t, correlation.Evidence{Outstanding: afterSet}.After(correlation.Opening, done), afterSet)
+	assert.Equal(t, correlation.Evidence{Outstanding: afterSet}.After(correlation.Signed, signed), none)
 }
