Learn from an unclear answer that an endpoint is busy or lags

A read whose refusal repeats an earlier one is tried elsewhere, but the table no longer learned that the replica lacks the position, and a SET whose connection ended counted as a failure of the endpoint. The code of an unclear answer is a hint on the endpoint's load, whichever statement it belongs to.

--- a/connection.go
+++ b/connection.go
@@ -51,7 +51,8 @@
 
 // ErrUnclearAnswer is returned when an endpoint has sent an answer that cannot be assigned to
 // a statement, such as an error that repeats an earlier one. Whether the statement that waited
-// has run is unknown, unless the method that returns it has sent nothing.
+// has run is unknown, unless the method that returns it has sent nothing. The reply that comes
+// with it must not be used, except as a hint on the endpoint's load.
 const ErrUnclearAnswer = constantError("the endpoint sent an answer that may belong to another statement")
 
 // Promoter makes a member the primary of its group.
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -225,11 +225,7 @@
 	}
 	reply, err := c.ApplySession(e.deadline, e.session.values, e.statement)
 	if err != nil || reply.Code != statement.OK {
-		o := scheduler.Outcome{Answered: true}
-		if err != nil {
-			o = control.Failure(err)
-		}
-		g.table.Discard(a.Endpoint.ID, c, o)
+		g.table.Discard(a.Endpoint.ID, c, outcomeOf(a, reply, err))
 		e.retry(a, reply, failureText(reply, err), false)
 		return nil, false
 	}
@@ -248,7 +244,7 @@
 	}
 	took := g.timer.Now().Sub(sentAt)
 	if err != nil {
-		e.handleError(a, c, err, took)
+		e.handleError(a, c, reply, err, took)
 		return
 	}
 	o := outcomeOf(a, reply, nil)
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -35,12 +35,12 @@
 
 // handleError handles an attempt that got no complete answer: a read is retried, and the
 // outcome of a write is unknown. Took is the time of the attempt.
-func (e *execution) handleError(a scheduler.Assignment, c eelgrassladder.Connection, err error, took time.Duration) {
+func (e *execution) handleError(a scheduler.Assignment, c eelgrassladder.Connection, reply statement.Reply, err error, took time.Duration) {
 	g := e.gateway
 	if timedOut(err) {
 		e.awaitLate(a, c)
 	} else {
-		g.table.Discard(a.Endpoint.ID, c, control.Failure(err))
+		g.table.Discard(a.Endpoint.ID, c, outcomeOf(a, reply, err))
 	}
 	if e.statement.Writes() {
 		e.finishUnknown(a, err, took)
@@ -87,9 +87,9 @@
 }
 
 // outcomeOf returns what a reply, or the error if there is none, shows about the
-// endpoint.
+// endpoint. A reply that may belong to another statement shows it too.
 func outcomeOf(a scheduler.Assignment, r statement.Reply, err error) scheduler.Outcome {
-	if err != nil {
+	if err != nil && !errors.Is(err, eelgrassladder.ErrUnclearAnswer) {
 		return control.Failure(err)
 	}
 	o := scheduler.Outcome{Answered: true, Busy: r.Code == statement.Busy}
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
@@ -208,7 +209,11 @@
 	g.table.BeginStatement(t.endpoint.ID)
 	reply, err := c.Rollback(g.timer.Now().Add(rollbackTimeout), id)
 	if err != nil || reply.State != statement.Idle {
-		g.table.Discard(t.endpoint.ID, c, scheduler.Outcome{Answered: err == nil})
+		o := scheduler.Outcome{Answered: true}
+		if err != nil {
+			o = control.Failure(err)
+		}
+		g.table.Discard(t.endpoint.ID, c, o)
 		return
 	}
 	g.table.Return(t.endpoint.ID, c, scheduler.Outcome{Answered: true})
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -49,7 +49,7 @@
 	e.endpointID, e.asPrimary = t.endpoint.ID, t.primary
 	e.attempts = max(e.attempts, 1)
 	if reply, err := c.ApplySession(e.deadline, e.session.values, e.statement); err != nil || reply.Code != statement.OK {
-		e.abort(c, scheduler.Outcome{Answered: err == nil}, failureText(reply, err))
+		e.abort(c, outcomeOf(a, reply, err), failureText(reply, err))
 		return
 	}
 	if e.statement.Writes() {
