--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -224,7 +225,7 @@
 	}
 	reply, err := c.ApplySession(e.deadline, e.session.values, e.statement)
 	if err != nil || reply.Code != statement.OK {
-		g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Answered: err == nil})
+		g.table.Discard(a.Endpoint.ID, c, outcomeOf(a, reply, err))
 		e.retry(a, reply, failureText(reply, err), false)
 		return nil, false
 	}
@@ -243,7 +244,7 @@
 	}
 	took := g.timer.Now().Sub(sentAt)
 	if err != nil {
-		e.handleError(a, c, err, took)
+		e.handleError(a, c, reply, err, took)
 		return
 	}
 	o := outcomeOf(a, reply, nil)
@@ -275,7 +276,7 @@
 	sent := e.gateway.timer.Now()
 	e.gateway.table.WriteSent(id, sent)
 	reply, err := c.Run(deadline, e.statement, after)
-	e.gateway.table.WriteDone(id, sent, err == nil)
+	e.gateway.table.WriteDone(id, sent, err == nil || errors.Is(err, eelgrassladder.ErrUnclearAnswer))
 	return reply, err
 }
 
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
@@ -53,6 +54,12 @@
 	primary bool
 	// wrote is true once a write was sent to the endpoint, or is about to be.
 	wrote bool
+	// confirmed is true once the answer to a statement has shown that the transaction is
+	// open at the endpoint.
+	confirmed bool
+	// ranOutside is true once a write may have run while no transaction was open at the
+	// endpoint. The transaction has then failed, and rolling it back may not undo the write.
+	ranOutside bool
 	// failed is true once a statement has failed; the transaction can then only be
 	// rolled back.
 	failed bool
@@ -176,9 +183,12 @@
 	if s.transaction == nil {
 		return statement.ErrorReply(statement.Malformed, "no transaction is open")
 	}
-	if s.transaction.failed {
+	if t := s.transaction; t.failed {
 		s.rollBackAtEndpoint("")
 		s.transaction = nil
+		if t.ranOutside {
+			return statement.ErrorReply(statement.InDoubt, "the transaction had failed, and a write may have run outside of it")
+		}
 		return statement.ErrorReply(statement.Aborted, "the transaction had failed and was rolled back")
 	}
 	return s.run(st)
@@ -199,7 +209,11 @@
 	g.table.BeginStatement(t.endpoint.ID)
 	reply, err := c.Rollback(g.timer.Now().Add(rollbackTimeout), id)
 	if err != nil || reply.State != statement.Idle {
-		g.table.Discard(t.endpoint.ID, c, scheduler.Outcome{Answered: err == nil})
+		o := scheduler.Outcome{Answered: true}
+		if err != nil {
+			o = control.Failure(err)
+		}
+		g.table.Discard(t.endpoint.ID, c, o)
 		return
 	}
 	g.table.Return(t.endpoint.ID, c, scheduler.Outcome{Answered: true})
