Make the simulated members and clients exact to the byte

Nobody saw that the proxy drops a CR at the end of data: the simulated members and the test client read messages as the proxy does, up to the first LF, and trim every CR and LF. Members also took statements apart at any white space and joined the parts with single blanks, kept of a PREPARE its mode alone, and ended their goroutine at an EXECUTE without an item.

Both now read through internal/lab/line, which shares no code with the proxy: a message ends at CR LF alone. Members split fields at single blanks, and the last one extends to the end. Group.OnRun tells each statement that a member runs with the values and the shape in force, so that tests can compare what ran with what was sent. Client.DoAs runs a statement under an ID known before.

--- a/internal/lab/member/control.go
+++ b/internal/lab/member/control.go
@@ -20,22 +20,22 @@
 
 // suspendOrDemote runs SUSPEND at a replica, or DEMOTE at a primary. With a term that is
 // not above the member's own, or in the other role, it changes nothing.
-func (s *session) suspendOrDemote(fields []string) bool {
-	term, err := strconv.ParseUint(fields[1], 10, 64)
+func (s *session) suspendOrDemote(word, termText string) bool {
+	term, err := strconv.ParseUint(termText, 10, 64)
 	if err != nil {
 		return s.fail("MALFORMED", "term")
 	}
 	m := s.member
 	m.group.mutex.Lock()
 	switch {
-	case fields[0] == "SUSPEND" && !m.primary && term > m.term:
+	case word == "SUSPEND" && !m.primary && term > m.term:
 		m.suspended = max(m.suspended, term)
-	case fields[0] == "DEMOTE" && m.primary && term > m.term:
+	case word == "DEMOTE" && m.primary && term > m.term:
 		m.primary = false
 	}
 	m.group.changed.Broadcast()
 	m.group.mutex.Unlock()
-	if fields[0] == "SUSPEND" && m.group.OnAllSuspended != nil && m.group.allSuspended() {
+	if word == "SUSPEND" && m.group.OnAllSuspended != nil && m.group.allSuspended() {
 		m.group.OnAllSuspended()
 	}
 	return s.succeed("-", s.statusRow())
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -24,6 +24,19 @@
 	receivedAt time.Time
 }
 
+// Run is a statement that a member ran, byte for byte. It is immutable.
+type Run struct {
+	// Member is the ID of the member.
+	Member string
+	// ID and Text are those of the statement, without AFTER.
+	ID, Text string
+	// Values are the session values in force.
+	Values map[string]string
+	// Prepared is the mode and the shape of the statement that an EXECUTE ran, and Arguments
+	// its item and data; both are empty for other statements.
+	Prepared, Arguments string
+}
+
 // Group is a database group. Its mutex guards the state of all its members.
 type Group struct {
 	// Name is the database name that clients give when they connect.
@@ -50,6 +63,9 @@
 	// It must be set before the group is used, and must not call the group, whose mutex is
 	// held.
 	OnOrder func(o Order)
+	// OnRun is called with each BEGIN, READ, WRITE, EXECUTE and COMMIT that a member runs; it
+	// may be nil. It must be set before the group is used, and be safe for concurrent use.
+	OnRun func(r Run)
 	// OnLost is called with a description and the values by item of each commit, whenever
 	// acknowledged commits are lost; it may be nil. It must be set before the group is
 	// used, and must not call the group, whose mutex is held.
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/lab/line"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 )
 
@@ -46,7 +47,7 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	// values holds the values that SET has set, and prepared the mode ("READ" or
-	// "WRITE") of each prepared statement.
+	// "WRITE") and the shape of each prepared statement, as its PREPARE gave them.
 	values   map[string]string
 	prepared map[string]string
 	// inTransaction is true inside a transaction, and failed once one of its
@@ -83,11 +84,11 @@
 		g.mutex.Unlock()
 	}()
 	s := &session{member: m, conn: c, reader: bufio.NewReader(c), values: map[string]string{}, prepared: map[string]string{}}
-	line, err := s.readMessage()
+	greeting, err := s.readMessage()
 	if err != nil {
 		return
 	}
-	fields := strings.Fields(line)
+	fields := strings.Split(greeting, " ")
 	switch {
 	case full:
 		s.send("ERROR OVERLOAD too many connections")
@@ -98,17 +99,17 @@
 	}
 	s.send("READY I " + s.visiblePosition())
 	for {
-		line, err := s.readMessage()
-		if err != nil || !s.handle(line) {
+		message, err := s.readMessage()
+		if err != nil || !s.handle(message) {
 			return
 		}
 	}
 }
 
-// readMessage reads one line and returns it without its end. It fails once the member
+// readMessage reads one message and returns it without its end. It fails once the member
 // is down.
 func (s *session) readMessage() (string, error) {
-	line, err := s.reader.ReadString('\n')
+	message, err := line.Read(s.reader)
 	if err != nil {
 		return "", err
 	}
@@ -118,7 +119,7 @@
 	if s.member.fault.Down {
 		return "", net.ErrClosed
 	}
-	return strings.TrimRight(line, "\r\n"), nil
+	return message, nil
 }
 
 // send writes lines unless the member is unresponsive.
@@ -129,7 +130,7 @@
 	if unresponsive {
 		return
 	}
-	_, _ = s.conn.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
+	_, _ = s.conn.Write([]byte(strings.Join(lines, line.End) + line.End))
 }
 
 // visiblePosition returns the position of the last entry that reads can see, or
@@ -177,9 +178,9 @@
 	return true
 }
 
-// handle runs one line from the client and reports whether the session goes on.
-func (s *session) handle(line string) bool {
-	kind, rest, _ := strings.Cut(line, " ")
+// handle runs one message from the client and reports whether the session goes on.
+func (s *session) handle(message string) bool {
+	kind, rest, _ := strings.Cut(message, " ")
 	id, text, _ := strings.Cut(rest, " ")
 	if kind != "QUERY" {
 		return false
@@ -195,48 +196,64 @@
 		}
 		text = statement
 	}
-	fields := strings.Fields(text)
-	if len(fields) == 0 {
-		return s.fail("MALFORMED", "empty")
-	}
-	if s.failed && fields[0] != "ROLLBACK" && fields[0] != "COMMIT" {
+	word, arguments, _ := strings.Cut(text, " ")
+	if s.failed && word != "ROLLBACK" && word != "COMMIT" {
 		return s.fail("MALFORMED", "failed transaction")
 	}
-	return s.run(id, text, fields)
+	return s.run(id, text, word, arguments)
 }
 
-// run runs one statement and reports whether the session goes on.
-func (s *session) run(id, text string, fields []string) bool {
-	switch fields[0] {
+// run runs one statement, whose text consists of the word and arguments, and reports
+// whether the session goes on.
+func (s *session) run(id, text, word, arguments string) bool {
+	switch word {
 	case "STATUS":
 		return s.succeed("-", s.statusRow())
 	case "SUSPEND", "DEMOTE":
-		return s.suspendOrDemote(fields)
+		return s.suspendOrDemote(word, arguments)
 	case "RESUME":
 		return s.resume()
 	case "RESET":
 		s.values, s.prepared = map[string]string{}, map[string]string{}
 		return s.succeed("-")
 	case "SET":
-		s.values[fields[1]] = strings.Join(fields[2:], " ")
+		name, value, _ := strings.Cut(arguments, " ")
+		s.values[name] = value
 		return s.succeed("-")
 	case "PREPARE":
-		s.prepared[fields[1]] = fields[2]
+		name, modeAndShape, _ := strings.Cut(arguments, " ")
+		s.prepared[name] = modeAndShape
 		return s.succeed("-")
 	case "BEGIN":
-		return s.begin(len(fields) > 1)
+		return s.begin(id, text)
 	case "ROLLBACK":
 		s.inTransaction, s.failed, s.writes = false, false, nil
 		return s.succeed("-")
 	case "COMMIT":
 		return s.commit(id, text)
-	case "READ", "WRITE", "EXECUTE":
-		return s.readOrWrite(id, text, fields)
+	case "READ", "WRITE":
+		return s.readOrWrite(Run{ID: id, Text: text}, word == "WRITE", arguments)
+	case "EXECUTE":
+		return s.execute(id, text, arguments)
 	default:
 		return s.fail("MALFORMED", "unknown")
 	}
 }
 
+// execute runs EXECUTE. Its name and item must be there; the item may be empty.
+func (s *session) execute(id, text, arguments string) bool {
+	name, itemAndData, ok := strings.Cut(arguments, " ")
+	if !ok {
+		return s.fail("MALFORMED", "no item")
+	}
+	prepared, ok := s.prepared[name]
+	if !ok {
+		return s.fail("NOSTMT", name)
+	}
+	mode, _, _ := strings.Cut(prepared, " ")
+	return s.readOrWrite(Run{ID: id, Text: text, Prepared: prepared, Arguments: itemAndData}, mode == "WRITE", itemAndData)
+}
+
 // hasApplied reports whether reads at this member see the commit at a position. They
 // also count as seeing it if the last visible entry has a newer term and a log index at
 // least as high.
@@ -254,35 +271,32 @@
 }
 
 // begin opens a transaction. It fails at a replica unless the transaction is read-only.
-func (s *session) begin(readOnly bool) bool {
+func (s *session) begin(id, text string) bool {
+	readOnly := text == "BEGIN READ"
+	if !readOnly && text != "BEGIN" {
+		return s.fail("MALFORMED", "mode")
+	}
 	primary, term := s.member.State()
 	if !readOnly && !primary {
 		return s.fail("READONLY", s.member.ID)
 	}
 	s.inTransaction, s.readOnly, s.term, s.writes = true, readOnly, term, map[string]string{}
+	s.noteRun(Run{ID: id, Text: text})
 	return s.succeed("-")
 }
 
-// readOrWrite runs READ, WRITE or EXECUTE on one item.
-func (s *session) readOrWrite(id, text string, fields []string) bool {
-	isWrite, item, value := fields[0] == "WRITE", "", ""
-	arguments := fields[1:]
-	if fields[0] == "EXECUTE" {
-		mode, ok := s.prepared[fields[1]]
-		if !ok {
-			return s.fail("NOSTMT", fields[1])
-		}
-		isWrite, arguments = mode == "WRITE", fields[2:]
+// readOrWrite runs READ, WRITE or EXECUTE on one item. The arguments are the item and, for
+// a write, the data.
+func (s *session) readOrWrite(r Run, isWrite bool, arguments string) bool {
+	item, value := arguments, ""
+	if isWrite || r.Prepared != "" {
+		item, value, _ = strings.Cut(arguments, " ")
 	}
-	if len(arguments) > 0 {
-		item = arguments[0]
-	}
-	value = strings.Join(arguments[1:], " ")
 	primary, term := s.member.State()
 	if (isWrite && (!primary || (s.inTransaction && s.readOnly))) || (s.inTransaction && !s.readOnly && (!primary || term != s.term)) {
 		return s.fail("READONLY", s.member.ID)
 	}
-	s.occupySlot()
+	s.occupySlot(r)
 	if !isWrite {
 		g := s.member.group
 		g.mutex.Lock()
@@ -291,16 +305,16 @@
 		if v, ok := s.writes[item]; s.inTransaction && ok {
 			row = v
 		}
-		return s.answer(id, text, row)
+		return s.answer(r.ID, r.Text, row)
 	}
 	if s.inTransaction {
 		s.writes[item] = value
-		return s.answer(id, text)
+		return s.answer(r.ID, r.Text)
 	}
 	if _, err := s.member.commit(map[string]string{item: value}); err != nil {
 		return s.fail(commitErrorCode(err), err.Error())
 	}
-	return s.answer(id, text)
+	return s.answer(r.ID, r.Text)
 }
 
 // commitErrorCode returns the code for a commit that was not acknowledged. It is
@@ -324,7 +338,7 @@
 		s.send("ERROR ABORTED failed", s.readyMessage())
 		return true
 	}
-	s.occupySlot()
+	s.occupySlot(Run{ID: id, Text: text})
 	if len(writes) > 0 {
 		if _, err := s.member.commit(maps.Clone(writes)); err != nil {
 			s.send("ERROR "+commitErrorCode(err)+" "+err.Error(), s.readyMessage())
@@ -335,8 +349,9 @@
 }
 
 // occupySlot waits for a slot, holds it for StatementTime, and counts the statement.
-func (s *session) occupySlot() {
+func (s *session) occupySlot(r Run) {
 	s.member.slots <- struct{}{}
+	s.noteRun(r)
 	time.Sleep(s.member.StatementTime)
 	<-s.member.slots
 	s.member.group.mutex.Lock()
@@ -344,6 +359,14 @@
 	s.member.group.mutex.Unlock()
 }
 
+// noteRun calls OnRun with the statement and the values that are in force.
+func (s *session) noteRun(r Run) {
+	if onRun := s.member.group.OnRun; onRun != nil {
+		r.Member, r.Values = s.member.ID, maps.Clone(s.values)
+		onRun(r)
+	}
+}
+
 // answer answers a read, write or commit that ran, unless the member loses its answers.
 // The signature names the member, the statement's ID and the length of its text.
 func (s *session) answer(id, text string, rows ...string) bool {
--- a/internal/lab/testbed/client.go
+++ b/internal/lab/testbed/client.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/line"
 )
 
 // AnswerTimeout is how long a Client waits for a line.
 const AnswerTimeout = 15 * time.Second
 
-// statementCount counts the statements of all clients. Do derives the IDs of statements
+// statementCount counts the statements of all clients. NextID derives the IDs of statements
 // from it, which are therefore unique in the process.
 var statementCount atomic.Uint64
 
@@ -54,45 +56,51 @@
 	if err := client.Send("CONNECT " + database + " tester"); err != nil {
 		return nil, err
 	}
-	line, err := client.ReadLine()
+	greeting, err := client.ReadLine()
 	if err != nil {
 		return nil, err
 	}
-	if !strings.HasPrefix(line, "READY I") {
+	if !strings.HasPrefix(greeting, "READY I") {
 		client.Close()
-		return nil, errors.Errorf("open a session for database %s at %s: unexpected answer %q", database, address, line)
+		return nil, errors.Errorf("open a session for database %s at %s: unexpected answer %q", database, address, greeting)
 	}
 	return client, nil
 }
 
-// Send writes one line.
-func (c *Client) Send(line string) error {
-	_, err := c.conn.Write([]byte(line + "\r\n"))
+// Send writes one message.
+func (c *Client) Send(message string) error {
+	_, err := c.conn.Write([]byte(message + line.End))
 	return errors.WithStack(err)
 }
 
-// ReadLine reads one line and returns it without its end. It fails after AnswerTimeout.
+// ReadLine reads one message and returns it without its end. It fails after AnswerTimeout.
 func (c *Client) ReadLine() (string, error) {
 	if err := c.conn.SetReadDeadline(time.Now().Add(AnswerTimeout)); err != nil {
 		return "", errors.WithStack(err)
 	}
-	line, err := c.reader.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), errors.WithStack(err)
+	message, err := line.Read(c.reader)
+	return message, errors.WithStack(err)
 }
 
-// Do runs a statement and reads its whole answer. The error is nil for a
+// NextID returns the ID for the next statement.
+func NextID() string { return fmt.Sprintf("q%d", statementCount.Add(1)) }
+
+// Do runs a statement under the next ID; see DoAs.
+func (c *Client) Do(text string) (Answer, error) { return c.DoAs(NextID(), text) }
+
+// DoAs runs a statement under an ID and reads its whole answer. The error is nil for a
 // statement that the other side refused; see Answer.Code.
-func (c *Client) Do(text string) (Answer, error) {
-	a := Answer{ID: fmt.Sprintf("q%d", statementCount.Add(1))}
+func (c *Client) DoAs(id, text string) (Answer, error) {
+	a := Answer{ID: id}
 	if err := c.Send("QUERY " + a.ID + " " + text); err != nil {
 		return a, err
 	}
 	for {
-		line, err := c.ReadLine()
+		message, err := c.ReadLine()
 		if err != nil {
 			return a, err
 		}
-		kind, rest, _ := strings.Cut(line, " ")
+		kind, rest, _ := strings.Cut(message, " ")
 		switch kind {
 		case "ROW":
 			a.Rows = append(a.Rows, rest)
@@ -104,7 +112,7 @@
 			a.State, _, _ = strings.Cut(rest, " ")
 			return a, nil
 		default:
-			return a, errors.Errorf("answer to statement %s: unexpected message %q", a.ID, line)
+			return a, errors.Errorf("answer to statement %s: unexpected message %q", a.ID, message)
 		}
 	}
 }
