Keep the blank before an empty last field of an EXECUTE

A client that sent "EXECUTE s ", whose item is empty, was answered MALFORMED: the endpoint got "EXECUTE s", which has no item. "EXECUTE s i " with empty data kept its blank, because the item comes before it.

The proxy put the EXECUTE together again under its own name for the statement, with the blank only if something followed it. Statement.Arguments now holds the text behind the name with its blank, and is passed on as it came.

--- a/internal/model/statement/statement.go
+++ b/internal/model/statement/statement.go
@@ -62,7 +62,8 @@
 	// Prepared is set for Prepare, and for Execute once the session has resolved the
 	// name.
 	Prepared Prepared
-	// Arguments are those of Execute, as the client wrote them.
+	// Arguments are those of Execute, as the client wrote them, with the separator before
+	// them, so that an empty argument differs from none.
 	Arguments string
 }
 
