Compare session values without a separator that they may hold

Two sessions with different values could look alike: a="1<LF>b 2" and a="1", b="2" had the same digest, as had a=" 1" and "a "="1". The second session then used a connection with the values of the first, and its statements ran under them (PINNED).

The digest put a blank behind a name and a LF behind a value. It now puts the length before each text.

--- a/internal/model/statement/values.go
+++ b/internal/model/statement/values.go
@@ -3,14 +3,15 @@
 import (
 	"maps"
 	"slices"
-	"strings"
+	"strconv"
 )
 
 // Values are the session values that a client has set. They are immutable.
 type Values struct {
 	// named holds the values by name. It is never modified.
 	named map[string]string
-	// digest lists all names and values in the order of the names; empty for no values.
+	// digest lists all names and values in the order of the names, each after its length, so
+	// that no text of theirs can look like the start of another; empty for no values.
 	digest string
 }
 
@@ -21,11 +22,14 @@
 		named = map[string]string{}
 	}
 	named[name] = value
-	var digest strings.Builder
+	var digest []byte
 	for _, n := range slices.Sorted(maps.Keys(named)) {
-		digest.WriteString(n + " " + named[n] + "\n")
+		for _, text := range []string{n, named[n]} {
+			digest = append(strconv.AppendInt(digest, int64(len(text)), 10), ' ')
+			digest = append(digest, text...)
+		}
 	}
-	return Values{named: named, digest: digest.String()}
+	return Values{named: named, digest: string(digest)}
 }
 
 // Equal reports whether both hold the same values.
