Send no message that is longer than endpoints accept

A read of just under 1 MiB closed a connection at one replica after the other before the primary served it. A prepared write that long got INDOUBT, though it had not run, and cost a healthy connection too.

Cause: the proxy forwards messages up to the limit, but makes some of them longer: by AFTER and a position, and by its own name of a shape where the client's is shorter. An endpoint closes the connection after such a message, and a write without an answer has an unknown outcome.

The connection now returns ErrTooLong before it sends anything, and stays usable. placement.Shorten decides: what was too long with a position goes to the primary, which needs none; what is too long without one is refused at once as ABORTED, which promises that nothing is kept, since the client can't know the length of a name that it did not choose.

--- a/connection.go
+++ b/connection.go
@@ -18,11 +18,13 @@
 }
 
 // Connection is one connection to an endpoint. Only one goroutine at a time may use it.
-// If a method returns an error, what it sent may have run, and the connection must not be
-// used again, except by Await and Close. The deadline of a method is that of the answer.
+// If a method returns an error other than ErrTooLong, what it sent may have run, and the
+// connection must not be used again, except by Await and Close. The deadline of a method is
+// that of the answer.
 type Connection interface {
 	// ApplySession sets the session values, and prepares the statement if s executes a
-	// prepared one. It sends only what the connection does not have yet.
+	// prepared one. It sends only what the connection does not have yet. After a reply whose
+	// code is not OK, the connection has some of the values only, and must not be used again.
 	ApplySession(deadline time.Time, v statement.Values, s statement.Statement) (statement.Reply, error)
 	// Begin begins a client's transaction with its statement s. The endpoint refuses it
 	// unless its log holds the position after.
@@ -49,6 +51,11 @@
 	Close()
 }
 
+// ErrTooLong is returned if a message would be longer than endpoints accept. Nothing was
+// sent, and the connection can be used again. A message may be longer than the client's, by
+// the position that the endpoint's log must hold, or by a name.
+const ErrTooLong = constantError("the message would be longer than an endpoint accepts")
+
 // Promoter makes a member the primary of its group.
 type Promoter interface {
 	// Ping returns nil if the platform answers this proxy now. What is sent while it does not
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -44,6 +45,9 @@
 	arrived time.Time
 	// deadline is when the reply must be ready to be sent to the client.
 	deadline time.Time
+	// need is what the statement requires of its endpoint, without Avoid. It is not set for
+	// a statement of a transaction that has an endpoint.
+	need placement.Need
 	// job is the latest request to the table for an endpoint.
 	job scheduler.Job
 	// attempts counts the endpoints that were assigned, one for each attempt.
@@ -81,6 +85,7 @@
 		g.table.BeginStatement(t.endpoint.ID)
 		e.runInTransaction()
 	} else {
+		e.need = s.need(e.route, st)
 		e.submit("")
 	}
 	reply, ok := e.await()
@@ -119,7 +124,7 @@
 // submit asks the table for an endpoint, preferably another one than that with the ID
 // avoid, which may be empty.
 func (e *execution) submit(avoid string) {
-	need := e.session.need(e.route, e.statement)
+	need := e.need
 	need.Avoid = avoid
 	e.job = scheduler.Job{
 		Need: need, Priority: e.route.Priority, Arrived: e.arrived, Timeout: e.route.Timeout - replyMargin,
@@ -223,6 +228,10 @@
 		c = opened
 	}
 	reply, err := c.ApplySession(e.deadline, e.session.values, e.statement)
+	if errors.Is(err, eelgrassladder.ErrTooLong) {
+		e.handleTooLong(a, c, position.Position{})
+		return nil, false
+	}
 	if err != nil || reply.Code != statement.OK {
 		g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Answered: err == nil})
 		e.retry(a, reply, failureText(reply, err), false)
@@ -242,6 +251,10 @@
 		reply, err = c.Await(e.deadline)
 	}
 	took := g.timer.Now().Sub(sentAt)
+	if errors.Is(err, eelgrassladder.ErrTooLong) {
+		e.handleTooLong(a, c, a.After)
+		return
+	}
 	if err != nil {
 		e.handleError(a, c, err, took)
 		return
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -9,7 +9,9 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
+	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -49,6 +51,29 @@
 	e.retry(a, statement.Reply{}, err.Error(), true)
 }
 
+// handleTooLong handles an attempt whose message was not sent because it would be too long.
+// After is the position that was part of the message; zero for none. It makes another attempt
+// if the statement can run without the position, and otherwise refuses the statement.
+func (e *execution) handleTooLong(a scheduler.Assignment, c eelgrassladder.Connection, after position.Position) {
+	e.gateway.table.Return(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
+	if n, ok := placement.Shorten(e.need, after); ok {
+		e.need = n
+		e.retry(a, statement.Reply{}, eelgrassladder.ErrTooLong.Error(), false)
+		return
+	}
+	e.refuseTooLong(a.Endpoint.ID)
+}
+
+// refuseTooLong finishes the execution of a statement that is too long for endpoints, after
+// its connection was given back. The reply says that nothing was run: the proxy's own names
+// make the message longer than the client's, so the client can't know.
+func (e *execution) refuseTooLong(endpoint string) {
+	e.gateway.observer.AttemptFailed(FailedAttempt{
+		Statement: e.statement, Endpoint: endpoint, Reason: eelgrassladder.ErrTooLong.Error(), Took: e.gateway.timer.Now().Sub(e.arrived),
+	})
+	e.finish(e.session.fail(statement.Aborted, eelgrassladder.ErrTooLong.Error()))
+}
+
 // finishUnknown finishes the execution with a reply that says that the outcome is
 // unknown. Took is the time of the attempt.
 func (e *execution) finishUnknown(a scheduler.Assignment, err error, took time.Duration) {
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"github.com/pkg/errors"
+
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
@@ -13,6 +15,10 @@
 func (e *execution) beginAt(a scheduler.Assignment, c eelgrassladder.Connection) {
 	g, t := e.gateway, e.session.transaction
 	reply, err := c.Begin(e.deadline, t.begin, a.After)
+	if errors.Is(err, eelgrassladder.ErrTooLong) {
+		e.handleTooLong(a, c, a.After)
+		return
+	}
 	if err != nil || reply.Code != statement.OK {
 		o := outcomeOf(a, reply, err)
 		if err != nil || reply.State != statement.Idle {
@@ -41,7 +47,13 @@
 	a := scheduler.Assignment{Endpoint: t.endpoint, Primary: t.primary}
 	e.endpointID, e.asPrimary = t.endpoint.ID, t.primary
 	e.attempts = max(e.attempts, 1)
-	if reply, err := c.ApplySession(e.deadline, e.session.values, e.statement); err != nil || reply.Code != statement.OK {
+	reply, err := c.ApplySession(e.deadline, e.session.values, e.statement)
+	if errors.Is(err, eelgrassladder.ErrTooLong) {
+		g.table.EndStatement(t.endpoint.ID, scheduler.Outcome{Answered: true})
+		e.refuseTooLong(t.endpoint.ID)
+		return
+	}
+	if err != nil || reply.Code != statement.OK {
 		e.abort(c, scheduler.Outcome{Answered: err == nil}, failureText(reply, err))
 		return
 	}
@@ -54,7 +66,7 @@
 		return
 	}
 	asked, began := g.clock.SinceBoot(), g.timer.Now()
-	reply, err := e.send(c, t.endpoint.ID, e.deadline, position.Position{}, commitsWrites)
+	reply, err = e.send(c, t.endpoint.ID, e.deadline, position.Position{}, commitsWrites)
 	took := g.timer.Now().Sub(began)
 	if err != nil {
 		e.failInTransaction(c, err)
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -132,6 +132,14 @@
 // depends on when the endpoint receives it.
 func (n Need) ReadsData() bool { return !n.Write || n.Reads }
 
+// Shorten returns the need under which a statement can run that was too long to be sent with
+// the position after. Only the primary runs it without one. It returns false if the
+// statement was sent without one, and is too long for every endpoint.
+func Shorten(n Need, after position.Position) (Need, bool) {
+	n.Consistency = route.Primary
+	return n, !after.IsZero()
+}
+
 // choosePrimary chooses the primary if it can run the statement now. A write needs a proof
 // as well: a former primary acknowledges commits as long as any replica receives them.
 func choosePrimary(n Need, l leader.State, endpoints []EndpointSnapshot, now time.Duration) Choice {
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -43,6 +43,17 @@
 	assert.Equal(t, c.After, position.Position{Term: 1, Log: 9})
 }
 
+func TestAReadThatIsTooLongWithItsPositionGoesToThePrimary(t *testing.T) {
+	c := placement.Choose(boundedRead(), provenLeader(), endpoints(), now)
+	n, ok := placement.Shorten(boundedRead(), c.After)
+	assert.Assert(t, ok)
+	proven := provenLeader().WithProof(now)
+	c = placement.Choose(n, proven, endpoints(), now)
+	assert.Equal(t, c.Index, 0)
+	_, ok = placement.Shorten(n, c.After)
+	assert.Assert(t, !ok, "it is too long without a position")
+}
+
 func TestAReadOfOwnWritesNeedsThem(t *testing.T) {
 	n := boundedRead()
 	n.Consistency, n.Required = route.ReadYourWrites, position.Position{Term: 1, Log: 30}
