Tell no client that an acknowledged name is unknown

Cause: an endpoint that has forgotten what was prepared on the connection answers NOSTMT, and the answer was passed on. Outside of transactions the statement is prepared anew and tried again, as the test shows too.

The transaction is now rolled back, and the client gets ABORTED, upon which it may run the whole transaction again.

Before: session_faults_test.go:141: NOSTMT (a.Code string) != ABORTED (string).

TestAConnectionThatRefusedValuesIsNotUsedAgain passed before as well: a connection on which only some values may be set is closed without any further use, in a transaction and outside.

--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -82,6 +82,10 @@
 		e.finishCommit(c, o, reply)
 		return
 	}
+	if reply.Code == statement.NoStatement {
+		// The session has the statement; only the endpoint lacks it.
+		reply = statement.ErrorReply(statement.Aborted, "the endpoint forgot a prepared statement").WithState(statement.InFailedTransaction)
+	}
 	if reply.State != statement.InTransaction {
 		e.handleEndedByEndpoint(o, reply)
 		return
