Share no connection on which a transaction is open

A statement outside of transactions whose answer ended with READY T or E left its connection to other clients: theirs ran inside that transaction.

Cause: the state in the answer was looked at only for statements of transactions. How a transaction could be left open is not known; an answer that belongs to another statement shows the same.

Such a connection is now closed. A read is tried again, since it may have seen what is not committed; a write that was answered OK is INDOUBT, since the close may roll it back; errors are handled as before. The same holds for a late answer, whose connection only has to be idle again.

--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -261,6 +261,11 @@
 	}
 	o := outcomeOf(a, reply, nil)
 	o.Applied = reply.Position
+	if reply.State != statement.Idle {
+		g.table.Discard(a.Endpoint.ID, c, o)
+		e.handleForeignTransaction(a, reply, took)
+		return
+	}
 	if reply.Code == statement.OK {
 		o.Took = took
 		g.learn(a, e.route.Group, sentSinceBoot, reply, e.statement.Writes())
@@ -327,6 +332,10 @@
 		if e.statement.Writes() {
 			g.learnLate(e.route.Group, reply)
 		}
+		if reply.State != statement.Idle {
+			g.table.Discard(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
+			return
+		}
 		g.table.Return(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
 	})
 }
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -51,6 +51,21 @@
 	e.retry(a, statement.Reply{}, err.Error(), true)
 }
 
+// handleForeignTransaction handles an answer to a statement outside of a transaction that
+// shows that one is open on the connection, which was discarded. A read may have seen what is
+// not committed, and a write may be rolled back. Took is the time of the attempt.
+func (e *execution) handleForeignTransaction(a scheduler.Assignment, reply statement.Reply, took time.Duration) {
+	const reason = "a transaction was open on the connection"
+	switch {
+	case reply.Code != statement.OK:
+		e.handleReply(a, reply)
+	case e.statement.Writes():
+		e.finishUnknown(a, errors.New(reason), took)
+	default:
+		e.retry(a, statement.Reply{}, reason, true)
+	}
+}
+
 // handleTooLong handles an attempt whose message was not sent because it would be too long.
 // After is the position that was part of the message; zero for none. It makes another attempt
 // if the statement can run without the position, and otherwise refuses the statement.
