Ask again where a status may be a copy of an earlier one

No caller has reported a case.

Cause: the proof of a primary, the end of its log and the steps of a change of primary count what a status shows from the time of its request.

Change: Reply.Doubtful says that an answer may be older than its request. A control connection then asks for another status and returns that one. Endpoints answer in order, so it is older than the first request only if two answers that are not the own ones come in a row. No connection is opened for it. An answer that is new on a settled connection costs nothing more.

The connection to the platform's endpoints has to set Doubtful for this to take effect; it does not yet.

--- /dev/null
+++ b/internal/host/control/confirm_test.go
@@ -0,0 +1,89 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/clock"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
+	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/statement"
+	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
+	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
+)
+
+// statusAnswer is the answer to a status request or command.
+type statusAnswer struct {
+	status   topology.Status
+	doubtful bool
+}
+
+// scriptedConnection gives its answers in order and keeps the names of what it was sent. It
+// is the Connector of itself.
+type scriptedConnection struct {
+	eelgrassladder.Connection
+	answers []statusAnswer
+	sent    []string
+}
+
+func (s *scriptedConnection) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+	return s, statement.Reply{}, nil
+}
+
+func (s *scriptedConnection) answer(name string) (topology.Status, statement.Reply, error) {
+	s.sent = append(s.sent, name)
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	return next.status, statement.Reply{Doubtful: next.doubtful}, nil
+}
+
+func (s *scriptedConnection) Status(time.Time) (topology.Status, statement.Reply, error) {
+	return s.answer("Status")
+}
+
+func (s *scriptedConnection) Suspend(time.Time, uint64) (topology.Status, statement.Reply, error) {
+	return s.answer("Suspend")
+}
+
+func (s *scriptedConnection) Resume(time.Time) (topology.Status, statement.Reply, error) {
+	return s.answer("Resume")
+}
+
+func (s *scriptedConnection) Demote(time.Time, uint64) (topology.Status, statement.Reply, error) {
+	return s.answer("Demote")
+}
+
+// TestAStatusIsNotThatBeforeACommand guards against a change of primary that goes on because
+// the copy of an earlier answer is taken for that to its command.
+func TestAStatusIsNotThatBeforeACommand(t *testing.T) {
+	deadline := time.Now().Add(time.Minute)
+	for name, send := range map[string]func(*control.Connection) (topology.Status, statement.Reply, error){
+		"Status":  func(c *control.Connection) (topology.Status, statement.Reply, error) { return c.Status(deadline) },
+		"Suspend": func(c *control.Connection) (topology.Status, statement.Reply, error) { return c.Suspend(deadline, 2) },
+		"Resume":  func(c *control.Connection) (topology.Status, statement.Reply, error) { return c.Resume(deadline) },
+		"Demote":  func(c *control.Connection) (topology.Status, statement.Reply, error) { return c.Demote(deadline, 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			before, after := topology.Status{Term: 1, Primary: true}, topology.Status{Term: 1, SuspendedTerm: 2}
+			scripted := &scriptedConnection{answers: []statusAnswer{{before, true}, {after, true}, {after, false}}}
+			timers, e := timer.New(), topology.Endpoint{ID: "e", Group: "g", Slots: 2}
+			table := scheduler.New(timers, clock.Host{}, "here")
+			table.SetEndpoints(topology.New(e))
+			table.SetShares(sharing.NewFleet("self"), func(string) int { return 4 })
+			conn, err := control.NewDialer(timers, table, scripted).DialWithinShare(context.Background(), e)
+			assert.NilError(t, err)
+			s, _, err := send(conn)
+			assert.NilError(t, err)
+			assert.Equal(t, s, after)
+			assert.DeepEqual(t, scripted.sent, []string{name, "Status"})
+			_, _, err = conn.Status(deadline)
+			assert.NilError(t, err)
+			assert.Equal(t, len(scripted.sent), 3, "an answer that is not doubtful is not asked for again")
+		})
+	}
+}
--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -123,6 +123,41 @@
 	return nil, false
 }
 
+// Status asks the endpoint for its status. The status is not older than the call.
+func (c *Connection) Status(deadline time.Time) (topology.Status, statement.Reply, error) {
+	s, reply, err := c.Connection.Status(deadline)
+	return c.confirm(deadline, s, reply, err)
+}
+
+// Suspend suspends a replica, as that of eelgrassladder.Connection. The status is not older
+// than the suspension.
+func (c *Connection) Suspend(deadline time.Time, term uint64) (topology.Status, statement.Reply, error) {
+	s, reply, err := c.Connection.Suspend(deadline, term)
+	return c.confirm(deadline, s, reply, err)
+}
+
+// Resume ends a suspension. The status is not older than that.
+func (c *Connection) Resume(deadline time.Time) (topology.Status, statement.Reply, error) {
+	s, reply, err := c.Connection.Resume(deadline)
+	return c.confirm(deadline, s, reply, err)
+}
+
+// Demote makes a primary of a lower term a replica. The status is not older than that.
+func (c *Connection) Demote(deadline time.Time, term uint64) (topology.Status, statement.Reply, error) {
+	s, reply, err := c.Connection.Demote(deadline, term)
+	return c.confirm(deadline, s, reply, err)
+}
+
+// confirm returns the answer to a status request or command, or, if it is doubtful, the
+// answer to another status request. The endpoint answers in order, so that one is older than
+// the first request only if two answers that belong to earlier ones come in a row.
+func (c *Connection) confirm(deadline time.Time, s topology.Status, r statement.Reply, err error) (topology.Status, statement.Reply, error) {
+	if err != nil || r.Code != statement.OK || !r.Doubtful {
+		return s, r, err
+	}
+	return c.Connection.Status(deadline)
+}
+
 // Release returns the connection to the table after a use that ended with err. It closes
 // the connection if err is not nil or if the connection is beyond the share. Applied is
 // the position up to which reads at the endpoint see all entries, as the answer reported
--- a/internal/model/statement/reply.go
+++ b/internal/model/statement/reply.go
@@ -89,6 +89,10 @@
 	// Position is the end of the part of the endpoint's log that reads there can see;
 	// zero if the endpoint did not report it.
 	Position position.Position
+	// Doubtful is true for the answer to a status request or command that may be a copy of
+	// the answer to an earlier one, or that earlier one's own. What it shows may then be
+	// older than the request.
+	Doubtful bool
 }
 
 // ErrorReply returns a reply with a code other than OK and without rows.
