--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -110,6 +110,10 @@
 	}
 }
 
+// Doubtful reports whether an answer without a signature that is taken for the own one of a
+// statement may be that of an earlier statement with the same kind of answer.
+func (v Evidence) Doubtful(e Expected) bool { return v.Repeats || v.Outstanding.has(e) }
+
 // judgeSigned decides about an answer with a signature.
 func judgeSigned(e Expected, v Evidence) Verdict {
 	switch {
