Let members of a soak answer twice

No soak had a member that sends an answer a second time, and clients compared only values, which are small numbers that other clients write too.

The fault Stutter makes a member repeat a share of its answers, of one kind or of all, at once, soon or up to 2 s late, and refuse some statements, also while other faults of the member act. Clients check that the signature of an answer is that of their statement.

--- a/cmd/eelgrasslab/soak.go
+++ b/cmd/eelgrasslab/soak.go
@@ -28,6 +28,7 @@
 	PauseMs     int      `long:"pause-ms" default:"1500" description:"Longest pause between two faults, in milliseconds"`
 	Harsh       bool     `long:"harsh" description:"Inject faults like those of the users' machines, unless --fault is given"`
 	Orders      bool     `long:"orders" description:"Inject faults around orders to promote, unless --fault is given"`
+	Stutter     bool     `long:"stutter" description:"Inject members that answer twice, beside other faults, unless --fault is given"`
 	Faults      []string `long:"fault" description:"Fault to inject; repeat it to make one more likely"`
 	Binary      string   `long:"binary" value-name:"FILE" description:"Program that runs as a proxy; built from the source if empty"`
 	Folder      string   `long:"folder" value-name:"DIR" description:"Where settings and logs are kept; a temporary folder if empty"`
@@ -87,6 +88,8 @@
 		plan.Faults = soak.HarshFaults()
 	case c.Orders:
 		plan.Faults = soak.OrderFaults()
+	case c.Stutter:
+		plan.Faults = soak.StutterFaults()
 	}
 	return plan
 }
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -125,6 +125,7 @@
 		c.ledger.failed++
 		return false
 	case a.OK():
+		c.checkSignature(a)
 		c.ledger.served++
 		c.ledger.acknowledged = value
 		c.ledger.told[value] = true
@@ -148,6 +149,7 @@
 		c.ledger.failed++
 		return err == nil && a.State == "I"
 	}
+	c.checkSignature(a)
 	c.ledger.served++
 	if len(a.Rows) != 1 {
 		c.run.recordViolation("%s: a read answered %d rows", c.ledger.item, len(a.Rows))
--- a/internal/lab/soak/harsh.go
+++ b/internal/lab/soak/harsh.go
@@ -28,7 +28,7 @@
 	"Promotion": (*runner).promotionFault, "Takeover": (*runner).takeoverFault, "SlowStore": (*runner).slowStoreFault,
 	"Standstill": (*runner).standstillFault, "HolderStop": (*runner).holderStopFault,
 	"Crash": (*runner).crashFault, "Scatter": (*runner).scatterFault, "Answer": (*runner).answerFault, "Backlog": (*runner).backlogFault,
-	"OrderStop": (*runner).orderStopFault, "RollingRestart": (*runner).rollingRestartFault,
+	"OrderStop": (*runner).orderStopFault, "RollingRestart": (*runner).rollingRestartFault, stutterName: (*runner).stutterFault,
 }
 
 // UsualFaults returns the names of the faults of a run on a machine with time to spare.
--- a/internal/lab/soak/relay.go
+++ b/internal/lab/soak/relay.go
@@ -26,11 +26,16 @@
 	// views holds the address of the store for the proxies of each data centre. In its
 	// entries, each member has the address of the data centre's relay to it.
 	views []string
+	// repeating is true if the members' answers can be repeated, as determined by the seed.
+	repeating bool
+	seed      uint64
 
 	// mutex guards the fields below. The locks of relays may be taken while it is held.
 	mutex sync.Mutex
 	// relays are all relays, in order of creation. Faults are injected into them.
 	relays []namedRelay
+	// stutterers are the relays to members behind those in relays, if repeating is true.
+	stutterers []stutterer
 	// byTarget holds the address of the relay from a data centre to the address of a
 	// member.
 	byTarget map[string]string
@@ -64,7 +69,14 @@
 	if ok {
 		return known, nil
 	}
-	added, err := n.add(g, fmt.Sprintf("zone-%d to %s", dataCentre, id), address)
+	target := address
+	if n.repeating {
+		var err error
+		if target, err = n.addStutterer(g, id, address); err != nil {
+			return "", err
+		}
+	}
+	added, err := n.add(g, fmt.Sprintf("zone-%d to %s", dataCentre, id), target)
 	if err != nil {
 		return "", err
 	}
@@ -89,6 +101,7 @@
 
 // repair removes the faults of all relays.
 func (n *network) repair() {
+	n.stopStutter()
 	for _, named := range n.named(func(string) bool { return true }) {
 		named.relay.SetConditions(relay.Conditions{})
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -127,6 +127,7 @@
 // any fault; violated guarantees are in the result.
 func Run(ctx context.Context, p Plan) (Result, error) {
 	r := &runner{plan: p, faultyParts: map[string]bool{}, delays: delays{random: rand.New(rand.NewPCG(p.Seed, 0))}}
+	r.network.repeating, r.network.seed = p.stutters(), p.Seed
 	if err := r.checkFaults(); err != nil {
 		return Result{}, err
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -57,6 +57,21 @@
 	assert.Assert(t, result.Promotions > 0, "%+v", result)
 }
 
+// TestTheSoakFindsNoBrokenPromiseAtMembersThatAnswerTwice is the same with members that repeat
+// answers, beside other faults.
+func TestTheSoakFindsNoBrokenPromiseAtMembersThatAnswerTwice(t *testing.T) {
+	t.Parallel()
+	binary, err := soak.Build(t.TempDir())
+	assert.NilError(t, err)
+	plan := soak.DefaultPlan(9801)
+	plan.Length, plan.DataCentres, plan.Binary, plan.Folder = 8*time.Second, 2, binary, t.TempDir()
+	plan.Faults, plan.FaultPause = soak.StutterFaults(), 800*time.Millisecond
+	result, err := soak.Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
+	assert.Assert(t, result.Served > 500, "%+v", result)
+}
+
 func TestTheSoakRefusesAFaultThatDoesNotExist(t *testing.T) {
 	plan := soak.DefaultPlan(1)
 	plan.Faults = append(plan.Faults, "Earthquake")
