Show a read outside of its transaction after a repeated answer to BEGIN

The answer to a BEGIN has no signature. On a connection at the same position of the log it is equal to the one before, byte for byte, so the copy of an earlier one is taken for it. If the endpoint has refused the BEGIN, with LAGGING for the position that it requires, the first statement runs outside of the transaction. The answer that follows shows it, and the connection is dropped, so no client gets anything wrong; but the endpoint has run the statement.

The relay now has a latency, in which copies can arrive, and reports statements whose connection ends before the answer.

--- a/internal/lab/stutter/session.go
+++ b/internal/lab/stutter/session.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 )
 
 // answer is one whole answer of the member. It is immutable.
@@ -111,14 +112,26 @@
 		r, s.waiting = s.waiting[0], s.waiting[1:]
 	}
 	s.mutex.Unlock()
-	if r.id != "" && r.id != "-" {
-		s.relay.observe(Run{
-			Connection: s.number, ID: r.id, Text: r.text, Values: r.values, Shape: r.shape,
-			Before: before, After: a.state, Code: a.code, Rows: a.rows,
-		})
+	s.report(r, Run{Before: before, After: a.state, Code: a.code, Rows: a.rows})
+}
+
+// noteUnanswered reports the request that the member was processing when the connection
+// ended. Nothing else uses the session any more.
+func (s *session) noteUnanswered() {
+	if len(s.waiting) > 0 {
+		s.report(s.waiting[0], Run{Before: s.state, After: s.state, Code: Unanswered})
 	}
 }
 
+// report reports a request of a client with its outcome.
+func (s *session) report(r request, outcome Run) {
+	if r.id == "" || r.id == "-" {
+		return
+	}
+	outcome.Connection, outcome.ID, outcome.Text, outcome.Values, outcome.Shape = s.number, r.id, r.text, r.values, r.shape
+	s.relay.observe(outcome)
+}
+
 // forward passes requests on to the member until the proxy closes the connection.
 func (s *session) forward(ctx context.Context, client, member net.Conn, answers chan<- answer) {
 	reader := bufio.NewReader(client)
@@ -127,6 +140,9 @@
 		if err != nil {
 			return
 		}
+		if latency := s.relay.latency(); latency > 0 {
+			time.Sleep(latency)
+		}
 		if refusal, ok := s.noteRequest(strings.TrimSuffix(message, lineEnd)); ok {
 			if !s.hand(ctx, answers, refusal) {
 				return
--- a/internal/lab/stutter/stutter.go
+++ b/internal/lab/stutter/stutter.go
@@ -58,9 +58,14 @@
 	// refused in the member's place, from 0 to 1. The code is BUSY, or LAGGING for a begin,
 	// which is only refused if it requires a position.
 	Refused float64
+	// Latency is how long each request takes to the member. Copies arrive meanwhile.
+	Latency time.Duration
 }
 
-// Run is a client's statement that a member has answered. It is immutable.
+// Unanswered is the code of a statement whose connection ended before the member's answer.
+const Unanswered = "UNANSWERED"
+
+// Run is a client's statement that was sent to a member. It is immutable.
 type Run struct {
 	// Connection numbers the connections of the relay.
 	Connection int
@@ -73,7 +78,7 @@
 	Shape string
 	// Before and After are the states of the session: I, T or E.
 	Before, After string
-	// Code is the code of an error; empty for success.
+	// Code is the code of an error or Unanswered; empty for success.
 	Code string
 	// Rows are the rows of the answer.
 	Rows []string
@@ -90,16 +95,17 @@
 	mutex      sync.Mutex
 	random     *rand.Rand
 	conditions Conditions
-	// connections and repeated count connections and repeated answers.
-	connections, repeated int
+	// connections, repeated and refused count connections, repeated answers and refused
+	// statements.
+	connections, repeated, refused int
 }
 
 // Option configures a relay that New creates.
 type Option func(*Relay)
 
 // WithObserver makes the relay call a function for each statement of a client that the
-// member has answered, before the answer is passed on. It may be called by several
-// goroutines at once.
+// member has answered, before the answer is passed on, or that the end of the connection
+// leaves unanswered. It may be called by several goroutines at once.
 func WithObserver(observe func(Run)) Option { return func(r *Relay) { r.observe = observe } }
 
 // New starts a relay that listens on a free port of loopback. It relays connections to the
@@ -144,6 +150,13 @@
 	return r.repeated
 }
 
+// Refused returns how many statements were refused.
+func (r *Relay) Refused() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.refused
+}
+
 // drawCopy draws whether an answer of a kind is repeated, and the delay of its copy.
 func (r *Relay) drawCopy(k Kind) (delay time.Duration, repeat bool) {
 	r.mutex.Lock()
@@ -156,11 +169,22 @@
 	return c.Shortest + time.Duration(r.random.Int64N(int64(c.Longest-c.Shortest)+1)), true
 }
 
+// latency returns how long a request takes to the member.
+func (r *Relay) latency() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.conditions.Latency
+}
+
 // drawRefusal draws whether a statement is refused.
 func (r *Relay) drawRefusal() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.random.Float64() < r.conditions.Refused
+	refuse := r.random.Float64() < r.conditions.Refused
+	if refuse {
+		r.refused++
+	}
+	return refuse
 }
 
 // serve relays one connection until a side closes it.
@@ -196,6 +220,7 @@
 	closeBoth()
 	backward.Stop()
 	_ = backward.Wait() // the functions return no error
+	s.noteUnanswered()
 }
 
 // copyOf is an answer that is sent a second time. It is immutable.
