Begin no transaction on an answer that may be of an earlier BEGIN

The answer to a BEGIN has no signature, and nothing sent behind it tells before the read runs. So a BEGIN whose answer is one that the connection has had before, state and position included, ends the connection, and is sent again on another.

--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -23,24 +23,23 @@
 // String returns the name of the kind.
 func (e Expected) String() string { return [...]string{"Signed", "Opening", "Unsigned", "Status"}[e] }
 
-// mayRefuse reports whether a statement with the kind of answer can be refused with a code.
-// Only what accesses data or opens a transaction can lack a position or a primary, and only
-// what takes a slot of the endpoint can find it busy.
+// mayRefuse reports whether a statement without a signed answer, other than a BEGIN, can be
+// refused with a code. It needs no position, primary or prepared statement, and only a status
+// request takes a slot of the endpoint.
 func (e Expected) mayRefuse(c statement.Code) bool {
 	switch c {
-	case statement.Lagging, statement.ReadOnly:
-		return e == Signed || e == Opening
-	case statement.NoStatement:
-		return e == Signed
+	case statement.Lagging, statement.ReadOnly, statement.NoStatement:
+		return false
 	case statement.Busy:
-		return e != Unsigned
+		return e == Status
 	default:
 		return true
 	}
 }
 
 // Outstanding is a set of statements whose own answers may still come, because those that
-// were taken for them may have been copies. It holds kinds of answers and is immutable.
+// were taken for them may have been copies. It holds the kinds Unsigned and Status and is
+// immutable.
 type Outstanding uint8
 
 // With returns the set with a statement that expects the kind of answer.
@@ -51,12 +50,7 @@
 
 // mayRefuse reports whether a statement of the set can be refused with a code.
 func (o Outstanding) mayRefuse(c statement.Code) bool {
-	for e := Signed; e <= Status; e++ {
-		if o.has(e) && e.mayRefuse(c) {
-			return true
-		}
-	}
-	return false
+	return (o.has(Unsigned) && Unsigned.mayRefuse(c)) || (o.has(Status) && Status.mayRefuse(c))
 }
 
 // Evidence is what the earlier answers on the connection tell about an answer. It is
@@ -103,6 +97,9 @@
 			return Copy
 		}
 		return Unclear
+	case e == Opening && v.Repeats:
+		// If the BEGIN was refused, the next statement would run outside of a transaction.
+		return Unclear
 	default:
 		// Statements that access no data often get equal answers. What was sent before the
 		// next signed answer has been processed by then, in order.
