Have the soak write any bytes and compare them at the members

The soak could not see that data, values and shapes lost bytes: its clients wrote numbers alone. Now each value is written with a text of random pieces, which the seed, the item and the value determine: CR, LF, blanks, TAB, NUL, NBSP, VT, bytes that are no UTF-8, and lines that look like messages. Some sessions set such a value, and some write by a prepared statement with such a shape. A read must give exactly what was written, and each BEGIN, READ, WRITE, EXECUTE and COMMIT that a member runs must have the ID, text, values, shape and arguments that a client has sent.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -19,8 +18,8 @@
 }
 
 // ledger records what one client has written to its two items, which no other client
-// writes: item, and item-b in transactions only. Values are increasing numbers. Reads
-// check only item.
+// writes: item, and item-b in transactions only. Values are increasing numbers, and the data
+// of one is client.data. Reads check only item.
 type ledger struct {
 	item string
 	// highestTried is the highest value that the client has tried to write.
@@ -39,7 +38,9 @@
 // client runs operations on its own items and reports violated guarantees. One
 // goroutine uses it.
 type client struct {
-	run    *runner
+	run *runner
+	// index is the number of the client.
+	index  uint64
 	group  int
 	random *rand.Rand
 	ledger ledger
@@ -51,7 +52,7 @@
 	for ctx.Err() == nil {
 		p := c.run.processes[c.random.IntN(len(c.run.processes))]
 		kind := []string{"primary", "own"}[c.random.IntN(2)]
-		s, err := testbed.Dial(p.callerAddress, fmt.Sprintf("%s-%d", kind, c.group))
+		s, err := c.run.dial(p.callerAddress, fmt.Sprintf("%s-%d", kind, c.group))
 		if err != nil {
 			c.backOff(ctx)
 			continue
@@ -62,10 +63,9 @@
 		if kind == "primary" {
 			minimum = c.ledger.acknowledged
 		}
-		for n := c.random.IntN(40) + 1; n > 0 && ctx.Err() == nil; n-- {
-			if !c.runOperation(s, kind, &minimum) {
-				break
-			}
+		goesOn := s.prepare(c.random)
+		for n := c.random.IntN(40) + 1; goesOn && n > 0 && ctx.Err() == nil; n-- {
+			goesOn = c.runOperation(s, kind, &minimum)
 		}
 		s.Close()
 	}
@@ -73,7 +73,7 @@
 
 // runOperation runs a random operation and reports whether the session goes on. minimum
 // is the lowest value that a read may return.
-func (c *client) runOperation(s *testbed.Client, kind string, minimum *int) bool {
+func (c *client) runOperation(s *session, kind string, minimum *int) bool {
 	switch c.random.IntN(4) {
 	case 0:
 		return c.write(s, minimum)
@@ -85,20 +85,20 @@
 }
 
 // write writes the next value and reports whether the session goes on.
-func (c *client) write(s *testbed.Client, minimum *int) bool {
+func (c *client) write(s *session, minimum *int) bool {
 	c.ledger.highestTried++
 	value := c.ledger.highestTried
-	a, err := s.Do(fmt.Sprintf("WRITE %s %d", c.ledger.item, value))
+	a, err := s.Do(s.writeText(c.ledger.item, c.data(value)))
 	return c.recordWrite(a, err, value, minimum)
 }
 
 // writeTransaction writes the next value to both items in a transaction, and reports
 // whether the session goes on.
-func (c *client) writeTransaction(s *testbed.Client, minimum *int) bool {
+func (c *client) writeTransaction(s *session, minimum *int) bool {
 	c.ledger.highestTried++
 	value := c.ledger.highestTried
 	for _, text := range []string{
-		"BEGIN", fmt.Sprintf("WRITE %s %d", c.ledger.item, value), fmt.Sprintf("WRITE %s-b %d", c.ledger.item, value),
+		"BEGIN", s.writeText(c.ledger.item, c.data(value)), s.writeText(c.ledger.item+"-b", c.data(value)),
 	} {
 		a, err := s.Do(text)
 		if err != nil {
@@ -139,7 +139,7 @@
 }
 
 // read reads the item, checks its value, and reports whether the session goes on.
-func (c *client) read(s *testbed.Client, kind string, minimum *int) bool {
+func (c *client) read(s *session, kind string, minimum *int) bool {
 	if kind == "primary" {
 		*minimum = c.ledger.acknowledged
 	}
@@ -162,9 +162,9 @@
 func (c *client) checkValue(row string, minimum int, kind string) {
 	value := 0
 	if row != "-" {
-		n, err := strconv.Atoi(row)
-		if err != nil {
-			c.run.recordViolation("%s: a read answered %q", c.ledger.item, row)
+		n, err := valueOf(row)
+		if err != nil || row != c.data(n) {
+			c.run.recordViolation("%s: a read answered %q, written was %q", c.ledger.item, row, c.data(n))
 			return
 		}
 		value = n
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -68,6 +67,9 @@
 	Violations []string
 	// Served and Failed count the operations of clients that succeeded or failed.
 	Served, Failed int
+	// Compared counts the statements that members ran and that were compared with what
+	// clients had sent.
+	Compared int
 	// Starts counts the starts of proxies' processes, and Promotions the promotions that
 	// the groups accepted.
 	Starts, Promotions int
@@ -106,6 +108,8 @@
 	standstill atomic.Bool
 	clients    []*client
 	violations violations
+	// statements holds what clients sent, to compare it with what members run.
+	statements statements
 	// faultyParts holds the names of the groups that have a member with a fault, and of other
 	// parts with one. Only the goroutine of runSchedule uses it.
 	faultyParts map[string]bool
@@ -126,7 +130,7 @@
 // Run runs one soak. It fails if the system can't be started or does not serve before
 // any fault; violated guarantees are in the result.
 func Run(ctx context.Context, p Plan) (Result, error) {
-	r := &runner{plan: p, faultyParts: map[string]bool{}, delays: delays{random: rand.New(rand.NewPCG(p.Seed, 0))}}
+	r := &runner{plan: p, faultyParts: map[string]bool{}, delays: delays{random: rand.New(rand.NewPCG(p.Seed, 0))}, statements: statements{sent: map[string]member.Run{}}}
 	if err := r.checkFaults(); err != nil {
 		return Result{}, err
 	}
@@ -145,9 +149,9 @@
 	r.testbed = t
 	for _, g := range t.Groups {
 		g.OnPromotion = func(*member.Member) { r.promotions.Add(1) }
-		g.DelayPromotion, g.LateLead, g.OnOrder = r.delayPromotion, r.delayLead, r.noteOrder
+		g.DelayPromotion, g.LateLead, g.OnOrder, g.OnRun = r.delayPromotion, r.delayLead, r.noteOrder, r.checkRun
 		g.OnLost = func(description string, commits []map[string]string) {
-			r.printf("%s  LOST %s; %v\n", time.Now().Format(logTime), description, commits)
+			r.printf("%s  LOST %s; %q\n", time.Now().Format(logTime), description, commits)
 			r.violations.addLost(commits)
 		}
 	}
@@ -235,7 +239,7 @@
 	g := task.New(clientsContext)
 	for i := range r.plan.Groups * r.plan.ClientsPerGroup {
 		c := &client{
-			run: r, group: i % r.plan.Groups, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
+			run: r, index: uint64(i), group: i % r.plan.Groups, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
 			ledger: ledger{item: fmt.Sprintf("item-%d", i), refused: map[int]bool{}, told: map[int]bool{}},
 		}
 		r.clients = append(r.clients, c)
@@ -280,7 +284,7 @@
 	for _, p := range r.processes {
 		result.Starts += p.starts
 	}
-	result.Promotions = int(r.promotions.Load())
+	result.Promotions, result.Compared = int(r.promotions.Load()), r.statements.compared()
 	result.Violations = r.violations.messages
 	return result
 }
@@ -291,7 +295,7 @@
 	for _, p := range r.processes {
 		for i := range r.plan.Groups {
 			err := testbed.WaitFor(ctx, recoveryLimit, func() bool {
-				s, err := testbed.Dial(p.callerAddress, fmt.Sprintf("primary-%d", i))
+				s, err := r.dial(p.callerAddress, fmt.Sprintf("primary-%d", i))
 				if err != nil {
 					return false
 				}
@@ -312,7 +316,7 @@
 func (r *runner) verifyLostWrites(c *client) {
 	for _, writes := range r.violations.lost() {
 		value, written := writes[c.ledger.item]
-		if n, err := strconv.Atoi(value); written && err == nil && c.ledger.told[n] {
+		if n, err := valueOf(value); written && err == nil && c.ledger.told[n] {
 			r.recordViolation("%s: the value %d was acknowledged to the client and is lost", c.ledger.item, n)
 		}
 	}
@@ -321,7 +325,7 @@
 // verifyLastWrite reads a client's item through the first proxy and checks its value
 // against the client's ledger.
 func (r *runner) verifyLastWrite(c *client) {
-	s, err := testbed.Dial(r.processes[0].callerAddress, fmt.Sprintf("primary-%d", c.group))
+	s, err := r.dial(r.processes[0].callerAddress, fmt.Sprintf("primary-%d", c.group))
 	if err != nil {
 		r.recordViolation("%s: the last read failed: %v", c.ledger.item, err)
 		return
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -21,6 +21,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, len(result.Violations), 0, "seed %d: %v", seed, result.Violations)
 		assert.Assert(t, result.Served > 500, "seed %d: %+v", seed, result)
+		assert.Assert(t, result.Compared > 500, "seed %d: %+v", seed, result)
 	}
 }
 
@@ -38,6 +39,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, len(result.Violations), 0, "seed %d: %v", seed, result.Violations)
 		assert.Assert(t, result.Served > 500, "seed %d: %+v", seed, result)
+		assert.Assert(t, result.Compared > 500, "seed %d: %+v", seed, result)
 		assert.Assert(t, result.Promotions > 0, "seed %d: %+v", seed, result)
 	}
 }
