Use no connection to a member after a second answer on it

A member that answers twice gave a caller the rows of another one, and a change of primary the progress of an earlier command, for as long as the connection lived. No caller has reported a case.

Cause: what had arrived since the last answer was read as the answer to the next request, DISCARD ALL included, and an answer without rows or an error passed for a position that the member does not tell.

Change: before a request, a position query or a reset is sent, and before a pool lends a connection, one that has unread bytes is closed and nothing is sent; the owner then sends the request on another connection. So is a control connection. A reset ends with its own completions, and a position query with a position or an error, or else the connection is closed. A member that has closed an idle connection is noticed before the request is sent, too.

Not covered: a second answer that arrives after the next statement of an open transaction was sent is still taken for that one's. The statement after it finds the unread answer and ends the transaction.

--- a/internal/peer/endpoint/connection.go
+++ b/internal/peer/endpoint/connection.go
@@ -9,12 +9,15 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/socket"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/request"
 	"eelgrassladder.example/eelgrassladder/internal/peer/wire"
@@ -66,6 +69,8 @@
 // not be used by two goroutines at once.
 type Connection struct {
 	stream net.Conn
+	// raw is the socket of stream.
+	raw    syscall.RawConn
 	reader *wire.Reader
 	// process and secret identify the connection in a cancel request.
 	process uint32
@@ -94,8 +99,14 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	raw, err := rawSocket(hijacked.Conn)
+	if err != nil || hijacked.Frontend.ReadBufferLen() > 0 {
+		_ = hijacked.Conn.Close()
+		return nil, errors.Errorf("open connection: error %v, %d unread bytes", err, hijacked.Frontend.ReadBufferLen())
+	}
 	return &Connection{
 		stream:   hijacked.Conn,
+		raw:      raw,
 		reader:   wire.NewReader(hijacked.Conn, MaxAnswerBytes),
 		process:  hijacked.PID,
 		secret:   hijacked.SecretKey,
@@ -104,6 +115,20 @@
 	}, nil
 }
 
+// rawSocket returns the socket of a TCP connection.
+func rawSocket(c net.Conn) (syscall.RawConn, error) {
+	stream, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("a connection of type %T has no socket", c)
+	}
+	raw, err := stream.SyscallConn()
+	return raw, errors.WithStack(err)
+}
+
+// errUnasked is returned for a connection on which bytes have arrived that belong to no
+// request, or that the member has closed.
+var errUnasked = errors.New("the member has sent what belongs to no request, or closed the connection")
+
 // connectionConfig returns the configuration of pgconn for a member. The address is
 // an IP address and a port.
 func connectionConfig(address, database string, c Credentials) (*pgconn.Config, error) {
@@ -130,9 +155,14 @@
 }
 
 // Exchange sends a request and reads its whole answer. If withPosition is true, it
-// also asks for the position, in the same write. After an error the connection is
-// broken, and sent tells whether the member may have received the request.
+// also asks for the position, in the same write. It sends nothing if bytes have arrived
+// since the last answer: they may be a second one, which would be taken for that of the
+// request. After an error the connection is broken, and sent tells whether the member may
+// have received the request.
 func (c *Connection) Exchange(ctx context.Context, r request.Request, withPosition bool) (result Result, sent bool, err error) {
+	if err := c.checkQuiet(); err != nil {
+		return Result{}, false, err
+	}
 	stop := c.watchCancel(ctx)
 	defer stop()
 	outgoing, expected := c.compose(r)
@@ -158,6 +188,9 @@
 
 // Position asks the member for its position after a transaction has ended.
 func (c *Connection) Position(ctx context.Context) (position.Position, error) {
+	if err := c.checkQuiet(); err != nil {
+		return position.Position{}, err
+	}
 	stop := c.watchCancel(ctx)
 	defer stop()
 	if _, err := c.stream.Write(appendQuery(nil, positionQuery)); err != nil {
@@ -173,26 +206,30 @@
 
 // Reset rolls back an open transaction and discards the session state of the
 // connection, so that nothing of one caller is visible to the next. After an error
-// the connection is broken.
+// the connection is broken, as it is after an answer that is not that of the reset.
 func (c *Connection) Reset(ctx context.Context) error {
+	if err := c.checkQuiet(); err != nil {
+		return err
+	}
 	stop := c.watchCancel(ctx)
 	defer stop()
-	var outgoing []byte
-	answers := 1
+	commands := []string{"DISCARD ALL"}
 	if c.status != request.Idle {
-		outgoing = appendQuery(outgoing, "ROLLBACK")
-		answers++
+		commands = []string{"ROLLBACK", "DISCARD ALL"}
+	}
+	var outgoing []byte
+	for _, command := range commands {
+		outgoing = appendQuery(outgoing, command)
 	}
-	outgoing = appendQuery(outgoing, "DISCARD ALL")
 	if _, err := c.stream.Write(outgoing); err != nil {
 		c.broken = true
 		return errors.WithStack(err)
 	}
-	for range answers {
+	for _, command := range commands {
 		result, err := c.readAnswer(nil)
-		if err != nil || result.Code != "" || result.Status != request.Idle {
+		if err != nil || result.Code != "" || result.Status != request.Idle || !completes(result.Payload, command) {
 			c.broken = true
-			return errors.Errorf("reset connection: error %v, SQLSTATE %q", err, result.Code)
+			return errors.Errorf("reset connection: error %v, SQLSTATE %q, or not the answer to %s", err, result.Code, command)
 		}
 	}
 	c.status = request.Idle
@@ -200,6 +237,19 @@
 	return nil
 }
 
+// checkQuiet returns an error if bytes have arrived since the last answer, or if the member
+// has closed the connection, which is then broken. A notice that the member sends by itself
+// ends a connection too.
+func (c *Connection) checkQuiet() error {
+	unread := c.reader.Buffered()
+	if unread == 0 && !socket.Readable(c.raw) {
+		return nil
+	}
+	c.broken = true
+	klog.V(1).InfoS("Connection closed between requests", "From", c.stream.LocalAddr().String(), "To", c.stream.RemoteAddr().String(), "Unread", unread)
+	return errors.WithStack(errUnasked)
+}
+
 // Broken reports whether the connection can't be reused.
 func (c *Connection) Broken() bool { return c.broken }
 
--- a/internal/peer/endpoint/control.go
+++ b/internal/peer/endpoint/control.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/socket"
 	"eelgrassladder.example/eelgrassladder/internal/model/group"
 )
 
@@ -112,10 +113,15 @@
 }
 
 // open opens the connection unless there is one that works, and prepares the query
-// for the progress.
+// for the progress. A connection on which something has arrived since the last answer is
+// closed: a second one would be taken for that of the next call.
 func (c *ControlConnection) open(ctx context.Context) error {
 	if c.connection != nil && !c.connection.IsClosed() {
-		return nil
+		raw, err := rawSocket(c.connection.Conn())
+		if err == nil && c.connection.Frontend().ReadBufferLen() == 0 && !socket.Readable(raw) {
+			return nil
+		}
+		c.Close()
 	}
 	config, err := connectionConfig(c.address, c.database, c.credentials)
 	if err != nil {
--- a/internal/peer/endpoint/exchange.go
+++ b/internal/peer/endpoint/exchange.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// completes reports whether an answer without rows ends with the completion of a command.
+func completes(payload []byte, command string) bool {
+	completed := ""
+	for kind, message := range wire.Messages(payload) {
+		switch kind {
+		case 'D': // DataRow
+			return false
+		case 'C': // CommandComplete
+			completed, _, _ = wire.CutString(wire.Body(message))
+		}
+	}
+	return completed == command
+}
+
 // isCommit reports whether a CommandComplete message ends a COMMIT.
 func isCommit(message []byte) bool {
 	tag, _, ok := wire.CutString(wire.Body(message))
@@ -140,7 +154,7 @@
 
 // readPosition reads the answer to the position query. It returns the zero position
 // if the member refused the query, as it does inside a failed transaction and in
-// another term.
+// another term. An answer that is neither is that of another request.
 func (c *Connection) readPosition() (position.Position, error) {
 	result, err := c.readAnswer(nil)
 	if err != nil {
@@ -164,6 +178,9 @@
 		}
 		return position.Position{Term: term, Log: logIndex}, nil
 	}
+	if result.Code == "" {
+		return position.Position{}, errors.New("the answer to the position query has no position")
+	}
 	return position.Position{}, nil
 }
 
--- a/internal/peer/endpoint/pool.go
+++ b/internal/peer/endpoint/pool.go
@@ -88,10 +88,8 @@
 	if p.closed {
 		return nil, false, nil, ErrClosed
 	}
-	if n := len(p.idle); n > 0 {
-		c = p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		if n == 1 {
+	if c = p.takeIdle(); c != nil {
+		if len(p.idle) == 0 {
 			p.openSpare()
 		}
 		return c, false, nil, nil
@@ -103,6 +101,21 @@
 	return nil, false, p.freed, nil
 }
 
+// takeIdle removes an idle connection and returns it; nil if there is none. It closes those on
+// which something has arrived while they were idle. The caller holds the mutex.
+func (p *Pool) takeIdle() *Connection {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		if c.checkQuiet() == nil {
+			return c
+		}
+		c.Close()
+		p.open--
+	}
+	return nil
+}
+
 // dial opens a connection that is already counted.
 func (p *Pool) dial(ctx context.Context) (*Connection, error) {
 	c, err := Connect(ctx, p.member.Address, p.database, p.credentials, p.term)
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -61,6 +61,9 @@
 	return kind, buffer, nil
 }
 
+// Buffered returns how many bytes have been read from the source and not returned yet.
+func (r *Reader) Buffered() int { return r.source.Buffered() }
+
 // Body returns a whole message without its header.
 func Body(message []byte) []byte { return message[headerBytes:] }
 
