Keep the connection of a status request that is refused again

A busy endpoint refuses one status request after the other, with equal errors. Each ended its connection as an unclear answer, and the next one opened a connection, which takes a slot of the busy endpoint. Whose refusal it is does not matter to a status request; its own answer then counts as outstanding, so that no later statement takes it.

--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -88,7 +88,8 @@
 	case r.Signature != "":
 		return judgeSigned(e, v)
 	case r.Code != statement.OK:
-		if v.Repeats || v.Outstanding.mayRefuse(r.Code) {
+		// Whichever status request was refused, another one follows.
+		if e != Status && (v.Repeats || v.Outstanding.mayRefuse(r.Code)) {
 			return Unclear
 		}
 		return Own
@@ -129,7 +130,7 @@
 	switch {
 	case r.Signature != "":
 		return 0
-	case v.Repeats:
+	case v.Repeats, r.Code != statement.OK && v.Outstanding.mayRefuse(r.Code):
 		return v.Outstanding.With(e)
 	default:
 		return v.Outstanding
--- a/internal/policy/correlation/correlation_test.go
+++ b/internal/policy/correlation/correlation_test.go
@@ -39,6 +39,8 @@
 		{"a BEGIN", correlation.Opening, done, correlation.Evidence{Outstanding: afterSet}, correlation.Own},
 		{"a BEGIN as before", correlation.Opening, done, correlation.Evidence{Repeats: true}, correlation.Unclear},
 		{"a status", correlation.Status, status, correlation.Evidence{}, correlation.Own},
+		{"a refused status", correlation.Status, busy, correlation.Evidence{}, correlation.Own},
+		{"a refused status, as before", correlation.Status, busy, correlation.Evidence{Repeats: true}, correlation.Own},
 		{"no row for a status, as before", correlation.Status, done, correlation.Evidence{Repeats: true}, correlation.Copy},
 		{"a status for a SET", correlation.Unsigned, status, correlation.Evidence{}, correlation.Unclear},
 		{"a status for a read, as before", correlation.Signed, status, correlation.Evidence{Repeats: true}, correlation.Copy},
@@ -55,10 +57,13 @@
 
 func TestOnlyASignedAnswerShowsThatNoneIsOutstanding(t *testing.T) {
 	done, signed := statement.Reply{}, statement.Reply{Signature: "s"}
+	busy, malformed := statement.ErrorReply(statement.Busy, ""), statement.ErrorReply(statement.Malformed, "")
 	var none correlation.Outstanding
 	afterSet := none.With(correlation.Unsigned)
 	assert.Equal(t, correlation.Evidence{}.After(correlation.Unsigned, done), none)
 	assert.Equal(t, correlation.Evidence{Repeats: true}.After(correlation.Unsigned, done), afterSet)
+	assert.Equal(t, correlation.Evidence{Repeats: true}.After(correlation.Status, busy), none.With(correlation.Status))
+	assert.Equal(t, correlation.Evidence{Outstanding: afterSet}.After(correlation.Status, malformed), afterSet.With(correlation.Status))
 	assert.Equal(t, correlation.Evidence{Outstanding: afterSet}.After(correlation.Opening, done), afterSet)
 	assert.Equal(t, correlation.Evidence{Outstanding: afterSet}.After(correlation.Signed, signed), none)
 }
