Take the refusal of a ROLLBACK not for that of the statement behind it

A read could get the rows of the one before it on its connection (MIXED). A member that has lost the lead refuses any statement of a plain transaction as READONLY. If the copy of an earlier answer was taken for that to a ROLLBACK, its refusal came while the next statement waited, and was taken for that one's, because statements that access no data counted as never refused that way. The statement was tried again, and the connection went back to the pool with its answer still to come.

READONLY now belongs to no statement for sure while the answer to a statement without a signature may be outstanding. The price, not measured: after equal answers to two SETs in a row, a write that a former primary refuses is in doubt.

TestTheRefusalOfARollbackIsNotGivenToTheNextRead failed before: no error.

--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -24,12 +24,15 @@
 func (e Expected) String() string { return [...]string{"Signed", "Opening", "Unsigned", "Status"}[e] }
 
 // mayRefuse reports whether a statement without a signed answer, other than a BEGIN, can be
-// refused with a code. It needs no position, primary or prepared statement, and only a status
-// request takes a slot of the endpoint.
+// refused with a code. It needs no position or prepared statement, and only a status request
+// takes a slot of the endpoint. A member that has lost the lead refuses any statement of a
+// transaction as ReadOnly.
 func (e Expected) mayRefuse(c statement.Code) bool {
 	switch c {
-	case statement.Lagging, statement.ReadOnly, statement.NoStatement:
+	case statement.Lagging, statement.NoStatement:
 		return false
+	case statement.ReadOnly:
+		return e == Unsigned
 	case statement.Busy:
 		return e == Status
 	default:
