Confirm a doubtful status on a new connection

Change: the request or command is sent again on a new connection, which takes the place of the doubtful one within the proxy's share. No answer there is older than it. A command that is sent again does the same again. What only shows that an endpoint answers, or is asked again anyway (whether a promoted member leads by now, whether replicas still lack the new term), is not confirmed: a copy cannot show a later term than there was.

Price: a new connection, which takes a slot of the endpoint for a moment, for each doubtful status. A status is doubtful if an earlier one on the connection was the same, so mostly in groups without writes.

--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -46,9 +46,11 @@
 // Connection is a control connection. Call Release after use.
 type Connection struct {
 	eelgrassladder.Connection
-	table *scheduler.Table
-	// endpoint is the ID of the endpoint.
-	endpoint string
+	dialer   *Dialer
+	endpoint topology.Endpoint
+	// notConnected is what an attempt to replace the connection has shown of the endpoint.
+	// It is valid if Connection is nil.
+	notConnected scheduler.Outcome
 	// borrowed is true if the connection counts towards this proxy's share of the
 	// endpoint's connections, and was borrowed from the table.
 	borrowed bool
@@ -73,8 +75,20 @@
 	return d.open(ctx, e, c, borrowed)
 }
 
-// Status asks an endpoint for its status on a connection from DialUrgent. The timeout is
-// that of the request; opening the connection has its own.
+// Probe asks an endpoint for its status on a connection from DialUrgent, to see that it
+// answers. The timeout is that of the request; opening the connection has its own.
+func (d *Dialer) Probe(ctx context.Context, e topology.Endpoint, timeout time.Duration) (statement.Reply, error) {
+	conn, err := d.DialUrgent(ctx, e)
+	if err != nil {
+		return statement.Reply{}, err
+	}
+	_, reply, err := conn.LastStatus(d.timer.Now().Add(timeout))
+	conn.Release(err, reply.Position)
+	return reply, err
+}
+
+// Status asks an endpoint for its status on a connection from DialUrgent. The status is not
+// older than the call. The timeout is that of the request; opening the connection has its own.
 func (d *Dialer) Status(ctx context.Context, e topology.Endpoint, timeout time.Duration) (topology.Status, statement.Reply, error) {
 	conn, err := d.DialUrgent(ctx, e)
 	if err != nil {
@@ -88,23 +102,42 @@
 // open returns c as a control connection. If c is nil, it opens a connection; it tells
 // the table if that fails.
 func (d *Dialer) open(ctx context.Context, e topology.Endpoint, c eelgrassladder.Connection, borrowed bool) (*Connection, error) {
-	wrapped := &Connection{Connection: c, table: d.table, endpoint: e.ID, borrowed: borrowed}
+	wrapped := &Connection{Connection: c, dialer: d, endpoint: e, borrowed: borrowed}
 	if c != nil {
 		return wrapped, nil
 	}
+	if err := wrapped.connect(ctx); err != nil {
+		wrapped.discard(wrapped.notConnected)
+		return nil, err
+	}
+	return wrapped, nil
+}
+
+// connect opens a connection. If that fails, it sets notConnected.
+func (c *Connection) connect(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, reply, err := d.connector.Connect(ctx, e)
-	if err != nil {
-		wrapped.discard(NotConnected(reply, err))
-		return nil, err
+	conn, reply, err := c.dialer.connector.Connect(ctx, c.endpoint)
+	if err == nil && conn == nil {
+		err = errors.Errorf("endpoint %s refused the connection: %v %s", c.endpoint.ID, reply.Code, reply.Detail)
+		c.notConnected = NotConnected(reply, nil)
+		return err
 	}
-	if conn == nil {
-		wrapped.discard(NotConnected(reply, nil))
-		return nil, errors.Errorf("endpoint %s refused the connection: %v %s", e.ID, reply.Code, reply.Detail)
+	if err != nil {
+		c.notConnected = NotConnected(reply, err)
+		return err
 	}
-	wrapped.Connection = conn
-	return wrapped, nil
+	c.Connection = conn
+	return nil
+}
+
+// replace closes the connection and opens another one in its place.
+func (c *Connection) replace(deadline time.Time) error {
+	c.Close()
+	c.Connection = nil
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(c.dialer.timer.Now()))
+	defer cancel()
+	return c.connect(ctx)
 }
 
 // borrow borrows a connection from the table. It waits briefly if all are in use, but not
@@ -125,37 +158,42 @@
 
 // Status asks the endpoint for its status. The status is not older than the call.
 func (c *Connection) Status(deadline time.Time) (topology.Status, statement.Reply, error) {
-	s, reply, err := c.Connection.Status(deadline)
-	return c.confirm(deadline, s, reply, err)
+	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Status(deadline) })
+}
+
+// LastStatus asks the endpoint for its status. The status may be older than the call, but not
+// than the connection: an endpoint may answer an earlier request a second time.
+func (c *Connection) LastStatus(deadline time.Time) (topology.Status, statement.Reply, error) {
+	return c.Connection.Status(deadline)
 }
 
 // Suspend suspends a replica, as that of eelgrassladder.Connection. The status is not older
 // than the suspension.
 func (c *Connection) Suspend(deadline time.Time, term uint64) (topology.Status, statement.Reply, error) {
-	s, reply, err := c.Connection.Suspend(deadline, term)
-	return c.confirm(deadline, s, reply, err)
+	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Suspend(deadline, term) })
 }
 
 // Resume ends a suspension. The status is not older than that.
 func (c *Connection) Resume(deadline time.Time) (topology.Status, statement.Reply, error) {
-	s, reply, err := c.Connection.Resume(deadline)
-	return c.confirm(deadline, s, reply, err)
+	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Resume(deadline) })
 }
 
 // Demote makes a primary of a lower term a replica. The status is not older than that.
 func (c *Connection) Demote(deadline time.Time, term uint64) (topology.Status, statement.Reply, error) {
-	s, reply, err := c.Connection.Demote(deadline, term)
-	return c.confirm(deadline, s, reply, err)
+	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Demote(deadline, term) })
 }
 
-// confirm returns the answer to a status request or command, or, if it is doubtful, the
-// answer to another status request. The endpoint answers in order, so that one is older than
-// the first request only if two answers that belong to earlier ones come in a row.
-func (c *Connection) confirm(deadline time.Time, s topology.Status, r statement.Reply, err error) (topology.Status, statement.Reply, error) {
-	if err != nil || r.Code != statement.OK || !r.Doubtful {
-		return s, r, err
+// confirm sends a status request or command. If the answer is doubtful, it sends it again on a
+// new connection, which takes the place of the other one: no answer there is older.
+func (c *Connection) confirm(deadline time.Time, send func() (topology.Status, statement.Reply, error)) (topology.Status, statement.Reply, error) {
+	s, reply, err := send()
+	if err != nil || reply.Code != statement.OK || !reply.Doubtful {
+		return s, reply, err
 	}
-	return c.Connection.Status(deadline)
+	if err := c.replace(deadline); err != nil {
+		return topology.Status{}, statement.Reply{}, err
+	}
+	return send()
 }
 
 // Release returns the connection to the table after a use that ended with err. It closes
@@ -165,13 +203,15 @@
 func (c *Connection) Release(err error, applied position.Position) {
 	o := scheduler.Outcome{Answered: true, Applied: applied}
 	switch {
+	case c.Connection == nil:
+		c.discard(c.notConnected)
 	case err != nil:
 		c.discard(Failure(err))
 	case c.borrowed:
-		c.table.Return(c.endpoint, c.Connection, o)
+		c.dialer.table.Return(c.endpoint.ID, c.Connection, o)
 	default:
 		c.Close()
-		c.table.Observe(c.endpoint, o)
+		c.dialer.table.Observe(c.endpoint.ID, o)
 	}
 }
 
@@ -179,13 +219,13 @@
 // shown of the endpoint.
 func (c *Connection) discard(o scheduler.Outcome) {
 	if c.borrowed {
-		c.table.Discard(c.endpoint, c.Connection, o)
+		c.dialer.table.Discard(c.endpoint.ID, c.Connection, o)
 		return
 	}
 	if c.Connection != nil {
 		c.Close()
 	}
-	c.table.Observe(c.endpoint, o)
+	c.dialer.table.Observe(c.endpoint.ID, o)
 }
 
 // Refused reports whether an error says that a connection was refused, which proves that
--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -261,9 +261,10 @@
 	ct := c.controller
 	deadline := ct.clock.SinceBoot() + newTermTimeout
 	for !c.oldDown && ctx.Err() == nil {
-		behind := slices.DeleteFunc(c.statuses(ctx, others), func(a answer) bool {
-			return a.err != nil || a.status.Primary || max(a.status.Term, a.status.SuspendedTerm) >= term
-		})
+		behind := behindTerm(c.lastStatuses(ctx, others), term)
+		if len(behind) == 0 {
+			behind = behindTerm(c.statuses(ctx, others), term)
+		}
 		if len(behind) == 0 {
 			break
 		}
@@ -277,6 +278,13 @@
 	return ct.clock.SinceBoot()
 }
 
+// behindTerm returns the answers of replicas that have not heard of the term.
+func behindTerm(answers []answer, term uint64) []answer {
+	return slices.DeleteFunc(answers, func(a answer) bool {
+		return a.err != nil || a.status.Primary || max(a.status.Term, a.status.SuspendedTerm) >= term
+	})
+}
+
 // awaitProofExpiry waits until the last proof that a proxy can have of the old
 // primary has expired: for leader.ProofLifetime after stoppedAt, the boot time from
 // which no new proof is possible. It does not wait if the old primary's process is
--- a/internal/host/failover/command.go
+++ b/internal/host/failover/command.go
@@ -77,6 +77,13 @@
 	})
 }
 
+// lastStatuses asks all endpoints for their status, and accepts one that is older than the call.
+func (c *change) lastStatuses(ctx context.Context, endpoints []topology.Endpoint) []answer {
+	return c.sendAll(ctx, endpoints, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+		return conn.LastStatus(c.controller.timer.Now().Add(commandTimeout))
+	})
+}
+
 // errNotAsked is the error in the answer of a member to which no command was sent.
 var errNotAsked = errors.New("not asked")
 
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -298,7 +298,7 @@
 	if !ok {
 		return
 	}
-	_, _, err := ct.dialer.Status(ctx, primary, probeTimeout)
+	_, err := ct.dialer.Probe(ctx, primary, probeTimeout)
 	if err != nil {
 		klog.InfoS("Primary did not answer", "Group", group, "Endpoint", primary.ID, "Reason", err.Error())
 		ct.mutex.Lock()
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -174,13 +174,13 @@
 
 // awaitPrimary polls a promoted member until it leads a later term than the old
 // primary. It gives up after promotionTimeout, or earlier if the member does not answer
-// and is no longer listed.
+// and is no longer listed. What a member answered before it was promoted shows no later term.
 func (c *change) awaitPrimary(ctx context.Context, promoted topology.Endpoint) (answer, error) {
 	ct := c.controller
 	deadline := ct.clock.SinceBoot() + promotionTimeout
 	for ct.clock.SinceBoot() < deadline && ctx.Err() == nil {
 		timer.Pause(ctx, ct.timer, pollInterval)
-		a := c.statuses(ctx, []topology.Endpoint{promoted})[0]
+		a := c.lastStatuses(ctx, []topology.Endpoint{promoted})[0]
 		if a.leadsAfter(c.record.Term) {
 			return a, nil
 		}
