--- a/internal/lab/stutter/stutter.go
+++ b/internal/lab/stutter/stutter.go
@@ -54,9 +54,8 @@
 	// Shortest and Longest bound the time from an answer to its copy. A copy without a
 	// delay is sent in the same write.
 	Shortest, Longest time.Duration
-	// Refused is the share of reads, writes and begins outside of transactions that are
-	// refused in the member's place, from 0 to 1. The code is BUSY, or LAGGING for a begin,
-	// which is only refused if it requires a position.
+	// Refused is the share of reads and writes outside of transactions that are refused with
+	// BUSY in the member's place, from 0 to 1.
 	Refused float64
 	// Latency is how long each request takes to the member. Copies arrive meanwhile.
 	Latency time.Duration
