--- a/internal/lab/soak/stutter.go
+++ b/internal/lab/soak/stutter.go
@@ -75,6 +75,7 @@
 	}
 	c := stutter.Conditions{
 		Share: 0.05 + 0.95*random.Float64(), Kinds: kinds, Shortest: bounds[0], Longest: bounds[1], Refused: 0.2 * float64(random.IntN(2)),
+		CurrentReady: index%2 == 0,
 	}
 	id := ""
 	return r.alone(fmt.Sprint("answers of ", g.Name, index), fault{
--- a/internal/lab/stutter/session.go
+++ b/internal/lab/stutter/session.go
@@ -13,8 +13,8 @@
 // answer is one whole answer of the member. It is immutable.
 type answer struct {
 	kind Kind
-	// text is the answer with all line ends.
-	text string
+	// text is the answer with all line ends, and ready its last message.
+	text, ready string
 	// code, state and position are from its ERROR and READY; rows are its rows.
 	code, state, position string
 	rows                  []string
@@ -86,11 +86,17 @@
 		if a.kind == "" {
 			a.kind = Greeting
 		}
+		a.ready = message + lineEnd
 		a.state, a.position, _ = strings.Cut(rest, " ")
 	}
 	return a
 }
 
+// withReady returns the text of the answer with the READY of another one.
+func (a answer) withReady(other answer) string {
+	return strings.TrimSuffix(a.text, a.ready) + other.ready
+}
+
 // hand hands an answer on. It returns false if the connection ends.
 func (s *session) hand(ctx context.Context, answers chan<- answer, a answer) bool {
 	select {
@@ -173,7 +179,7 @@
 	accessesData := kind == "READ" || kind == "WRITE" || kind == "EXECUTE"
 	if accessesData && s.state == "I" && len(s.waiting) == 0 && s.relay.drawRefusal() {
 		lines := []string{"ERROR BUSY refused", "READY I " + s.position, ""}
-		return answer{kind: Error, text: strings.Join(lines, lineEnd)}, true
+		return answer{kind: Error, text: strings.Join(lines, lineEnd), ready: lines[1] + lineEnd}, true
 	}
 	name, argument, _ := strings.Cut(arguments, " ")
 	r := request{id: id, text: text}
--- a/internal/lab/stutter/stutter.go
+++ b/internal/lab/stutter/stutter.go
@@ -54,6 +54,8 @@
 	// Shortest and Longest bound the time from an answer to its copy. A copy without a
 	// delay is sent in the same write.
 	Shortest, Longest time.Duration
+	// CurrentReady ends a copy with the READY of the last answer before it instead of its own.
+	CurrentReady bool
 	// Refused is the share of reads and writes outside of transactions that are refused with
 	// BUSY in the member's place, from 0 to 1.
 	Refused float64
@@ -168,6 +170,13 @@
 	return c.Shortest + time.Duration(r.random.Int64N(int64(c.Longest-c.Shortest)+1)), true
 }
 
+// currentReady reports whether copies end with the READY of the last answer.
+func (r *Relay) currentReady() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.conditions.CurrentReady
+}
+
 // latency returns how long a request takes to the member.
 func (r *Relay) latency() time.Duration {
 	r.mutex.Lock()
@@ -224,13 +233,14 @@
 
 // copyOf is an answer that is sent a second time. It is immutable.
 type copyOf struct {
-	due  time.Time
-	text string
+	due    time.Time
+	answer answer
 }
 
 // writeAnswers writes answers, and copies of some of them when they are due.
 func (r *Relay) writeAnswers(ctx context.Context, client net.Conn, answers <-chan answer) {
 	var copies []copyOf // in the order in which they are due
+	var last answer
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -244,13 +254,17 @@
 		case <-ctx.Done():
 			return
 		case <-due:
-			text, copies = copies[0].text, copies[1:]
+			text = copies[0].answer.text
+			if r.currentReady() {
+				text = copies[0].answer.withReady(last)
+			}
+			copies = copies[1:]
 		case a := <-answers:
-			text = a.text
+			last, text = a, a.text
 			if delay, repeat := r.drawCopy(a.kind); repeat && delay == 0 {
 				text += a.text
 			} else if repeat {
-				c := copyOf{due: time.Now().Add(delay), text: a.text}
+				c := copyOf{due: time.Now().Add(delay), answer: a}
 				i, _ := slices.BinarySearchFunc(copies, c, func(a, b copyOf) int { return a.due.Compare(b.due) })
 				copies = slices.Insert(copies, i, c)
 			}
--- a/internal/lab/stutter/stutter_test.go
+++ b/internal/lab/stutter/stutter_test.go
@@ -19,11 +19,12 @@
 // The answers of the fake member, one of each kind. The first row contains line ends that end
 // no message.
 const (
-	greeting = "READY I 1.1\r\n"
-	signed   = "ROW a\nREADY I 1.1\rb\r\nROW \r\r\nCOMPLETE sig-1\r\nREADY I 1.2\r\n"
-	unsigned = "COMPLETE -\r\nREADY I 1.2\r\n"
-	status   = "ROW primary 1 1.2 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.2\r\n"
-	refusal  = "ERROR BUSY later\r\nREADY I 1.2\r\n"
+	greeting      = "READY I 1.1\r\n"
+	signed        = "ROW a\nREADY I 1.1\rb\r\nROW \r\r\nCOMPLETE sig-1\r\nREADY I 1.2\r\n"
+	inTransaction = "COMPLETE -\r\nREADY T 1.2\r\n"
+	unsigned      = "COMPLETE -\r\nREADY I 1.2\r\n"
+	status        = "ROW primary 1 1.2 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.2\r\n"
+	refusal       = "ERROR BUSY later\r\nREADY I 1.2\r\n"
 )
 
 // startRelay returns a connection through a relay to a member that sends the greeting, and
@@ -106,6 +107,15 @@
 	assert.Equal(t, relay.Repeated(), 1)
 }
 
+func TestACopyMayEndWithTheCurrentReady(t *testing.T) {
+	t.Parallel()
+	conn, _ := startRelay(t, stutter.Conditions{
+		Share: 1, Kinds: []stutter.Kind{stutter.Greeting, stutter.Signed}, Shortest: 200 * time.Millisecond, Longest: 200 * time.Millisecond, CurrentReady: true,
+	}, []string{signed, inTransaction})
+	wanted := greeting + signed + inTransaction + "READY T 1.2\r\n" + strings.Replace(signed, "READY I 1.2", "READY T 1.2", 1)
+	assert.Equal(t, exchange(t, conn, wanted, "CONNECT group proxy", "QUERY 1 READ a", "QUERY 2 BEGIN"), wanted)
+}
+
 func TestStatementsAreReportedWithTheValuesInForce(t *testing.T) {
 	t.Parallel()
 	var mutex sync.Mutex
