--- a/internal/lab/stutter/session.go
+++ b/internal/lab/stutter/session.go
@@ -176,8 +176,8 @@
 		_, text, _ = strings.Cut(positioned, " ")
 	}
 	kind, arguments, _ := strings.Cut(text, " ")
-	accessesData := kind == "READ" || kind == "WRITE" || kind == "EXECUTE"
-	if accessesData && s.state == "I" && len(s.waiting) == 0 && s.relay.drawRefusal() {
+	refusable := kind == "READ" || kind == "WRITE" || kind == "EXECUTE" || kind == "BEGIN"
+	if refusable && s.state == "I" && len(s.waiting) == 0 && s.relay.drawRefusal() {
 		lines := []string{"ERROR BUSY refused", "READY I " + s.position, ""}
 		return answer{kind: Error, text: strings.Join(lines, lineEnd), ready: lines[1] + lineEnd}, true
 	}
--- a/internal/lab/stutter/stutter.go
+++ b/internal/lab/stutter/stutter.go
@@ -56,8 +56,8 @@
 	Shortest, Longest time.Duration
 	// CurrentReady ends a copy with the READY of the last answer before it instead of its own.
 	CurrentReady bool
-	// Refused is the share of reads and writes outside of transactions that are refused with
-	// BUSY in the member's place, from 0 to 1.
+	// Refused is the share of reads, writes and begins outside of transactions that are refused
+	// with BUSY in the member's place, from 0 to 1.
 	Refused float64
 	// Latency is how long each request takes to the member. Copies arrive meanwhile.
 	Latency time.Duration
