Keep a connection for further BEGIN READs without a position

The rule that ends a connection after an answer to BEGIN that equals an earlier one guards against a BEGIN that was refused. A BEGIN READ that requires no position can't be refused: READONLY is for writes and a plain BEGIN, LAGGING needs a position, and a BEGIN takes no slot. Its answer now counts like that to a SET.

Plain BEGINs and those that require a position still cost a connection each at an unchanged position.

--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -12,9 +12,10 @@
 const (
 	// Signed is the answer to a read, a write or a commit. Its signature is unique.
 	Signed Expected = iota
-	// Opening is the answer to a BEGIN, which has no signature.
+	// Opening is the answer to a BEGIN that can be refused. It has no signature.
 	Opening
-	// Unsigned is the answer to another statement that accesses no data, such as a SET.
+	// Unsigned is the answer to another statement that accesses no data, such as a SET, or a
+	// BEGIN READ that requires no position, which no endpoint refuses.
 	Unsigned
 	// Status is the answer to a status request or command: one row without a signature.
 	Status
