Take a connection that was not used for no sign of its endpoint

TestAConnectionOnWhichNothingWasSentShowsNothing checks the table; it does not compile without the new outcome.

--- a/connection.go
+++ b/connection.go
@@ -57,6 +57,10 @@
 // with it must not be used, except as a hint on the endpoint's load.
 const ErrUnclearAnswer = constantError("the endpoint sent an answer that may belong to another statement")
 
+// ErrUnfit is returned when a write should be given another connection, because its outcome
+// might be unknown on this one. Nothing was sent, and the endpoint is not to blame.
+const ErrUnfit = constantError("the connection is not fit for a write")
+
 // ErrTooLong is returned if a message would be longer than endpoints accept. Nothing was
 // sent, and the connection can be used again. A message may be longer than the client's, by
 // the position that the endpoint's log must hold, or by a name.
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -129,6 +129,9 @@
 // outcomeOf returns what a reply, or the error if there is none, shows about the
 // endpoint. A reply that may belong to another statement shows it too.
 func outcomeOf(a scheduler.Assignment, r statement.Reply, err error) scheduler.Outcome {
+	if errors.Is(err, eelgrassladder.ErrUnfit) {
+		return scheduler.Outcome{Unused: true}
+	}
 	if err != nil && !errors.Is(err, eelgrassladder.ErrUnclearAnswer) {
 		return control.Failure(err)
 	}
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -9,6 +9,8 @@
 
 // Outcome is the observed result of using an endpoint. It is immutable.
 type Outcome struct {
+	// Unused is true if nothing was sent to the endpoint, so that the use shows nothing of it.
+	Unused bool
 	// Answered is true if the endpoint answered.
 	Answered bool
 	// Took is the execution time of a statement; zero if none ran.
@@ -94,6 +96,7 @@
 func (t *Table) observe(e *endpoint, o Outcome) {
 	now := t.timer.Now()
 	switch {
+	case o.Unused:
 	case o.ConnectionsFull:
 		e.connectAfter = now.Add(connectBackoff)
 	case o.Answered:
