--- a/internal/policy/correlation/correlation.go
+++ b/internal/policy/correlation/correlation.go
@@ -124,6 +124,10 @@
 // statement may be that of an earlier statement with the same kind of answer.
 func (v Evidence) Doubtful(e Expected) bool { return v.Repeats || v.Outstanding.has(e) }
 
+// HindersWrites reports whether a connection that has had an error with the code should carry
+// no write: the write may be refused alike, which would be unclear and leave it in doubt.
+func HindersWrites(c statement.Code) bool { return c == statement.Busy || c == statement.ReadOnly }
+
 // judgeSigned decides about an answer with a signature.
 func judgeSigned(e Expected, v Evidence) Verdict {
 	switch {
