Take an unclear answer to a probe for an answer

A primary that refuses two probes with the same BUSY was logged as one that did not answer, and counted as one whose probe failed, which is part of the evidence for its replacement. The refusal repeats an earlier answer, so the status call returns ErrUnclearAnswer, and the probe took each error for silence. The outcome for the table already counted it as an answer, so two further failures and silence were needed for a change.

TestAnUnclearAnswerToAProbeIsAnAnswer failed before: probeFailedAt was set.

--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -299,7 +300,7 @@
 		return
 	}
 	_, _, err := ct.dialer.Status(ctx, primary, probeTimeout)
-	if err != nil {
+	if err != nil && !errors.Is(err, eelgrassladder.ErrUnclearAnswer) {
 		klog.InfoS("Primary did not answer", "Group", group, "Endpoint", primary.ID, "Reason", err.Error())
 		ct.mutex.Lock()
 		defer ct.mutex.Unlock()
