--- a/connection.go
+++ b/connection.go
@@ -53,13 +53,14 @@
 
 // ErrUnclearAnswer is returned when an endpoint has sent an answer that cannot be assigned to
 // a statement, such as an error that repeats an earlier one. Whether the statement that waited
-// has run is unknown, unless the method that returns it has sent nothing. The reply that comes
-// with it must not be used, except as a hint on the endpoint's load.
+// has run is unknown. The reply that comes with it must not be used, except as a hint on the
+// endpoint's load.
 const ErrUnclearAnswer = constantError("the endpoint sent an answer that may belong to another statement")
 
-// ErrUnfit is returned when a write should be given another connection, because its outcome
-// might be unknown on this one. Nothing was sent, and the endpoint is not to blame.
-const ErrUnfit = constantError("the connection is not fit for a write")
+// ErrUnfit is returned when a statement should be given another connection: an answer has
+// arrived for which none waits, or a write might be left in doubt. Nothing was sent, and the
+// endpoint has shown nothing new.
+const ErrUnfit = constantError("the connection is not fit for the statement")
 
 // ErrTooLong is returned if a message would be longer than endpoints accept. Nothing was
 // sent, and the connection can be used again. A message may be longer than the client's, by
--- a/internal/host/control/confirm_test.go
+++ b/internal/host/control/confirm_test.go
@@ -92,6 +92,38 @@
 	}
 }
 
+// unfitConnection is not fit for its first request.
+type unfitConnection struct{ scriptedConnection }
+
+func (u *unfitConnection) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+	u.sent = append(u.sent, "Connect")
+	return u, statement.Reply{}, nil
+}
+
+func (u *unfitConnection) Status(time.Time) (topology.Status, statement.Reply, error) {
+	if u.sent = append(u.sent, "Status"); len(u.sent) == 2 {
+		return topology.Status{}, statement.Reply{}, eelgrassladder.ErrUnfit
+	}
+	return topology.Status{Term: 1}, statement.Reply{}, nil
+}
+
+// Guards against an endpoint that counts as silent because of what had arrived before.
+func TestARequestIsSentAgainIfTheConnectionIsNotFit(t *testing.T) {
+	for _, send := range []func(*control.Connection, time.Time) (topology.Status, statement.Reply, error){
+		(*control.Connection).Status, (*control.Connection).LastStatus,
+	} {
+		timers, e, unfit := timer.New(), topology.Endpoint{ID: "e", Group: "g", Slots: 2}, &unfitConnection{}
+		table := scheduler.New(timers, clock.Host{}, "here")
+		table.SetEndpoints(topology.New(e))
+		table.SetShares(sharing.NewFleet("self"), func(string) int { return 4 })
+		conn, err := control.NewDialer(timers, table, unfit).DialWithinShare(context.Background(), e)
+		assert.NilError(t, err)
+		_, _, err = send(conn, time.Now().Add(time.Minute))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, unfit.sent, []string{"Connect", "Status", "Close", "Connect", "Status"})
+	}
+}
+
 // refusingConnection answers doubtfully, and refuses each connection but the first.
 type refusingConnection struct {
 	scriptedConnection
--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -164,6 +164,13 @@
 // LastStatus asks the endpoint for its status. The status may be older than the call, but not
 // than the connection: an endpoint may answer an earlier request a second time.
 func (c *Connection) LastStatus(deadline time.Time) (topology.Status, statement.Reply, error) {
+	s, reply, err := c.Connection.Status(deadline)
+	if !errors.Is(err, eelgrassladder.ErrUnfit) {
+		return s, reply, err
+	}
+	if err := c.replace(deadline); err != nil {
+		return topology.Status{}, statement.Reply{}, err
+	}
 	return c.Connection.Status(deadline)
 }
 
@@ -183,11 +190,13 @@
 	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Demote(deadline, term) })
 }
 
-// confirm sends a status request or command. If the answer is doubtful, it sends it again on a
-// new connection, which takes the place of the other one: no answer there is older.
+// confirm sends a status request or command. If the answer is doubtful, or the connection was
+// not fit, it sends it again on a new connection, which takes the place of the other one: no
+// answer there is older.
 func (c *Connection) confirm(deadline time.Time, send func() (topology.Status, statement.Reply, error)) (topology.Status, statement.Reply, error) {
 	s, reply, err := send()
-	if err != nil || reply.Code != statement.OK || !reply.Doubtful {
+	doubtful := err == nil && reply.Code == statement.OK && reply.Doubtful
+	if !doubtful && !errors.Is(err, eelgrassladder.ErrUnfit) {
 		return s, reply, err
 	}
 	if err := c.replace(deadline); err != nil {
@@ -258,6 +267,7 @@
 // Failure returns the outcome of a use that ended with an error instead of an answer.
 func Failure(err error) scheduler.Outcome {
 	return scheduler.Outcome{
+		Unused:   errors.Is(err, eelgrassladder.ErrUnfit),
 		Answered: errors.Is(err, eelgrassladder.ErrUnclearAnswer), Refused: Refused(err), Reset: Reset(err),
 	}
 }
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -17,6 +17,10 @@
 // that it closes the connection, which also rolls back.
 const rollbackTimeout = time.Second
 
+// ranOutsideDetail is the detail of the reply to the end of a transaction that may not undo
+// one of its writes.
+const ranOutsideDetail = "the transaction had failed, and a write may have run outside of it"
+
 // Session is the session of one client. One goroutine at a time uses it.
 type Session struct {
 	gateway  *Gateway
@@ -173,7 +177,11 @@
 		return statement.ErrorReply(statement.Malformed, "no transaction is open")
 	}
 	s.rollBackAtEndpoint(st.ID)
+	ranOutside := s.transaction.ranOutside
 	s.transaction = nil
+	if ranOutside {
+		return statement.ErrorReply(statement.InDoubt, ranOutsideDetail)
+	}
 	return statement.Reply{}
 }
 
@@ -187,7 +195,7 @@
 		s.rollBackAtEndpoint("")
 		s.transaction = nil
 		if t.ranOutside {
-			return statement.ErrorReply(statement.InDoubt, "the transaction had failed, and a write may have run outside of it")
+			return statement.ErrorReply(statement.InDoubt, ranOutsideDetail)
 		}
 		return statement.ErrorReply(statement.Aborted, "the transaction had failed and was rolled back")
 	}
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -151,7 +151,8 @@
 		return
 	}
 	e.gateway.table.Discard(t.endpoint.ID, c, o)
-	if t.connection, t.failed = nil, true; commitSent {
+	t.connection, t.failed = nil, true
+	if commitSent {
 		e.session.transaction = nil
 	}
 	e.finishUnknown(scheduler.Assignment{Endpoint: t.endpoint}, err, 0)
