Send control requests again in one place

LastStatus repeated the replacement of a connection that is not fit beside confirm. One function sends both; only the confirmed ones are sent again for a doubtful answer. Behaviour as before.

--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -158,51 +158,44 @@
 
 // Status asks the endpoint for its status. The status is not older than the call.
 func (c *Connection) Status(deadline time.Time) (topology.Status, statement.Reply, error) {
-	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Status(deadline) })
+	return c.send(deadline, true, func() (topology.Status, statement.Reply, error) { return c.Connection.Status(deadline) })
 }
 
 // LastStatus asks the endpoint for its status. The status may be older than the call, but not
 // than the connection: an endpoint may answer an earlier request a second time.
 func (c *Connection) LastStatus(deadline time.Time) (topology.Status, statement.Reply, error) {
-	s, reply, err := c.Connection.Status(deadline)
-	if !errors.Is(err, eelgrassladder.ErrUnfit) {
-		return s, reply, err
-	}
-	if err := c.replace(deadline); err != nil {
-		return topology.Status{}, statement.Reply{}, err
-	}
-	return c.Connection.Status(deadline)
+	return c.send(deadline, false, func() (topology.Status, statement.Reply, error) { return c.Connection.Status(deadline) })
 }
 
 // Suspend suspends a replica, as that of eelgrassladder.Connection. The status is not older
 // than the suspension.
 func (c *Connection) Suspend(deadline time.Time, term uint64) (topology.Status, statement.Reply, error) {
-	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Suspend(deadline, term) })
+	return c.send(deadline, true, func() (topology.Status, statement.Reply, error) { return c.Connection.Suspend(deadline, term) })
 }
 
 // Resume ends a suspension. The status is not older than that.
 func (c *Connection) Resume(deadline time.Time) (topology.Status, statement.Reply, error) {
-	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Resume(deadline) })
+	return c.send(deadline, true, func() (topology.Status, statement.Reply, error) { return c.Connection.Resume(deadline) })
 }
 
 // Demote makes a primary of a lower term a replica. The status is not older than that.
 func (c *Connection) Demote(deadline time.Time, term uint64) (topology.Status, statement.Reply, error) {
-	return c.confirm(deadline, func() (topology.Status, statement.Reply, error) { return c.Connection.Demote(deadline, term) })
+	return c.send(deadline, true, func() (topology.Status, statement.Reply, error) { return c.Connection.Demote(deadline, term) })
 }
 
-// confirm sends a status request or command. If the answer is doubtful, or the connection was
-// not fit, it sends it again on a new connection, which takes the place of the other one: no
-// answer there is older.
-func (c *Connection) confirm(deadline time.Time, send func() (topology.Status, statement.Reply, error)) (topology.Status, statement.Reply, error) {
-	s, reply, err := send()
-	doubtful := err == nil && reply.Code == statement.OK && reply.Doubtful
+// send sends a status request or command. If the connection was not fit, or if the answer has
+// to be confirmed and is doubtful, it sends it again on a new connection, which takes the place
+// of the other one: no answer there is older.
+func (c *Connection) send(deadline time.Time, confirm bool, request func() (topology.Status, statement.Reply, error)) (topology.Status, statement.Reply, error) {
+	s, reply, err := request()
+	doubtful := confirm && err == nil && reply.Code == statement.OK && reply.Doubtful
 	if !doubtful && !errors.Is(err, eelgrassladder.ErrUnfit) {
 		return s, reply, err
 	}
 	if err := c.replace(deadline); err != nil {
 		return topology.Status{}, statement.Reply{}, err
 	}
-	return send()
+	return request()
 }
 
 // Release returns the connection to the table after a use that ended with err. It closes
