--- a/internal/lab/line/line.go
+++ b/internal/lab/line/line.go
@@ -7,13 +7,14 @@
 // End is what ends a message. CR or LF alone is text.
 const End = "\r\n"
 
-// Read returns the next message without its End.
+// Read returns the next message without its End. With an error it returns what has arrived
+// of the message.
 func Read(r *bufio.Reader) (string, error) {
 	var message []byte
 	for {
 		part, err := r.ReadBytes('\n')
 		if err != nil {
-			return "", err
+			return string(append(message, part...)), err
 		}
 		message = append(message, part...)
 		if n := len(message) - len(End); n >= 0 && string(message[n:]) == End {
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -56,26 +56,32 @@
 // New starts a relay that listens on a free port of loopback. It relays connections
 // to the target's address until the context of the group ends.
 func New(g *task.Group, target string) (*Relay, error) {
+	r := &Relay{target: target, tasks: g, connections: map[*connection]struct{}{}}
+	r.changed = sync.NewCond(&r.mutex)
+	context.AfterFunc(g.Context(), r.close)
+	var err error
+	r.address, err = Listen(g, r.serve)
+	return r, err
+}
+
+// Listen accepts connections on a free port of loopback until the context of the group ends,
+// and serves each in a task of the group. It returns the address that it listens on.
+func Listen(g *task.Group, serve func(ctx context.Context, client net.Conn)) (string, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return "", errors.WithStack(err)
 	}
-	r := &Relay{target: target, tasks: g, address: listener.Addr().String(), connections: map[*connection]struct{}{}}
-	r.changed = sync.NewCond(&r.mutex)
-	context.AfterFunc(g.Context(), func() {
-		_ = listener.Close()
-		r.close()
-	})
+	context.AfterFunc(g.Context(), func() { _ = listener.Close() })
 	g.GoIsolated("relay", func(context.Context) {
 		for {
 			client, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			g.GoIsolated("relayed connection", func(ctx context.Context) { r.serve(ctx, client) })
+			g.GoIsolated("relayed connection", func(ctx context.Context) { serve(ctx, client) })
 		}
 	})
-	return r, nil
+	return listener.Addr().String(), nil
 }
 
 // Address returns the address that the relay listens on.
--- a/internal/lab/stutter/session.go
+++ b/internal/lab/stutter/session.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/lab/line"
 )
 
 // answer is one whole answer of the member. It is immutable.
@@ -51,13 +53,14 @@
 	for {
 		var a answer
 		for a.state == "" {
-			message, err := readMessage(reader)
+			message, err := line.Read(reader)
 			a.text += message
 			if err != nil {
 				s.hand(ctx, answers, answer{text: a.text}) // of a refused CONNECT, or cut off
 				return
 			}
-			a = a.with(strings.TrimSuffix(message, lineEnd))
+			a.text += line.End
+			a = a.with(message)
 		}
 		s.noteAnswer(a)
 		if !s.hand(ctx, answers, a) {
@@ -86,7 +89,7 @@
 		if a.kind == "" {
 			a.kind = Greeting
 		}
-		a.ready = message + lineEnd
+		a.ready = message + line.End
 		a.state, a.position, _ = strings.Cut(rest, " ")
 	}
 	return a
@@ -142,20 +145,20 @@
 func (s *session) forward(ctx context.Context, client, member net.Conn, answers chan<- answer) {
 	reader := bufio.NewReader(client)
 	for {
-		message, err := readMessage(reader)
+		message, err := line.Read(reader)
 		if err != nil {
 			return
 		}
 		if latency := s.relay.latency(); latency > 0 {
 			time.Sleep(latency)
 		}
-		if refusal, ok := s.noteRequest(strings.TrimSuffix(message, lineEnd)); ok {
+		if refusal, ok := s.noteRequest(message); ok {
 			if !s.hand(ctx, answers, refusal) {
 				return
 			}
 			continue
 		}
-		if _, err := member.Write([]byte(message)); err != nil {
+		if _, err := member.Write([]byte(message + line.End)); err != nil {
 			return
 		}
 	}
@@ -179,7 +182,7 @@
 	refusable := kind == "READ" || kind == "WRITE" || kind == "EXECUTE" || kind == "BEGIN"
 	if refusable && s.state == "I" && len(s.waiting) == 0 && s.relay.drawRefusal() {
 		lines := []string{"ERROR BUSY refused", "READY I " + s.position, ""}
-		return answer{kind: Error, text: strings.Join(lines, lineEnd), ready: lines[1] + lineEnd}, true
+		return answer{kind: Error, text: strings.Join(lines, line.End), ready: lines[1] + line.End}, true
 	}
 	name, argument, _ := strings.Cut(arguments, " ")
 	r := request{id: id, text: text}
--- a/internal/lab/stutter/stutter.go
+++ b/internal/lab/stutter/stutter.go
@@ -5,25 +5,19 @@
 package stutter
 
 import (
-	"bufio"
 	"context"
 	"math/rand/v2"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
+	"eelgrassladder.example/eelgrassladder/internal/lab/relay"
 )
 
-const (
-	// dialTimeout bounds the opening of a connection to the member.
-	dialTimeout = time.Second
-	lineEnd     = "\r\n"
-)
+// dialTimeout bounds the opening of a connection to the member.
+const dialTimeout = time.Second
 
 // Kind is a kind of answer.
 type Kind string
@@ -89,7 +83,6 @@
 type Relay struct {
 	target  string
 	address string
-	tasks   *task.Group
 	observe func(Run)
 
 	// mutex guards the fields below. No other lock is taken while it is held.
@@ -113,25 +106,13 @@
 // target's address until the context of the group ends. The seed determines which answers
 // are repeated and when, in the order in which they arrive.
 func New(g *task.Group, target string, seed uint64, options ...Option) (*Relay, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	r := &Relay{target: target, address: listener.Addr().String(), tasks: g, observe: func(Run) {}, random: rand.New(rand.NewPCG(seed, 0))}
+	r := &Relay{target: target, observe: func(Run) {}, random: rand.New(rand.NewPCG(seed, 0))}
 	for _, o := range options {
 		o(r)
 	}
-	context.AfterFunc(g.Context(), func() { _ = listener.Close() })
-	g.GoIsolated("stuttering relay", func(context.Context) {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			g.GoIsolated("stuttering connection", func(ctx context.Context) { r.serve(ctx, client) })
-		}
-	})
-	return r, nil
+	var err error
+	r.address, err = relay.Listen(g, r.serve)
+	return r, err
 }
 
 // Address returns the address that the relay listens on.
@@ -274,15 +255,3 @@
 		}
 	}
 }
-
-// readMessage reads one message with its end, which is CR LF. A LF alone does not end it.
-func readMessage(r *bufio.Reader) (string, error) {
-	message := ""
-	for {
-		part, err := r.ReadString('\n')
-		message += part
-		if err != nil || strings.HasSuffix(message, lineEnd) {
-			return message, err
-		}
-	}
-}
--- a/review/standin/wiretap.go
+++ b/review/standin/wiretap.go
@@ -8,7 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
+	"eelgrassladder.example/eelgrassladder/internal/lab/line"
+	"eelgrassladder.example/eelgrassladder/internal/lab/relay"
 )
 
 // wiretap relays the connections to members and remembers the queries in them.
@@ -24,22 +25,7 @@
 
 // relay starts a relay to a member and returns its address.
 func (w *wiretap) relay(target string) (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
-	}
-	tasks := w.run.tasks
-	context.AfterFunc(tasks.Context(), func() { _ = listener.Close() })
-	tasks.GoIsolated("wiretap", func(context.Context) {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			tasks.GoIsolated("tapped connection", func(ctx context.Context) { w.serve(ctx, client, target) })
-		}
-	})
-	return listener.Addr().String(), nil
+	return relay.Listen(w.run.tasks, func(ctx context.Context, client net.Conn) { w.serve(ctx, client, target) })
 }
 
 // serve relays one connection until a side closes it.
@@ -63,20 +49,15 @@
 		}
 	})
 	reader := bufio.NewReader(client)
-	message := ""
 	for {
-		part, err := reader.ReadString('\n')
+		message, err := line.Read(reader)
 		if err != nil {
 			return
 		}
-		if message += part; !strings.HasSuffix(message, lineEnd) {
-			continue
-		}
-		w.note(strings.TrimSuffix(message, lineEnd))
-		if _, err := member.Write([]byte(message)); err != nil {
+		w.note(message)
+		if _, err := member.Write([]byte(message + line.End)); err != nil {
 			return
 		}
-		message = ""
 	}
 }
 
