--- a/internal/host/failover/copies_test.go
+++ b/internal/host/failover/copies_test.go
@@ -101,7 +101,7 @@
 }
 
 // TestACopyIsNoRecheck guards against a promotion that loses commits: a replica that receives
-// the log again counts as suspended because the answer to its SUSPEND came a second time.
+// the log again counts as suspended because the answer to its suspension came a second time.
 func TestACopyIsNoRecheck(t *testing.T) {
 	suspended := topology.Status{Term: 1, SuspendedTerm: 2, Received: position.Position{Term: 1, Log: 5}}
 	receiving := topology.Status{Term: 1, Received: position.Position{Term: 1, Log: 6}}
