Serve clients in the name of their teams

The key now names a team by the version in force when an operation begins. A connection to an endpoint serves one team; an idle one of another team is closed where the proxy has its whole share. Quotas have an interface, without limits so far. Deployments whose settings don't name the contract are served as before.

--- a/connection.go
+++ b/connection.go
@@ -11,10 +11,10 @@
 
 // Connector opens connections to endpoints.
 type Connector interface {
-	// Connect opens a connection to the instance whose ID e has. If the endpoint refuses
-	// it, the connection is nil and the reply's code is not OK. An error means that the
-	// endpoint did not answer.
-	Connect(ctx context.Context, e topology.Endpoint) (Connection, statement.Reply, error)
+	// Connect opens a connection to the instance whose ID e has, on behalf of the team with
+	// a name; empty for none. If the endpoint refuses it, the connection is nil and the
+	// reply's code is not OK. An error means that the endpoint did not answer.
+	Connect(ctx context.Context, e topology.Endpoint, team string) (Connection, statement.Reply, error)
 }
 
 // Connection is one connection to an endpoint. Only one goroutine at a time may use it.
@@ -22,6 +22,9 @@
 // connection must not be used again, except by Await and Close. The deadline of a method is
 // that of the answer.
 type Connection interface {
+	// Team returns the name of the team for which the connection was opened; empty for
+	// none. Endpoints attribute all that runs on a connection to one team.
+	Team() string
 	// ApplySession sets the session values, and prepares the statement if s executes a
 	// prepared one. It sends only what the connection does not have yet. After a reply whose
 	// code is not OK, the connection has some of the values only, and must not be used again.
--- a/internal/host/control/confirm_test.go
+++ b/internal/host/control/confirm_test.go
@@ -32,7 +32,7 @@
 	sent []string
 }
 
-func (s *scriptedConnection) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (s *scriptedConnection) Connect(context.Context, topology.Endpoint, string) (eelgrassladder.Connection, statement.Reply, error) {
 	s.sent = append(s.sent, "Connect")
 	return s, statement.Reply{}, nil
 }
@@ -95,7 +95,7 @@
 // unfitConnection is not fit for its first request.
 type unfitConnection struct{ scriptedConnection }
 
-func (u *unfitConnection) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (u *unfitConnection) Connect(context.Context, topology.Endpoint, string) (eelgrassladder.Connection, statement.Reply, error) {
 	u.sent = append(u.sent, "Connect")
 	return u, statement.Reply{}, nil
 }
@@ -130,7 +130,7 @@
 	code statement.Code
 }
 
-func (r *refusingConnection) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (r *refusingConnection) Connect(context.Context, topology.Endpoint, string) (eelgrassladder.Connection, statement.Reply, error) {
 	if len(r.sent) > 0 {
 		return nil, statement.ErrorReply(r.code, ""), nil
 	}
--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -117,7 +117,7 @@
 func (c *Connection) connect(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, reply, err := c.dialer.connector.Connect(ctx, c.endpoint)
+	conn, reply, err := c.dialer.connector.Connect(ctx, c.endpoint, "")
 	if err == nil && conn == nil {
 		err = errors.Errorf("endpoint %s refused the connection: %v %s", c.endpoint.ID, reply.Code, reply.Detail)
 		c.notConnected = NotConnected(reply, nil)
--- a/internal/host/failover/copies_test.go
+++ b/internal/host/failover/copies_test.go
@@ -35,7 +35,7 @@
 	doubtful bool
 }
 
-func (m *repeatingMember) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (m *repeatingMember) Connect(context.Context, topology.Endpoint, string) (eelgrassladder.Connection, statement.Reply, error) {
 	return m, statement.Reply{}, nil
 }
 
--- a/internal/host/failover/unclear_test.go
+++ b/internal/host/failover/unclear_test.go
@@ -18,7 +18,7 @@
 // answer.
 type unclearMember struct{ repeatingMember }
 
-func (m *unclearMember) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (m *unclearMember) Connect(context.Context, topology.Endpoint, string) (eelgrassladder.Connection, statement.Reply, error) {
 	return m, statement.Reply{}, nil
 }
 
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -36,11 +36,10 @@
 // execution runs one statement of a session. It makes as many attempts at endpoints as
 // are needed and the deadline allows.
 type execution struct {
-	gateway       *Gateway
-	session       *Session
-	statement     statement.Statement
-	route         route.Route
-	routesVersion uint64
+	operation
+	gateway   *Gateway
+	session   *Session
+	statement statement.Statement
 	// arrived is when the statement arrived.
 	arrived time.Time
 	// deadline is when the reply must be ready to be sent to the client.
@@ -71,14 +70,12 @@
 		done: make(chan statement.Reply, 1),
 	}
 	if t := s.transaction; t != nil {
-		e.route, e.routesVersion = t.route, t.routesVersion
+		e.operation = t.operation
 	} else {
-		routes := g.routes.Routes()
-		r, ok := routes.Route(s.database)
-		if !ok {
-			return statement.ErrorReply(statement.NoDatabase, "no route leads to database "+s.database)
+		var refusal statement.Reply
+		if e.operation, refusal = s.admit(st); refusal.Code != statement.OK {
+			return refusal
 		}
-		e.route, e.routesVersion = r, routes.Version
 	}
 	e.deadline = e.arrived.Add(e.route.Timeout - replyMargin)
 	if t := s.transaction; t != nil && t.connection != nil {
@@ -92,13 +89,16 @@
 	if !ok {
 		s.abandoned = true
 		g.observer.Answered(Answered{
-			Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Reply: reply, Took: g.timer.Now().Sub(e.arrived),
+			Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Team: e.team.Name, Reply: reply, Took: g.timer.Now().Sub(e.arrived),
 			Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
 		})
 		return reply
 	}
+	if s.transaction == nil && e.attempts == 0 && reply.Code != statement.OK {
+		s.giveBack(e.operation)
+	}
 	g.observer.Answered(Answered{
-		Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Reply: reply, Endpoint: e.endpointID, Primary: e.asPrimary,
+		Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Team: e.team.Name, Reply: reply, Endpoint: e.endpointID, Primary: e.asPrimary,
 		Took: g.timer.Now().Sub(e.arrived), Attempts: e.attempts, Committed: e.committed, Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
 	})
 	return reply
@@ -127,7 +127,7 @@
 	need := e.need
 	need.Avoid = avoid
 	e.job = scheduler.Job{
-		Need: need, Priority: e.route.Priority, Arrived: e.arrived, Timeout: e.route.Timeout - replyMargin,
+		Need: need, Team: e.team.Name, Priority: e.route.Priority, Arrived: e.arrived, Timeout: e.route.Timeout - replyMargin,
 		Target: e.route.Target, Run: e.runAssigned,
 	}
 	e.gateway.table.Submit(&e.job)
@@ -158,6 +158,12 @@
 	if !ok {
 		return
 	}
+	var refusal statement.Reply
+	if e.operation, refusal = e.gateway.recharge(e.operation); refusal.Code != statement.OK {
+		e.gateway.table.Return(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
+		e.finish(e.session.fail(refusal.Code, refusal.Detail))
+		return
+	}
 	if !e.choiceIsFresh(a) {
 		e.gateway.table.Return(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
 		e.retry(a, statement.Reply{}, "the choice of the endpoint is too old", false)
@@ -219,7 +225,7 @@
 func (e *execution) prepareConnection(a scheduler.Assignment) (eelgrassladder.Connection, bool) {
 	g, c := e.gateway, a.Connection
 	if c == nil {
-		opened, reply, err := g.connect(a, e.deadline)
+		opened, reply, err := g.connect(a, e.team.Name, e.deadline)
 		if opened == nil {
 			g.table.Discard(a.Endpoint.ID, nil, control.NotConnected(reply, err))
 			e.retry(a, reply, failureText(reply, err), false)
@@ -312,11 +318,11 @@
 	return limit
 }
 
-// connect opens a connection to the endpoint of an assignment.
-func (g *Gateway) connect(a scheduler.Assignment, deadline time.Time) (eelgrassladder.Connection, statement.Reply, error) {
+// connect opens a connection for a team to the endpoint of an assignment.
+func (g *Gateway) connect(a scheduler.Assignment, team string, deadline time.Time) (eelgrassladder.Connection, statement.Reply, error) {
 	ctx, cancel := context.WithDeadline(g.tasks.Context(), deadline)
 	defer cancel()
-	return g.connector.Connect(ctx, a.Endpoint)
+	return g.connector.Connect(ctx, a.Endpoint, team)
 }
 
 // awaitLate waits in the background for an answer that did not come in time, so that
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/quota"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/worker"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
@@ -39,6 +40,7 @@
 	routes    Routes
 	prover    Prover
 	observer  Observer
+	quotas    eelgrassladder.Quotas
 	tasks     *task.Group
 	// budget limits the retries of reads whose earlier attempt is still under way.
 	budget *retry.Budget
@@ -71,6 +73,8 @@
 	Route route.Route
 	// RoutesVersion is the version of the routes from which Route is.
 	RoutesVersion uint64
+	// Team is the name of the client's team; empty if clients need not identify themselves.
+	Team string
 	// Reply is the reply to the client.
 	Reply statement.Reply
 	// Endpoint is the ID of the endpoint of the last attempt; empty if there was no
@@ -112,15 +116,25 @@
 	Took time.Duration
 }
 
+// Option configures a Gateway.
+type Option func(*Gateway)
+
+// WithQuotas sets what limits the operations of teams. Without it they are not limited.
+func WithQuotas(q eelgrassladder.Quotas) Option { return func(g *Gateway) { g.quotas = q } }
+
 // New returns a gateway that submits statements to the table and runs them, once
 // they are assigned, in the task group.
 func New(t eelgrassladder.Timer, c eelgrassladder.Clock, table *scheduler.Table, connector eelgrassladder.Connector,
-	routes Routes, p Prover, o Observer, g *task.Group,
+	routes Routes, p Prover, o Observer, tasks *task.Group, options ...Option,
 ) *Gateway {
-	return &Gateway{
-		timer: t, clock: c, table: table, connector: connector, routes: routes, prover: p, observer: o, tasks: g,
-		budget: retry.NewBudget(t.Now()),
+	g := &Gateway{
+		timer: t, clock: c, table: table, connector: connector, routes: routes, prover: p, observer: o, quotas: quota.Unlimited{},
+		tasks: tasks, budget: retry.NewBudget(t.Now()),
+	}
+	for _, option := range options {
+		option(g)
 	}
+	return g
 }
 
 // Start starts the workers and the sweep in the task group. They run until its
@@ -131,17 +145,18 @@
 	g.tasks.Go("sweep", g.sweep)
 }
 
-// Open begins the session of a client. If it returns no session, the reply says why.
+// Open begins the session of a client, which identifies itself with a key; may be empty. If
+// it returns no session, the reply says why.
 // If there are no routes yet, it waits for them, up to firstRoutesTimeout, because it
 // cannot tell before whether the database exists.
-func (g *Gateway) Open(database string) (*Session, statement.Reply) {
+func (g *Gateway) Open(database, key string) (*Session, statement.Reply) {
 	if !g.awaitRoutes() {
 		return nil, statement.ErrorReply(statement.Busy, "the routes are not known yet")
 	}
-	if _, ok := g.routes.Routes().Route(database); !ok {
-		return nil, statement.ErrorReply(statement.NoDatabase, "no route leads to database "+database)
+	if _, _, refusal := identify(g.routes.Routes(), database, key); refusal.Code != statement.OK {
+		return nil, refusal
 	}
-	return &Session{gateway: g, database: database, prepared: map[string]statement.Prepared{}}, statement.Reply{}
+	return &Session{gateway: g, database: database, key: key, prepared: map[string]statement.Prepared{}}, statement.Reply{}
 }
 
 // awaitRoutes waits for the first routes and reports whether there are any.
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -52,7 +52,7 @@
 	}
 	klog.InfoS(message, "Request", a.Statement.ID, "Kind", a.Statement.Kind.String(),
 		"Code", a.Reply.Code.String(), "Detail", a.Reply.Detail, "Database", a.Route.Database, "Group", a.Route.Group,
-		"Version", a.RoutesVersion, "Endpoint", a.Endpoint, "Primary", a.Primary, "Term", a.Leader.Term,
+		"Version", a.RoutesVersion, "Team", a.Team, "Endpoint", a.Endpoint, "Primary", a.Primary, "Term", a.Leader.Term,
 		"Closed", a.Leader.Closed, "ProofAgeMs", (a.Now - a.Leader.Proven).Milliseconds(),
 		"PositionAgeMs", (a.Now - a.Leader.LastSampleTime()).Milliseconds(),
 		"RecordAgeMs", a.Leader.RecordAgeMs(a.Now), "Position", a.Reply.Position.String(),
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -25,6 +25,8 @@
 type Session struct {
 	gateway  *Gateway
 	database string
+	// key is what the client identifies itself with; may be empty.
+	key string
 	// values are the session values that the client has set.
 	values statement.Values
 	// prepared holds the prepared statements by the names that the client gave them.
@@ -41,10 +43,7 @@
 
 // transaction is an open transaction of a client.
 type transaction struct {
-	// route is the route that was current when the transaction was opened.
-	route route.Route
-	// routesVersion is the version of the routes at the start.
-	routesVersion uint64
+	operation
 	// begin is the client's statement that opened the transaction. It is sent to the
 	// endpoint right before the first statement that runs there.
 	begin statement.Statement
@@ -58,6 +57,8 @@
 	primary bool
 	// wrote is true once a write was sent to the endpoint, or is about to be.
 	wrote bool
+	// sent is true once something was sent to an endpoint, or is about to be.
+	sent bool
 	// confirmed is true once the answer to a statement has shown that the transaction is
 	// open at the endpoint.
 	confirmed bool
@@ -141,7 +142,7 @@
 func (s *Session) Close() {
 	if !s.abandoned && s.transaction != nil {
 		s.rollBackAtEndpoint("")
-		s.transaction = nil
+		s.endTransaction()
 	}
 }
 
@@ -160,17 +161,23 @@
 	if s.transaction != nil {
 		return s.fail(statement.Malformed, "a transaction is already open")
 	}
-	routes := s.gateway.routes.Routes()
-	r, ok := routes.Route(s.database)
-	if !ok {
-		return statement.ErrorReply(statement.NoDatabase, "no route leads to database "+s.database)
-	}
-	s.transaction = &transaction{
-		route: r, routesVersion: routes.Version, begin: st,
+	o, refusal := s.admit(st)
+	if refusal.Code != statement.OK {
+		return refusal
 	}
+	s.transaction = &transaction{operation: o, begin: st}
 	return statement.Reply{}
 }
 
+// endTransaction forgets the open transaction, which has ended at its endpoint. The right to
+// run it is given back if nothing of it was sent.
+func (s *Session) endTransaction() {
+	if !s.transaction.sent {
+		s.giveBack(s.transaction.operation)
+	}
+	s.transaction = nil
+}
+
 // rollback ends the open transaction without effect.
 func (s *Session) rollback(st statement.Statement) statement.Reply {
 	if s.transaction == nil {
@@ -178,7 +185,7 @@
 	}
 	s.rollBackAtEndpoint(st.ID)
 	ranOutside := s.transaction.ranOutside
-	s.transaction = nil
+	s.endTransaction()
 	if ranOutside {
 		return statement.ErrorReply(statement.InDoubt, ranOutsideDetail)
 	}
@@ -193,7 +200,7 @@
 	}
 	if t := s.transaction; t.failed {
 		s.rollBackAtEndpoint("")
-		s.transaction = nil
+		s.endTransaction()
 		if t.ranOutside {
 			return statement.ErrorReply(statement.InDoubt, ranOutsideDetail)
 		}
--- a/internal/host/gateway/transaction.go
+++ b/internal/host/gateway/transaction.go
@@ -14,6 +14,7 @@
 // statement there.
 func (e *execution) beginAt(a scheduler.Assignment, c eelgrassladder.Connection) {
 	g, t := e.gateway, e.session.transaction
+	t.sent = true
 	reply, err := c.Begin(e.deadline, t.begin, a.After)
 	if errors.Is(err, eelgrassladder.ErrTooLong) {
 		e.handleTooLong(a, c, a.After)
--- a/internal/host/proof/copies_test.go
+++ b/internal/host/proof/copies_test.go
@@ -28,7 +28,7 @@
 	asked        int
 }
 
-func (r *repeatedStatus) Connect(context.Context, topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (r *repeatedStatus) Connect(context.Context, topology.Endpoint, string) (eelgrassladder.Connection, statement.Reply, error) {
 	return r, statement.Reply{}, nil
 }
 
--- a/internal/host/proof/proof_test.go
+++ b/internal/host/proof/proof_test.go
@@ -35,7 +35,7 @@
 	asked []string
 }
 
-func (f *failingConnector) Connect(_ context.Context, e topology.Endpoint) (eelgrassladder.Connection, statement.Reply, error) {
+func (f *failingConnector) Connect(_ context.Context, e topology.Endpoint, _ string) (eelgrassladder.Connection, statement.Reply, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.asked = append(f.asked, e.ID)
--- /dev/null
+++ b/internal/host/quota/unlimited.go
@@ -0,0 +1,17 @@
+// Package quota limits how many operations each team runs, over all proxies together.
+package quota
+
+import (
+	"context"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/team"
+)
+
+// Unlimited is the eelgrassladder.Quotas of a system without limits.
+type Unlimited struct{}
+
+// Take reports true.
+func (Unlimited) Take(context.Context, team.Team) bool { return true }
+
+// GiveBack does nothing.
+func (Unlimited) GiveBack(team.Team) {}
--- a/internal/host/settings/node.go
+++ b/internal/host/settings/node.go
@@ -39,6 +39,9 @@
 	// MemoryMegabytes is the memory limit, in MiB, above which the platform kills
 	// the process; above zero. The Go runtime's soft limit is set to half of it.
 	MemoryMegabytes int
+	// Contracts names the parts of the platform's contract that are in force. The adapter
+	// of the platform knows their names.
+	Contracts []string
 	// LogLevel is the log's level, from 0 for what operators need to 4 for the
 	// most detail.
 	LogLevel int
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -28,6 +28,8 @@
 type Run struct {
 	// Member is the ID of the member.
 	Member string
+	// Caller is the name that the connection's CONNECT gave.
+	Caller string
 	// ID and Text are those of the statement, without AFTER.
 	ID, Text string
 	// Values are the session values in force.
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -46,6 +46,8 @@
 	member *Member
 	conn   net.Conn
 	reader *bufio.Reader
+	// caller is the name that CONNECT gave.
+	caller string
 	// values holds the values that SET has set, and prepared the mode ("READ" or
 	// "WRITE") and the shape of each prepared statement, as its PREPARE gave them.
 	values   map[string]string
@@ -97,6 +99,7 @@
 		s.send("ERROR MISROUTED another member")
 		return
 	}
+	s.caller = fields[2]
 	s.send("READY I " + s.visiblePosition())
 	for {
 		message, err := s.readMessage()
@@ -362,7 +365,7 @@
 // noteRun calls OnRun with the statement and the values that are in force.
 func (s *session) noteRun(r Run) {
 	if onRun := s.member.group.OnRun; onRun != nil {
-		r.Member, r.Values = s.member.ID, maps.Clone(s.values)
+		r.Member, r.Caller, r.Values = s.member.ID, s.caller, maps.Clone(s.values)
 		onRun(r)
 	}
 }
--- a/internal/lab/testbed/client.go
+++ b/internal/lab/testbed/client.go
@@ -47,13 +47,16 @@
 
 // Dial connects to an address and opens a session for a database. It fails if the
 // connection takes longer than a second, or the session is refused.
-func Dial(address, database string) (*Client, error) {
+func Dial(address, database string) (*Client, error) { return DialAs(address, database, "tester") }
+
+// DialAs is Dial for a client that identifies itself with a key.
+func DialAs(address, database, key string) (*Client, error) {
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	client := &Client{conn: conn, reader: bufio.NewReader(conn)}
-	if err := client.Send("CONNECT " + database + " tester"); err != nil {
+	if err := client.Send("CONNECT " + database + " " + key); err != nil {
 		return nil, err
 	}
 	greeting, err := client.ReadLine()
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -41,11 +41,22 @@
 	StatementTime time.Duration
 	// PromoteTime is the time from the request for a promotion to the new term.
 	PromoteTime time.Duration
+	// Teams are the teams of the first configuration. If there are any, clients must
+	// identify themselves.
+	Teams []Team
 	// AdvertisedAddress returns the address that the platform's store shows for the member
 	// with an ID and a listen address. If it is nil, the store shows the listen address.
 	AdvertisedAddress func(id, address string) (string, error)
 }
 
+// Team is a team as the platform's configuration describes it.
+type Team struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api-keys"`
+	Rate  float64  `json:"rate-per-s"`
+	Burst float64  `json:"burst"`
+}
+
 // DefaultPlan returns a plan for one group whose members are fast.
 func DefaultPlan() Plan {
 	return Plan{Groups: 1, Slots: 2, Connections: 16, StatementTime: time.Millisecond, PromoteTime: 100 * time.Millisecond}
@@ -69,6 +80,8 @@
 	// mutex guards the fields below. No other lock is taken while it is held.
 	mutex                sync.Mutex
 	configurationVersion uint64
+	// teams are those of the newest configuration.
+	teams []Team
 	// sequence counts the writes of members' entries.
 	sequence int
 }
@@ -76,7 +89,7 @@
 // New starts a platform with the groups of the plan and a first configuration. It
 // runs until the task group ends.
 func New(g *task.Group, p Plan) (*Testbed, error) {
-	t := &Testbed{Store: keyvalue.New(), plan: p, tasks: g}
+	t := &Testbed{Store: keyvalue.New(), plan: p, tasks: g, teams: p.Teams}
 	storeListener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -204,7 +217,7 @@
 func (t *Testbed) Configure(change func(routes map[string]map[string]any)) uint64 {
 	t.mutex.Lock()
 	t.configurationVersion += 3
-	version := t.configurationVersion
+	version, teams := t.configurationVersion, t.teams
 	t.mutex.Unlock()
 	routes := map[string]map[string]any{}
 	var services []map[string]any
@@ -230,15 +243,30 @@
 	}
 	t.Store.Put(configurationKey, encode(map[string]any{
 		"version": version, "routes": routeList, "services": services, "limits": map[string]any{"tx-idle-ms": 1000},
+		"tenants": teams,
 	}))
 	return version
 }
 
+// ConfigureTeams writes a new version of the configuration with the default routes and other
+// teams, and returns the version.
+func (t *Testbed) ConfigureTeams(teams ...Team) uint64 {
+	t.mutex.Lock()
+	t.teams = teams
+	t.mutex.Unlock()
+	return t.Configure(nil)
+}
+
 // Settings returns the settings of the proxy with a name, which uses this platform and
 // listens on free ports of loopback.
 func (t *Testbed) Settings(name string) settings.Node {
+	var contracts []string
+	if len(t.plan.Teams) > 0 {
+		contracts = []string{"tenants", "quota"}
+	}
 	return settings.Node{
-		Name: name, DataCentre: "zone-0", Callers: address.Free, Readiness: address.Free, Metrics: address.Free, Sibling: address.Free,
+		Contracts: contracts,
+		Name:      name, DataCentre: "zone-0", Callers: address.Free, Readiness: address.Free, Metrics: address.Free, Sibling: address.Free,
 		Store: t.StoreAddress, Promotion: t.PromotionAddress,
 		GraceSeconds: 4, Descriptors: 4096, MemoryMegabytes: 512,
 	}
--- a/internal/model/route/route.go
+++ b/internal/model/route/route.go
@@ -5,6 +5,8 @@
 import (
 	"maps"
 	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/team"
 )
 
 // Consistency says which commits a read must see.
@@ -39,6 +41,8 @@
 	Target time.Duration
 	// Priority is zero for the most urgent work, and higher for less urgent work.
 	Priority int
+	// Public is true if clients need no key.
+	Public bool
 }
 
 // Group holds the settings of a database group.
@@ -69,6 +73,8 @@
 	routes map[string]Route
 	// groups is keyed by name and never written after it was set.
 	groups map[string]Group
+	// teams is nil if clients do not identify themselves.
+	teams *team.Directory
 }
 
 // NewTable returns a table without routes.
@@ -106,6 +112,32 @@
 	return t
 }
 
+// WithTeams returns the table with the teams that may call. Clients then identify themselves
+// with a key, except on public routes.
+func (t Table) WithTeams(d team.Directory) Table {
+	t.teams = &d
+	return t
+}
+
+// Teams returns the teams that may call, ordered by name.
+func (t Table) Teams() []team.Team {
+	if t.teams == nil {
+		return nil
+	}
+	return t.teams.All()
+}
+
+// Caller returns the team of a client that uses a route with a key. It reports false if the
+// client may not use the route. The team is the zero Team if the client need not identify
+// itself.
+func (t Table) Caller(r Route, key string) (team.Team, bool) {
+	if t.teams == nil {
+		return team.Team{}, true
+	}
+	caller, ok := t.teams.ByKey(key)
+	return caller, ok || r.Public
+}
+
 // Route returns the route of a database.
 func (t Table) Route(database string) (Route, bool) {
 	r, ok := t.routes[database]
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -175,11 +175,12 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e, ok := t.endpoints[id]
-	if !ok || !e.snapshot(t.timer.Now(), t.dataCentre).Available {
+	now := t.timer.Now()
+	if !ok || e.occupied(now) >= int(e.limit) || (len(e.idle) == 0 && !e.mayConnect(now)) {
 		return nil, false
 	}
 	e.running++
-	return e.takeConnection(), true
+	return e.takeAnyConnection(), true
 }
 
 // Observe records the outcome of using an endpoint over a connection that does
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -115,20 +115,15 @@
 	refused, reset bool
 }
 
-// snapshot returns what placement sees of the endpoint.
-func (e *endpoint) snapshot(now time.Time, dataCentre string) placement.EndpointSnapshot {
-	stalled := e.stalled(now)
-	running := e.running
-	if stalled {
-		// Writes that wait for a replica occupy no slot.
-		running -= len(e.pendingWrites)
-	}
+// snapshot returns what placement sees of the endpoint for a statement of a team.
+func (e *endpoint) snapshot(now time.Time, dataCentre, team string) placement.EndpointSnapshot {
+	stalled, running, connected := e.stalled(now), e.occupied(now), e.idleIndex(team) >= 0
 	s := placement.EndpointSnapshot{
 		ID:          e.listed.ID,
 		Usable:      !e.unlisted && !e.listed.Leaving && e.usable(now),
 		Local:       e.listed.DataCentre == dataCentre,
-		Available:   running < int(e.limit) && (len(e.idle) > 0 || (e.open < e.share && !now.Before(e.connectAfter))),
-		Connected:   len(e.idle) > 0,
+		Available:   running < int(e.limit) && (connected || e.mayConnect(now)),
+		Connected:   connected,
 		Slots:       max(e.listed.Slots, 1),
 		Running:     running,
 		ServiceTime: e.serviceTime,
@@ -150,16 +145,60 @@
 	return e.failures < minFailures && e.running == 0 && !now.Before(e.retryAt)
 }
 
-// takeConnection returns the idle connection that was used last. If there is
-// none it returns nil and counts a new one as open.
-func (e *endpoint) takeConnection() eelgrassladder.Connection {
-	count := len(e.idle)
-	if count == 0 {
-		e.open++
-		return nil
+// occupied returns how many statements of this proxy occupy a slot of the endpoint.
+func (e *endpoint) occupied(now time.Time) int {
+	if e.stalled(now) {
+		// Writes that wait for a replica occupy no slot.
+		return e.running - len(e.pendingWrites)
+	}
+	return e.running
+}
+
+// mayConnect reports whether a connection may be opened now, in place of an idle one of
+// another team if this proxy has its whole share.
+func (e *endpoint) mayConnect(now time.Time) bool {
+	return !now.Before(e.connectAfter) && (e.open < e.share || len(e.idle) > 0)
+}
+
+// idleIndex returns the index of the team's idle connection that was used last, or -1 if
+// there is none.
+func (e *endpoint) idleIndex(team string) int {
+	for i := len(e.idle) - 1; i >= 0; i-- {
+		if e.idle[i].connection.Team() == team {
+			return i
+		}
+	}
+	return -1
+}
+
+// takeConnection returns the team's idle connection that was used last. If there is none it
+// returns nil and counts a new one as open; it closes the connection that has been idle
+// longest if this proxy has its whole share.
+func (e *endpoint) takeConnection(team string) eelgrassladder.Connection {
+	if i := e.idleIndex(team); i >= 0 {
+		return e.takeIdle(i)
 	}
-	c := e.idle[count-1].connection
-	e.idle = e.idle[:count-1]
+	if e.open >= e.share && len(e.idle) > 0 {
+		e.takeIdle(0).Close()
+		e.open--
+	}
+	e.open++
+	return nil
+}
+
+// takeAnyConnection is takeConnection for a use that belongs to no team.
+func (e *endpoint) takeAnyConnection() eelgrassladder.Connection {
+	if len(e.idle) > 0 {
+		return e.takeIdle(len(e.idle) - 1)
+	}
+	e.open++
+	return nil
+}
+
+// takeIdle removes an idle connection and returns it.
+func (e *endpoint) takeIdle(index int) eelgrassladder.Connection {
+	c := e.idle[index].connection
+	e.idle = slices.Delete(e.idle, index, index+1)
 	return c
 }
 
--- a/internal/table/scheduler/job.go
+++ b/internal/table/scheduler/job.go
@@ -15,6 +15,9 @@
 type Job struct {
 	// Need is what the statement requires of its endpoint.
 	Need placement.Need
+	// Team is the name of the team whose connections the statement may use; empty for the
+	// connections that serve no team.
+	Team string
 	// Priority is 0 for the most urgent work.
 	Priority int
 	// Arrived is when the proxy had received the whole statement.
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -298,7 +298,7 @@
 	now, sinceBoot := t.timer.Now(), t.clock.SinceBoot()
 	snapshots := make([]placement.EndpointSnapshot, len(g.endpoints))
 	for i, e := range g.endpoints {
-		snapshots[i] = e.snapshot(now, t.dataCentre)
+		snapshots[i] = e.snapshot(now, t.dataCentre, j.Team)
 	}
 	choice := placement.Choose(j.Need, g.leader, snapshots, sinceBoot)
 	if choice.AwaitsProof || j.Need.ShouldRenewProof(g.leader, sinceBoot) {
@@ -314,7 +314,7 @@
 		g.reads.countSent(now, primary)
 	}
 	t.enqueue(Assignment{
-		Endpoint: e.listed, After: choice.After, Connection: e.takeConnection(), run: j.Run,
+		Endpoint: e.listed, After: choice.After, Connection: e.takeConnection(j.Team), run: j.Run,
 		Primary: primary, Term: g.leader.Term, Chosen: sinceBoot,
 	})
 	return true
--- a/internal/table/scheduler/scheduler_test.go
+++ b/internal/table/scheduler/scheduler_test.go
@@ -28,10 +28,13 @@
 type connection struct {
 	eelgrassladder.Connection
 	closed *int
+	team   string
 }
 
 func (c connection) Close() { *c.closed++ }
 
+func (c connection) Team() string { return c.team }
+
 // fixture is a table of one group with a remote primary p and a local replica
 // r.
 type fixture struct {
