--- a/internal/policy/sharing/sharing.go
+++ b/internal/policy/sharing/sharing.go
@@ -3,7 +3,12 @@
 // proxies alone.
 package sharing
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // keptShare is the part of an endpoint's connections that may be kept open unused where
 // there are more proxies than connections. The rest is for the proxies that keep none, for
@@ -68,6 +73,27 @@
 // key.
 func (f Fleet) Among(n int, key string) bool { return f.rank(key) < n }
 
+// Highest returns the names of the n proxies with the highest rendezvous hashes for a key,
+// the highest first; of all proxies if there are fewer.
+func (f Fleet) Highest(n int, key string) []string {
+	type hashed struct {
+		name string
+		hash uint64
+	}
+	all := make([]hashed, len(f.proxies))
+	for i, name := range f.proxies {
+		all[i] = hashed{name: name, hash: hash(name, key)}
+	}
+	slices.SortFunc(all, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, 0, n)
+	for _, h := range all[:min(n, len(all))] {
+		names = append(names, h.name)
+	}
+	return names
+}
+
 // rank returns how many other proxies have a higher hash for the key than this one. Of
 // equal hashes, the lower name's counts as higher.
 func (f Fleet) rank(key string) int {
