Keep the tokens of teams in a table

The table of one proxy holds the bucket of each team, the operations that wait for tokens, and the order in which other proxies are asked for them.

A holder that was found empty is asked last until it has produced another token, and each proxy asks in an order of its own.

--- a/internal/policy/quota/borrowing.go
+++ b/internal/policy/quota/borrowing.go
@@ -27,20 +27,48 @@
 	lenders []string
 }
 
-// NewBorrowing returns the order of asking the lenders for which usable is true. It begins
-// at another lender with each turn, so that the requests are spread over all.
-func NewBorrowing(lenders []string, turn int, usable func(lender string) bool) Borrowing {
-	var b Borrowing
+// Standing is what a proxy knows of a lender when it begins to ask.
+type Standing int
+
+const (
+	// Unknown says that the lender may have tokens.
+	Unknown Standing = iota
+	// Empty says that it had too few tokens lately, and may have produced none since.
+	Empty
+	// Unresponsive says that it did not answer lately.
+	Unresponsive
+)
+
+// NewBorrowing returns the order of asking the lenders. It begins at another lender with each
+// turn, so that the requests are spread over all. Those that were empty come last, and those
+// that are unresponsive are left out.
+func NewBorrowing(lenders []string, turn int, standing func(lender string) Standing) Borrowing {
+	var hopeful, empty []string
 	for i := range lenders {
 		lender := lenders[(turn+i)%len(lenders)]
-		if !usable(lender) {
-			continue
+		switch standing(lender) {
+		case Unknown:
+			hopeful = append(hopeful, lender)
+		case Empty:
+			empty = append(empty, lender)
+		case Unresponsive:
 		}
-		if b.lenders = append(b.lenders, lender); len(b.lenders) == maxEmptyLenders {
+		if len(hopeful) == maxEmptyLenders {
 			break
 		}
 	}
-	return b
+	order := append(hopeful, empty...)
+	return Borrowing{lenders: order[:min(len(order), maxEmptyLenders)]}
+}
+
+// EmptyTime returns how long a lender that was found empty counts as Empty: until it has
+// produced another token, but at most SkipTime, because others may have lent it some.
+func (p Plan) EmptyTime() time.Duration {
+	perHolder := p.Limit.Rate / float64(max(len(p.Lenders), 1))
+	if perHolder < 1/SkipTime.Seconds() {
+		return SkipTime
+	}
+	return time.Duration(float64(time.Second) / perHolder)
 }
 
 // Next returns the lender to ask. It reports false if no more are to be asked.
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -4,9 +4,13 @@
 package quota
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/team"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
@@ -102,5 +106,12 @@
 		}
 		p.Lenders = append(p.Lenders, name)
 	}
+	// Each proxy asks in another order, so that those that begin at the same time do not follow
+	// one another from lender to lender.
+	order := make(map[string]uint64, len(p.Lenders))
+	for _, name := range p.Lenders {
+		order[name] = xxhash.Sum64String(self + "\x00" + name)
+	}
+	slices.SortFunc(p.Lenders, func(a, b string) int { return cmp.Compare(order[a], order[b]) })
 	return p
 }
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -85,7 +85,12 @@
 	lenders := []string{"a", "b", "c", "d", "e", "f"}
 	first := map[string]int{}
 	for turn := range 60 {
-		order := quota.NewBorrowing(lenders, turn, func(lender string) bool { return lender != "c" })
+		order := quota.NewBorrowing(lenders, turn, func(lender string) quota.Standing {
+			if lender == "c" {
+				return quota.Unresponsive
+			}
+			return quota.Unknown
+		})
 		asked := map[string]bool{}
 		for next, ok := order.Next(); ok; next, ok = order.Next() {
 			if len(asked) == 0 {
@@ -100,8 +105,18 @@
 	for _, lender := range []string{"a", "b", "d", "e", "f"} {
 		assert.Assert(t, first[lender] >= 10, "%v", first)
 	}
-	_, ok := quota.NewBorrowing(nil, 3, func(string) bool { return true }).Next()
+	_, ok := quota.NewBorrowing(nil, 3, func(string) quota.Standing { return quota.Unknown }).Next()
 	assert.Assert(t, !ok)
+	order := quota.NewBorrowing(lenders, 0, func(lender string) quota.Standing {
+		if lender < "f" {
+			return quota.Empty
+		}
+		return quota.Unknown
+	})
+	next, _ := order.Next()
+	assert.Equal(t, next, "f", "a lender that was empty lately was asked first")
+	next, _ = order.WithEmpty().Next()
+	assert.Equal(t, next, "a")
 }
 
 // seconds returns a time since boot.
--- a/internal/table/lockrank/lockrank.go
+++ b/internal/table/lockrank/lockrank.go
@@ -46,6 +46,8 @@
 	Callers
 	// Scheduler is the table of statements that wait for an endpoint.
 	Scheduler
+	// Quota is the table of the teams' tokens.
+	Quota
 	// Cluster is what a proxy on the users' platform knows of the system.
 	Cluster
 	// Burn is the table of good and bad requests by class.
