Limit the operations of teams over all proxies

Under the contract quota a proxy takes a token for each operation of a limited team: from its own bucket, or from up to four others, each asked over a connection that no other team's request uses. Until now teams had no limit.

Proxies whose registrations have ended count for 60 s, and are still asked. Quotas.GiveBack gets the time at which the token was asked for.

The teams of the testbed have no limit unless they have a rate.

--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -84,6 +84,6 @@
 // giveBack gives back the right to an operation of which nothing was sent to an endpoint.
 func (s *Session) giveBack(o operation) {
 	if o.team.Limited {
-		s.gateway.quotas.GiveBack(o.team)
+		s.gateway.quotas.GiveBack(o.team, o.admitted)
 	}
 }
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -43,6 +43,9 @@
 	unconfirmed *prometheus.CounterVec
 	// olderRecords counts the records that were applied after a newer one.
 	olderRecords prometheus.Counter
+	// quotaOperations counts the operations of limited teams by Result, and quotaLoans the
+	// requests for tokens by Side and Result.
+	quotaOperations, quotaLoans *prometheus.CounterVec
 }
 
 // NewNode returns the metrics of a proxy, registered in Registry.
@@ -77,8 +80,14 @@
 		olderRecords: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_older_records_total", Help: "Records of primaries that were applied after a newer one.",
 		}),
+		quotaOperations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_quota_operations_total", Help: "Operations of teams with a limit.",
+		}, []string{"Result"}),
+		quotaLoans: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_quota_loans_total", Help: "Requests for tokens of teams between proxies.",
+		}, []string{"Side", "Result"}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
+	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords, n.quotaOperations, n.quotaLoans)
 	return n
 }
 
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -52,7 +52,10 @@
 	if !slices.ContainsFunc(items, func(i eelgrassladder.Item) bool { return i.Key == leadership.PromotionLockKey }) {
 		f.node.state.LearnPromotionLock(leadership.RemovedPromotionLock(revision))
 	}
-	f.node.storeRead.Store(true)
+	if !f.node.storeRead.Swap(true) && f.node.state.WasRegistered() {
+		// The entry of an earlier process with this name counts for this one.
+		f.node.produceFrom(f.node.dependencies.Clock.SinceBoot())
+	}
 }
 
 // Changed applies items that have changed.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -22,6 +22,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/gossip"
 	"eelgrassladder.example/eelgrassladder/internal/host/healthcheck"
 	"eelgrassladder.example/eelgrassladder/internal/host/proof"
+	"eelgrassladder.example/eelgrassladder/internal/host/quota"
 	"eelgrassladder.example/eelgrassladder/internal/host/settings"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
@@ -29,7 +30,9 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/peer/sibling"
+	policyquota "eelgrassladder.example/eelgrassladder/internal/policy/quota"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
+	tablequota "eelgrassladder.example/eelgrassladder/internal/table/quota"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -66,6 +69,7 @@
 // primary.
 type Instruments interface {
 	failover.Observer
+	quota.Observer
 	// RegisterGauges exports the version of the routes, the number of clients'
 	// connections, and the age of what is known of each group's primary. The
 	// functions must be safe for concurrent use.
@@ -88,6 +92,8 @@
 	Clock       eelgrassladder.Clock
 	Observer    gateway.Observer
 	Instruments Instruments
+	// Quotas bounds the operations of teams; nil if they are not limited.
+	Quotas *policyquota.Bounds
 	// NewFrontend returns the front end that serves clients through a gateway.
 	NewFrontend func(*gateway.Gateway, eelgrassladder.Timer, *task.Group) Frontend
 	// Readiness returns the handler of the readiness probe.
@@ -96,6 +102,16 @@
 	Metrics http.Handler
 }
 
+// quotas limits the operations of teams, and lends tokens of teams to other proxies.
+type quotas interface {
+	eelgrassladder.Quotas
+	sibling.Lender
+	// Refresh applies what is known of the system.
+	Refresh()
+	// Start starts what runs in the background in the task group.
+	Start(g *task.Group)
+}
+
 // Node is one proxy process. Use New, then Run.
 type Node struct {
 	settings settings.Node
@@ -112,12 +128,16 @@
 	checker      *healthcheck.Checker
 	frontend     Frontend
 	state        *clusterState
+	quotas       quotas
 	// storeRead is true once the store has been read for the first time.
 	storeRead atomic.Bool
 	// registered is true while the store lists this proxy. registrationLeaseID is the
 	// ID of the lease of its entry; zero before the first.
 	registered          atomic.Bool
 	registrationLeaseID atomic.Uint64
+	// producesFrom is the boot time, in nanoseconds, from which this process produces tokens of
+	// teams; zero if that is not known yet.
+	producesFrom atomic.Int64
 	// leaving is true once the process is stopping.
 	leaving atomic.Bool
 }
@@ -136,8 +156,13 @@
 	n.prober = proof.New(n.timer, d.Clock, n.table, dialer, reader, n.tasks, func(group string) []topology.Endpoint {
 		return n.state.Endpoints().Group(group)
 	})
-	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, n.prober, d.Observer, n.tasks)
+	n.quotas = quota.Unlimited{}
+	if d.Quotas != nil {
+		n.quotas = quota.New(s.Name, *d.Quotas, d.Clock, n.timer, sibling.NewLoans(n.timer), n.quotaView, d.Instruments)
+	}
+	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, n.prober, d.Observer, n.tasks, gateway.WithQuotas(n.quotas))
 	n.state.onRecord = n.updateLeader
+	n.state.onChange = n.quotas.Refresh
 	n.controller = failover.New(s.Name, n.timer, d.Clock, n.table, dialer, d.Store, d.Promoter, sibling.NewClient(), reader, n.tasks, d.Instruments)
 	n.checker = healthcheck.New(n.timer, n.table, dialer, n.tasks)
 	n.gossip = gossip.New(n.timer, d.Clock, n.table, sibling.NewClient(), n.state)
@@ -164,6 +189,14 @@
 	return sharing.NewFleet(n.settings.Name, slices.Collect(maps.Keys(n.state.Proxies()))...)
 }
 
+// quotaView returns what the quotas of teams depend on.
+func (n *Node) quotaView() tablequota.View {
+	routes := n.state.Routes()
+	return tablequota.View{
+		Version: routes.Version, Teams: routes.Teams(), Lenders: n.state.Lenders(), ProducesFrom: time.Duration(n.producesFrom.Load()),
+	}
+}
+
 // CallerAddress returns the address at which clients are served.
 func (n *Node) CallerAddress() string { return n.listeners.callers.Addr().String() }
 
@@ -176,11 +209,12 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 2)
 	n.tasks.Go("siblings", func(ctx context.Context) error {
-		return sibling.NewServer(n.gossip).Serve(ctx, n.listeners.siblings)
+		return sibling.NewServer(n.gossip, n.quotas).Serve(ctx, n.listeners.siblings)
 	})
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
 	n.gateway.Start()
+	n.quotas.Start(n.tasks)
 	n.tasks.Go("store", watch.New(n.dependencies.Store, n.timer, n.dependencies.Clock, "", newFollower(n), n.fleet).Run)
 	n.tasks.Go("failover", n.controller.Run)
 	n.tasks.Go("proofs", n.prober.KeepAlive)
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -71,7 +71,20 @@
 	}
 	n.registrationLeaseID.Store(r.lease)
 	n.registered.Store(true)
-	n.state.wasRegistered.Store(true)
+	if !n.state.wasRegistered.Swap(true) && n.storeRead.Load() {
+		n.produceFrom(n.dependencies.Clock.SinceBoot() + announceTime)
+	}
+}
+
+// announceTime is how long after the first registration of this process the other proxies may
+// not know of it. They apply changes of the store in 1.8 s at the latest.
+const announceTime = 2 * time.Second
+
+// produceFrom sets the boot time from which this process produces tokens of teams. Before, the
+// other proxies may still produce its share.
+func (n *Node) produceFrom(at time.Duration) {
+	n.producesFrom.Store(int64(at))
+	n.quotas.Refresh()
 }
 
 // register keeps this proxy registered until ctx ends or the process begins to stop. It
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -59,7 +59,8 @@
 	// proxies holds the addresses of the other registered proxies by name. It is
 	// replaced, never modified.
 	proxies map[string]string
-	// departed holds the other proxies whose registrations have ended, by address, and
+	// departed holds the other proxies whose registrations have ended less than
+	// lenderRetention ago, by address, and
 	// proxiesSince the boot time since which this process has had the list of proxies;
 	// zero for never.
 	departed     map[string]departedProxy
@@ -72,6 +73,9 @@
 	// onRecord is called with the name of each group whose record has changed, without
 	// the mutex and by several goroutines at a time. It has to read the record itself.
 	onRecord func(group string)
+	// onChange is called when the routes or the proxies have changed, without the mutex and by
+	// several goroutines at a time. It has to read them itself.
+	onChange func()
 	// name is the name of this proxy. registry decodes configurations.
 	name     string
 	registry Registry
@@ -81,7 +85,7 @@
 // newClusterState returns a state without routes and endpoints.
 func newClusterState(name string, r Registry, c eelgrassladder.Clock) *clusterState {
 	s := &clusterState{
-		routesKnown: make(chan struct{}), mutex: lockrank.New(lockrank.Cluster), onRecord: func(string) {},
+		routesKnown: make(chan struct{}), mutex: lockrank.New(lockrank.Cluster), onRecord: func(string) {}, onChange: func() {},
 		name: name, registry: r, clock: c,
 	}
 	s.routes.Store(&route.Table{})
@@ -110,11 +114,19 @@
 		klog.ErrorS(err, "Could not decode the configuration", "Revision", i.Revision, "Source", source)
 		return
 	}
+	if s.adoptRoutes(routes, i, source, passOnFrom) {
+		s.onChange()
+	}
+}
+
+// adoptRoutes makes routes, which were decoded from an item, the current ones if their version
+// is newer, and reports whether it is.
+func (s *clusterState) adoptRoutes(routes route.Table, i eelgrassladder.Item, source string, passOnFrom time.Duration) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	old := s.routes.Load()
 	if routes.Version <= old.Version {
-		return
+		return false
 	}
 	s.routes.Store(&routes)
 	if old.Version == 0 {
@@ -122,6 +134,7 @@
 	}
 	s.configuration, s.passOnFrom = i, passOnFrom
 	klog.InfoS("Routes in force", "Version", routes.Version, "Before", old.Version, "Source", source)
+	return true
 }
 
 // departedProxy is a proxy whose registration has ended. It is immutable.
@@ -135,8 +148,18 @@
 // from the store, and have proofs of primaries from replicas.
 const proxyRetention = proof.MaxRecordAge
 
+// lenderRetention is how long a proxy whose registration has ended still counts as one of those
+// that share the limits of teams. Cut off from the store, it goes on producing its share.
+const lenderRetention = 60 * time.Second
+
 // setProxies replaces the addresses of the other proxies.
 func (s *clusterState) setProxies(proxies map[string]string) {
+	s.replaceProxies(proxies)
+	s.onChange()
+}
+
+// replaceProxies is setProxies without the call of onChange.
+func (s *clusterState) replaceProxies(proxies map[string]string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock.SinceBoot()
@@ -149,7 +172,7 @@
 	}
 	departed := map[string]departedProxy{}
 	for address, d := range s.departed {
-		if !registered[address] && now-d.at < proxyRetention {
+		if !registered[address] && now-d.at < lenderRetention {
 			departed[address] = d
 		}
 	}
@@ -177,6 +200,22 @@
 	return names, s.proxiesSince > 0 && now-s.proxiesSince >= proxyRetention
 }
 
+// Lenders returns the addresses, by name, of the other proxies that are registered, or whose
+// registrations have ended less than lenderRetention ago.
+func (s *clusterState) Lenders() map[string]string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.SinceBoot()
+	latest, lenders := map[string]time.Duration{}, map[string]string{}
+	for address, d := range s.departed {
+		if at, ok := latest[d.name]; now-d.at < lenderRetention && d.name != s.name && (!ok || d.at > at) {
+			latest[d.name], lenders[d.name] = d.at, address
+		}
+	}
+	maps.Copy(lenders, s.proxies)
+	return lenders
+}
+
 // Name returns the name of this proxy.
 func (s *clusterState) Name() string { return s.name }
 
--- a/internal/host/quota/unlimited.go
+++ b/internal/host/quota/unlimited.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"time"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/model/team"
 )
 
@@ -14,4 +16,13 @@
 func (Unlimited) Take(context.Context, team.Team) bool { return true }
 
 // GiveBack does nothing.
-func (Unlimited) GiveBack(team.Team) {}
+func (Unlimited) GiveBack(team.Team, time.Duration) {}
+
+// Lend lends nothing.
+func (Unlimited) Lend(string, int) int { return 0 }
+
+// Refresh does nothing.
+func (Unlimited) Refresh() {}
+
+// Start does nothing.
+func (Unlimited) Start(*task.Group) {}
--- a/internal/host/settings/node.go
+++ b/internal/host/settings/node.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/host/finding"
+	"eelgrassladder.example/eelgrassladder/internal/policy/quota"
 )
 
 // Node holds the settings of a proxy process on the users' platform, in place of
@@ -42,6 +43,12 @@
 	// Contracts names the parts of the platform's contract that are in force. The adapter
 	// of the platform knows their names.
 	Contracts []string
+	// QuotaWindowSeconds, QuotaOverrun and QuotaSlack are the bounds of teams' operations; nil
+	// for those of quota.DefaultBounds. In any window of that many seconds, above zero, a team
+	// may run (rate x window + burst) x (1 + overrun) + slack operations.
+	QuotaWindowSeconds *float64
+	QuotaOverrun       *float64
+	QuotaSlack         *float64
 	// LogLevel is the log's level, from 0 for what operators need to 4 for the
 	// most detail.
 	LogLevel int
@@ -52,6 +59,21 @@
 	return time.Duration(n.GraceSeconds * float64(time.Second))
 }
 
+// QuotaBounds returns the bounds of teams' operations.
+func (n Node) QuotaBounds() quota.Bounds {
+	b := quota.DefaultBounds()
+	if n.QuotaWindowSeconds != nil {
+		b = b.WithWindow(time.Duration(*n.QuotaWindowSeconds * float64(time.Second)))
+	}
+	if n.QuotaOverrun != nil {
+		b = b.WithOverrun(*n.QuotaOverrun)
+	}
+	if n.QuotaSlack != nil {
+		b = b.WithSlack(*n.QuotaSlack)
+	}
+	return b
+}
+
 // ReadNode reads and checks a settings file of a proxy on the platform. The
 // error reports a file that cannot be read; the findings report invalid
 // content.
@@ -89,8 +111,20 @@
 	if n.MemoryMegabytes <= 0 {
 		d.Addf("/MemoryMegabytes", "must be above zero")
 	}
+	if n.QuotaWindowSeconds != nil && *n.QuotaWindowSeconds <= 0 {
+		d.Addf("/QuotaWindowSeconds", "must be above zero")
+	}
+	requireNotNegative(d, "/QuotaOverrun", n.QuotaOverrun)
+	requireNotNegative(d, "/QuotaSlack", n.QuotaSlack)
 	if n.LogLevel < 0 || n.LogLevel > 4 {
 		d.Addf("/LogLevel", "must be from 0 to 4")
 	}
 	return n, d.Findings()
 }
+
+// requireNotNegative adds a finding if the value is given and below zero.
+func requireNotNegative(d *finding.Document, path string, value *float64) {
+	if value != nil && *value < 0 {
+		d.Addf(path, "must not be below zero")
+	}
+}
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -51,10 +51,11 @@
 
 // Team is a team as the platform's configuration describes it.
 type Team struct {
-	Name  string   `json:"name"`
-	Keys  []string `json:"api-keys"`
-	Rate  float64  `json:"rate-per-s"`
-	Burst float64  `json:"burst"`
+	Name string   `json:"name"`
+	Keys []string `json:"api-keys"`
+	// Rate and Burst limit the team's operations; a team with neither is not limited.
+	Rate  float64 `json:"rate-per-s,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
 }
 
 // DefaultPlan returns a plan for one group whose members are fast.
@@ -260,16 +261,17 @@
 // Settings returns the settings of the proxy with a name, which uses this platform and
 // listens on free ports of loopback.
 func (t *Testbed) Settings(name string) settings.Node {
-	var contracts []string
-	if len(t.plan.Teams) > 0 {
-		contracts = []string{"tenants", "quota"}
-	}
-	return settings.Node{
-		Contracts: contracts,
-		Name:      name, DataCentre: "zone-0", Callers: address.Free, Readiness: address.Free, Metrics: address.Free, Sibling: address.Free,
+	s := settings.Node{
+		Name: name, DataCentre: "zone-0", Callers: address.Free, Readiness: address.Free, Metrics: address.Free, Sibling: address.Free,
 		Store: t.StoreAddress, Promotion: t.PromotionAddress,
 		GraceSeconds: 4, Descriptors: 4096, MemoryMegabytes: 512,
 	}
+	if len(t.plan.Teams) > 0 {
+		window, overrun, slack := 5.0, 0.1, 20.0
+		s.Contracts = []string{"tenants", "quota"}
+		s.QuotaWindowSeconds, s.QuotaOverrun, s.QuotaSlack = &window, &overrun, &slack
+	}
+	return s
 }
 
 // ReserveAddresses returns the settings with addresses in place of those with a free port.
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -112,3 +112,9 @@
 func decodePosition(m *peer.Position) position.Position {
 	return position.Position{Term: m.GetTerm(), Log: m.GetLog()}
 }
+
+// maxTokens is the highest number of tokens in a message. It is above what proxies ask for.
+const maxTokens = 1 << 16
+
+// decodeTokens converts a number of tokens, at most maxTokens.
+func decodeTokens(n uint32) int { return int(min(n, maxTokens)) }
--- a/internal/peer/sibling/codec_test.go
+++ b/internal/peer/sibling/codec_test.go
@@ -32,13 +32,17 @@
 	panic("unexpected")
 }
 
+func (panicking) Lend(string, int) int { panic("unexpected") }
+
 // TestAPanicEndsOneCall guards against a call of another proxy that ends the process.
 func TestAPanicEndsOneCall(t *testing.T) {
-	s := NewServer(panicking{})
+	s := NewServer(panicking{}, panicking{})
 	_, err := s.Exchange(context.Background(), &peer.Beat{Sender: "proxy-2"})
 	assert.ErrorContains(t, err, "panicked")
 	_, err = s.Close(context.Background(), &peer.Record{Group: "g"})
 	assert.ErrorContains(t, err, "panicked")
+	_, err = s.Lend(context.Background(), &peer.LoanRequest{Team: "bakery"})
+	assert.ErrorContains(t, err, "panicked")
 }
 
 func FuzzHeartbeat(f *testing.F) {
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -24,13 +24,21 @@
 	AnswerClose(ctx context.Context, r heartbeat.Record) (heartbeat.PrimaryReport, error)
 }
 
+// Lender lends tokens of teams to other proxies.
+type Lender interface {
+	// Lend takes up to a number of tokens of a team for another proxy, and returns how many.
+	Lend(team string, tokens int) int
+}
+
 // Server answers the calls of other proxies. Use NewServer to make one.
 type Server struct {
 	handler Handler
+	lender  Lender
 }
 
-// NewServer returns a Server that answers each call with the result of the handler.
-func NewServer(h Handler) *Server { return &Server{handler: h} }
+// NewServer returns a Server that answers each call with the result of the handler or the
+// lender.
+func NewServer(h Handler, l Lender) *Server { return &Server{handler: h, lender: l} }
 
 // Serve accepts connections until ctx ends, and then returns the error of ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
@@ -63,6 +71,13 @@
 	return encodeReport(report), nil
 }
 
+// Lend answers one request for tokens; it implements the generated service. A panic ends the
+// call, not the process.
+func (s *Server) Lend(_ context.Context, m *peer.LoanRequest) (answer *peer.Loan, err error) {
+	defer recoverPanic("loan request", m.GetTeam(), &err)
+	return &peer.Loan{Tokens: uint32(s.lender.Lend(m.GetTeam(), decodeTokens(m.GetTokens())))}, nil
+}
+
 // recoverPanic turns a panic of a call into its error.
 func recoverPanic(call, subject string, err *error) {
 	if r := recover(); r != nil {
--- a/quota.go
+++ b/quota.go
@@ -18,6 +18,15 @@
 	// The operation must then be refused.
 	Take(ctx context.Context, t team.Team) bool
 	// GiveBack gives back the right to an operation of which nothing was sent to an
-	// endpoint.
-	GiveBack(t team.Team)
+	// endpoint. Asked is the boot time at which Take was called for it.
+	GiveBack(t team.Team, asked time.Duration)
+}
+
+// Lenders are the other proxies, from which this one borrows tokens of teams. A token is the
+// right to run one operation.
+type Lenders interface {
+	// Borrow asks the proxy at an address for tokens of a team, and returns how many this
+	// proxy has got, at most as many as it asked for. After an error it has none. Only ctx
+	// bounds the call.
+	Borrow(ctx context.Context, address, team string, tokens int) (int, error)
 }
