Send a statement on the connection that was opened for it

With connections by team most statements of a deployment with many teams open one. When endpoints are busy that takes longer than the 60 ms for which the choice of an endpoint holds.

The choice is now made anew at the same endpoint, with what a read must see now.

--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -165,9 +165,13 @@
 		return
 	}
 	if !e.choiceIsFresh(a) {
-		e.gateway.table.Return(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
-		e.retry(a, statement.Reply{}, "the choice of the endpoint is too old", false)
-		return
+		renewed, ok := e.gateway.table.Renew(a, e.job.Need)
+		if !ok {
+			e.gateway.table.Return(a.Endpoint.ID, c, scheduler.Outcome{Answered: true})
+			e.retry(a, statement.Reply{}, "the choice of the endpoint is too old", false)
+			return
+		}
+		a = renewed
 	}
 	if e.session.transaction != nil {
 		e.beginAt(a, c)
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -320,6 +320,32 @@
 	return true
 }
 
+// Renew makes the choice of an assignment's endpoint anew, at the same endpoint, for a
+// statement that was not sent in time because a connection had to be opened. It reports false
+// if the endpoint must not run the statement now.
+func (t *Table) Renew(a Assignment, n placement.Need) (Assignment, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e, ok := t.endpoints[a.Endpoint.ID]
+	if !ok || e.listed.StartedAt != a.Endpoint.StartedAt {
+		return a, false
+	}
+	g, sinceBoot := t.group(n.Group), t.clock.SinceBoot()
+	s := e.snapshot(t.timer.Now(), t.dataCentre, "")
+	// The statement has the connection, and counts as running already.
+	s.Available = true
+	choice := placement.Choose(n, g.leader, []placement.EndpointSnapshot{s}, sinceBoot)
+	if choice.AwaitsProof {
+		t.onProofNeeded(n.Group)
+	}
+	if choice.Index < 0 {
+		return a, false
+	}
+	a.After, a.Chosen, a.Term = choice.After, sinceBoot, g.leader.Term
+	a.Primary = e.listed.ID == g.leader.Endpoint && choice.After.IsZero()
+	return a, true
+}
+
 // enqueue passes an assignment to a worker.
 func (t *Table) enqueue(a Assignment) {
 	t.ready = append(t.ready, a)
