Make the simulated member refuse what endpoints refuse

Where teams are on, endpoints judge the caller of each statement, the connections of all callers together, and the slot that a new connection takes. In a failed transaction it answered LAGGING to a read with a position.

A member now refuses these. New connections hold a slot for Plan.ConnectTime, 12 ms where the plan has teams; closed connections can count longer (Group.DelayCloses); statements for a caller that is no team's name are recorded (Group.Strangers), and OnMessage sees each message.

--- a/internal/lab/member/control.go
+++ b/internal/lab/member/control.go
@@ -15,7 +15,7 @@
 		role = "primary"
 	}
 	return fmt.Sprintf("%s %d %s %d %d %d %d", role, m.term, m.logEnd(), m.suspended,
-		m.fault.Lag.Milliseconds(), len(m.slots), len(m.openConnections))
+		m.fault.Lag.Milliseconds(), len(m.slots), m.countConnections())
 }
 
 // suspendOrDemote runs SUSPEND at a replica, or DEMOTE at a primary. With a term that is
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -68,6 +68,16 @@
 	// OnRun is called with each BEGIN, READ, WRITE, EXECUTE and COMMIT that a member runs; it
 	// may be nil. It must be set before the group is used, and be safe for concurrent use.
 	OnRun func(r Run)
+	// OnMessage is called with each message that a member reads, byte for byte without its
+	// end; it may be nil. It must be set before the group is used, and be safe for concurrent
+	// use.
+	OnMessage func(member, message string)
+	// KnownCaller reports whether statements may run for a caller's name; nil for any name. It
+	// must be set before the group is used, and be safe for concurrent use.
+	KnownCaller func(name string) bool
+	// ConnectTime is how long a new connection holds a slot of its member before the member
+	// answers its CONNECT. It must be set before the group is used.
+	ConnectTime time.Duration
 	// OnLost is called with a description and the values by item of each commit, whenever
 	// acknowledged commits are lost; it may be nil. It must be set before the group is
 	// used, and must not call the group, whose mutex is held.
@@ -83,6 +93,10 @@
 	// newer term lacked.
 	acknowledged map[position.Position]bool
 	lostCommits  int
+	// closeDelay is how long a connection that closes still counts.
+	closeDelay time.Duration
+	// strangers describes the statements that ran for a caller that is not known.
+	strangers []string
 	// tokens holds the highest fencing token so far, of all groups of the platform.
 	tokens *tokens
 	// loweredTokens describes the orders with a lower fencing token than an earlier one.
@@ -132,6 +146,21 @@
 	return g.lostCommits, len(g.loweredTokens)
 }
 
+// Strangers describes the statements that ran for a caller that KnownCaller denied.
+func (g *Group) Strangers() []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return slices.Clone(g.strangers)
+}
+
+// DelayCloses makes each connection that closes from now on count for a time longer, as
+// those of a peer do that has lost its power or its network and can't end them.
+func (g *Group) DelayCloses(d time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closeDelay = d
+}
+
 // recordLostCommits counts the acknowledged commits that a new primary lacks as lost. The
 // caller holds the mutex.
 func (g *Group) recordLostCommits(next *Member) {
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -77,6 +77,8 @@
 	// listener is closed while the member is down or terminated.
 	listener        net.Listener
 	openConnections map[net.Conn]bool
+	// closedConnections holds the connections that are closed and still count.
+	closedConnections map[net.Conn]bool
 	// rejectedConnections counts connections that exceeded the limit, and
 	// statementsRun the reads, writes and commits. Restart resets both.
 	rejectedConnections int
@@ -97,7 +99,7 @@
 func (g *Group) Add(tasks *task.Group, id string, slots, connections int, statementTime time.Duration, options ...Option) (*Member, error) {
 	m := &Member{
 		ID: id, Address: address.Free, Slots: slots, Connections: connections, StatementTime: statementTime,
-		group: g, tasks: tasks, slots: make(chan struct{}, slots), openConnections: map[net.Conn]bool{},
+		group: g, tasks: tasks, slots: make(chan struct{}, slots), openConnections: map[net.Conn]bool{}, closedConnections: map[net.Conn]bool{},
 	}
 	for _, o := range options {
 		o(m)
@@ -259,12 +261,37 @@
 	g.changed.Broadcast()
 }
 
+// countConnections returns how many connections count against the limit. The caller holds
+// the mutex.
+func (m *Member) countConnections() int { return len(m.openConnections) + len(m.closedConnections) }
+
+// closeConnection ends the count of a connection after the group's closeDelay, or at once if
+// the member's process has ended meanwhile.
+func (m *Member) closeConnection(c net.Conn) {
+	g := m.group
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	open := m.openConnections[c]
+	delete(m.openConnections, c)
+	if !open || g.closeDelay == 0 {
+		return
+	}
+	m.closedConnections[c] = true
+	time.AfterFunc(g.closeDelay, func() {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		delete(m.closedConnections, c)
+	})
+}
+
 // disconnect resets all open connections, as the end of a process does. The
 // caller holds the mutex.
 func (m *Member) disconnect() {
 	for c := range m.openConnections {
 		resetConnection(c)
 	}
+	clear(m.openConnections)
+	clear(m.closedConnections)
 }
 
 // resetConnection closes a connection with a TCP reset.
--- a/internal/lab/member/member_test.go
+++ b/internal/lab/member/member_test.go
@@ -28,13 +28,13 @@
 	assert.NilError(t, err)
 	replica, err := group.Add(g, "r", 2, 8, 0)
 	assert.NilError(t, err)
-	c, err := testbed.Dial(primary.Address, "g")
+	c, err := testbed.DialMember(primary)
 	assert.NilError(t, err)
 	defer c.Close()
 	a, err := c.Do("WRITE x 1")
 	assert.NilError(t, err)
 	assert.Assert(t, a.OK())
-	r, err := testbed.Dial(replica.Address, "g")
+	r, err := testbed.DialMember(replica)
 	assert.NilError(t, err)
 	defer r.Close()
 	a, err = r.Do("READ x")
@@ -46,16 +46,22 @@
 	assert.DeepEqual(t, a.Rows, []string{"1"})
 }
 
-// start starts a group, whose first member is the primary, and stops it at the end of
-// the test. It returns the group's tasks, too.
-func start(t *testing.T, members int) (*member.Group, []*member.Member, *task.Group) {
+// tasks returns a group of tasks, which the end of the test stops.
+func tasks(t *testing.T) *task.Group {
 	t.Helper()
 	g := task.New(context.Background())
 	t.Cleanup(func() {
 		g.Stop()
 		_ = g.Wait()
 	})
-	group := member.NewGroup("g", 1, time.Millisecond)
+	return g
+}
+
+// start starts a group, whose first member is the primary, and stops it at the end of
+// the test. It returns the group's tasks, too.
+func start(t *testing.T, members int) (*member.Group, []*member.Member, *task.Group) {
+	t.Helper()
+	g, group := tasks(t), member.NewGroup("g", 1, time.Millisecond)
 	for i := range members {
 		_, err := group.Add(g, fmt.Sprintf("m-%d", i), 2, 8, 0)
 		assert.NilError(t, err)
@@ -66,7 +72,7 @@
 // dial opens a session to a member and closes it at the end of the test.
 func dial(t *testing.T, m *member.Member) *testbed.Client {
 	t.Helper()
-	c, err := testbed.Dial(m.Address, "g")
+	c, err := testbed.DialMember(m)
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
 	return c
@@ -170,7 +176,7 @@
 	}
 	assert.Assert(t, group.Whole())
 	members[2].SetFault(member.Fault{NotReplicating: true})
-	c, err := testbed.Dial(members[0].Address, "g")
+	c, err := testbed.DialMember(members[0])
 	assert.NilError(t, err)
 	defer c.Close()
 	a, err := c.Do("WRITE x 1")
@@ -192,7 +198,7 @@
 	_, members, _ := start(t, 3)
 	members[2].Terminate()
 	members[2].SetFault(member.Fault{})
-	_, err := testbed.Dial(members[2].Address, "g")
+	_, err := testbed.DialMember(members[2])
 	assert.Assert(t, err != nil)
 }
 
@@ -202,7 +208,7 @@
 	group, members, g := start(t, 3)
 	slow, err := group.Add(g, "slow", 2, 8, 50*time.Millisecond)
 	assert.NilError(t, err)
-	c, err := testbed.Dial(slow.Address, "g")
+	c, err := testbed.DialMember(slow)
 	assert.NilError(t, err)
 	defer c.Close()
 	_, err = c.Do("READ x")
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"strconv"
@@ -62,12 +63,13 @@
 }
 
 // serve answers one connection until it ends. It resets the connection if the member is
-// down, and refuses it over the limit or if it is for another group or member.
+// down, and refuses it over the limit of all callers, or unless it is opened with the group,
+// a caller's name and the ID of the member.
 func (m *Member) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	g := m.group
 	g.mutex.Lock()
-	full := len(m.openConnections) >= m.Connections
+	full := m.countConnections() >= m.Connections
 	down := m.fault.Down || m.fault.ResetNew
 	if full && !down {
 		m.rejectedConnections++
@@ -80,11 +82,9 @@
 		resetConnection(c)
 		return
 	}
-	defer func() {
-		g.mutex.Lock()
-		delete(m.openConnections, c)
-		g.mutex.Unlock()
-	}()
+	if !full {
+		defer m.closeConnection(c)
+	}
 	s := &session{member: m, conn: c, reader: bufio.NewReader(c), values: map[string]string{}, prepared: map[string]string{}}
 	greeting, err := s.readMessage()
 	if err != nil {
@@ -95,11 +95,16 @@
 	case full:
 		s.send("ERROR OVERLOAD too many connections")
 		return
-	case len(fields) < 3 || fields[0] != "CONNECT" || fields[1] != g.Name || (len(fields) > 3 && fields[3] != m.ID):
+	case len(fields) != 4 || fields[0] != "CONNECT" || fields[1] != g.Name || fields[2] == "" || fields[3] != m.ID:
 		s.send("ERROR MISROUTED another member")
 		return
 	}
 	s.caller = fields[2]
+	if g.ConnectTime > 0 {
+		m.slots <- struct{}{}
+		time.Sleep(g.ConnectTime)
+		<-m.slots
+	}
 	s.send("READY I " + s.visiblePosition())
 	for {
 		message, err := s.readMessage()
@@ -117,6 +122,9 @@
 		return "", err
 	}
 	g := s.member.group
+	if g.OnMessage != nil {
+		g.OnMessage(s.member.ID, message)
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if s.member.fault.Down {
@@ -188,6 +196,12 @@
 	if kind != "QUERY" {
 		return false
 	}
+	if s.failed && text != "ROLLBACK" && text != "COMMIT" {
+		return s.fail("MALFORMED", "failed transaction")
+	}
+	if id == "" {
+		return s.fail("MALFORMED", "no identifier")
+	}
 	if positionAndStatement, ok := strings.CutPrefix(text, "AFTER "); ok {
 		required, statement, _ := strings.Cut(positionAndStatement, " ")
 		p, err := position.Parse(required)
@@ -200,12 +214,29 @@
 		text = statement
 	}
 	word, arguments, _ := strings.Cut(text, " ")
-	if s.failed && word != "ROLLBACK" && word != "COMMIT" {
-		return s.fail("MALFORMED", "failed transaction")
+	if isMalformed(text, word, arguments) {
+		return s.fail("MALFORMED", "arguments")
 	}
 	return s.run(id, text, word, arguments)
 }
 
+// isMalformed reports whether a statement, whose text consists of the word and arguments, lacks
+// an argument or has one too many.
+func isMalformed(text, word, arguments string) bool {
+	first, rest, _ := strings.Cut(arguments, " ")
+	switch word {
+	case "STATUS", "RESUME", "RESET", "COMMIT", "ROLLBACK":
+		return text != word
+	case "READ", "WRITE", "SET":
+		return arguments == "" || (word == "SET" && first == "")
+	case "PREPARE":
+		mode, _, hasShape := strings.Cut(rest, " ")
+		return first == "" || !hasShape || (mode != "READ" && mode != "WRITE")
+	default:
+		return false
+	}
+}
+
 // run runs one statement, whose text consists of the word and arguments, and reports
 // whether the session goes on.
 func (s *session) run(id, text, word, arguments string) bool {
@@ -279,6 +310,9 @@
 	if !readOnly && text != "BEGIN" {
 		return s.fail("MALFORMED", "mode")
 	}
+	if s.inTransaction {
+		return s.fail("MALFORMED", "a transaction is open")
+	}
 	primary, term := s.member.State()
 	if !readOnly && !primary {
 		return s.fail("READONLY", s.member.ID)
@@ -362,9 +396,16 @@
 	s.member.group.mutex.Unlock()
 }
 
-// noteRun calls OnRun with the statement and the values that are in force.
+// noteRun records the statement if its caller is not known, and calls OnRun with the
+// statement and the values that are in force.
 func (s *session) noteRun(r Run) {
-	if onRun := s.member.group.OnRun; onRun != nil {
+	g := s.member.group
+	if g.KnownCaller != nil && !g.KnownCaller(s.caller) {
+		g.mutex.Lock()
+		g.strangers = append(g.strangers, fmt.Sprintf("%s ran %s %q for %q", s.member.ID, r.ID, r.Text, s.caller))
+		g.mutex.Unlock()
+	}
+	if onRun := g.OnRun; onRun != nil {
 		r.Member, r.Caller, r.Values = s.member.ID, s.caller, maps.Clone(s.values)
 		onRun(r)
 	}
--- a/internal/lab/testbed/client.go
+++ b/internal/lab/testbed/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/lab/line"
+	"eelgrassladder.example/eelgrassladder/internal/lab/member"
 )
 
 // AnswerTimeout is how long a Client waits for a line.
@@ -49,6 +50,12 @@
 // connection takes longer than a second, or the session is refused.
 func Dial(address, database string) (*Client, error) { return DialAs(address, database, "tester") }
 
+// DialMember connects to a member as its endpoint's callers do. The member's ID must not
+// change meanwhile.
+func DialMember(m *member.Member) (*Client, error) {
+	return DialAs(m.Address, m.Group(), "tester "+m.ID)
+}
+
 // DialAs is Dial for a client that identifies itself with a key.
 func DialAs(address, database, key string) (*Client, error) {
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -42,8 +42,11 @@
 	// PromoteTime is the time from the request for a promotion to the new term.
 	PromoteTime time.Duration
 	// Teams are the teams of the first configuration. If there are any, clients must
-	// identify themselves.
+	// identify themselves, and members judge the callers of statements.
 	Teams []Team
+	// ConnectTime is how long a new connection holds a slot of a member. If it is zero, and
+	// there are teams, it is TeamConnectTime.
+	ConnectTime time.Duration
 	// AdvertisedAddress returns the address that the platform's store shows for the member
 	// with an ID and a listen address. If it is nil, the store shows the listen address.
 	AdvertisedAddress func(id, address string) (string, error)
@@ -57,6 +60,9 @@
 	Burst float64  `json:"burst"`
 }
 
+// TeamConnectTime is how long the users' platform takes to open a connection to a member.
+const TeamConnectTime = 12 * time.Millisecond
+
 // DefaultPlan returns a plan for one group whose members are fast.
 func DefaultPlan() Plan {
 	return Plan{Groups: 1, Slots: 2, Connections: 16, StatementTime: time.Millisecond, PromoteTime: 100 * time.Millisecond}
@@ -80,8 +86,9 @@
 	// mutex guards the fields below. No other lock is taken while it is held.
 	mutex                sync.Mutex
 	configurationVersion uint64
-	// teams are those of the newest configuration.
-	teams []Team
+	// teams are those of the newest configuration, and callers the names of all teams so far.
+	teams   []Team
+	callers map[string]bool
 	// sequence counts the writes of members' entries.
 	sequence int
 }
@@ -89,7 +96,11 @@
 // New starts a platform with the groups of the plan and a first configuration. It
 // runs until the task group ends.
 func New(g *task.Group, p Plan) (*Testbed, error) {
-	t := &Testbed{Store: keyvalue.New(), plan: p, tasks: g, teams: p.Teams}
+	if len(p.Teams) > 0 && p.ConnectTime == 0 {
+		p.ConnectTime = TeamConnectTime
+	}
+	t := &Testbed{Store: keyvalue.New(), plan: p, tasks: g, callers: map[string]bool{}}
+	t.setTeams(p.Teams)
 	storeListener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -115,6 +126,10 @@
 // a zone of its own.
 func (t *Testbed) addGroup(index int) error {
 	g := member.NewGroup(fmt.Sprintf("group-%d", index), 1, t.plan.PromoteTime)
+	g.ConnectTime = t.plan.ConnectTime
+	if len(t.plan.Teams) > 0 {
+		g.KnownCaller = t.isCaller
+	}
 	if index > 0 {
 		g.ShareTokens(t.Groups[0])
 	}
@@ -251,10 +266,25 @@
 // ConfigureTeams writes a new version of the configuration with the default routes and other
 // teams, and returns the version.
 func (t *Testbed) ConfigureTeams(teams ...Team) uint64 {
+	t.setTeams(teams)
+	return t.Configure(nil)
+}
+
+// setTeams sets the teams of the next configuration.
+func (t *Testbed) setTeams(teams []Team) {
 	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	t.teams = teams
-	t.mutex.Unlock()
-	return t.Configure(nil)
+	for _, other := range teams {
+		t.callers[other.Name] = true
+	}
+}
+
+// isCaller reports whether a team was ever configured with a name.
+func (t *Testbed) isCaller(name string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.callers[name]
 }
 
 // Settings returns the settings of the proxy with a name, which uses this platform and
