Write an empty list of contracts into the settings of processes

Proxies that run as processes beside a testbed without teams did not start, and four tests of internal/lab/soak failed after 12 s without service.

The testbed gives an empty list.

--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -290,7 +290,7 @@
 // Settings returns the settings of the proxy with a name, which uses this platform and
 // listens on free ports of loopback.
 func (t *Testbed) Settings(name string) settings.Node {
-	var contracts []string
+	contracts := []string{} // the settings of a process hold a list, never null
 	if len(t.plan.Teams) > 0 {
 		contracts = []string{"tenants", "quota"}
 	}
