Run the soak with teams whose keys and limits change

Statements in the name of teams had no check against real processes under faults.

New faults add, remove, move and share keys, take all keys of a team or the team away, change limits, make a team send as fast as it can, cut a third of the proxies off from the store, and kill most processes while members still count their connections. Checked from what clients and members see: a member runs a statement only for the team that held the client's key in a version that may be in force (2 s after its replacement, 5 s where the store alone is cut off, both without the time of faults), one operation runs for one team, a key reaches no member, a key that is held is not refused, and UNAUTH ends the session.

--- a/cmd/eelgrasslab/soak.go
+++ b/cmd/eelgrasslab/soak.go
@@ -29,6 +29,9 @@
 	Harsh       bool     `long:"harsh" description:"Inject faults like those of the users' machines, unless --fault is given"`
 	Orders      bool     `long:"orders" description:"Inject faults around orders to promote, unless --fault is given"`
 	Stutter     bool     `long:"stutter" description:"Inject members that answer twice, beside other faults, unless --fault is given"`
+	Teams       int      `long:"teams" description:"Teams in whose names the clients call; 0 for a platform without teams. Inject faults of keys and limits, unless --fault is given"`
+	CheckQuotas bool     `long:"check-quotas" description:"Check that no team exceeds its limit; for proxies that limit teams"`
+	Connections int      `long:"connections" description:"Connections that a member accepts; 0 for 24, or two for each proxy"`
 	Faults      []string `long:"fault" description:"Fault to inject; repeat it to make one more likely"`
 	Binary      string   `long:"binary" value-name:"FILE" description:"Program that runs as a proxy; built from the source if empty"`
 	Folder      string   `long:"folder" value-name:"DIR" description:"Where settings and logs are kept; a temporary folder if empty"`
@@ -65,8 +68,8 @@
 		if err != nil {
 			return errors.WithMessagef(err, "seed %d", seed)
 		}
-		fmt.Printf("Seed=%d Served=%d Failed=%d Starts=%d Promotions=%d Violations=%d\n%s", seed, result.Served, result.Failed,
-			result.Starts, result.Promotions, len(result.Violations), strings.Join(append(result.Violations, ""), "\n"))
+		fmt.Printf("Seed=%d Served=%d Failed=%d Starts=%d Promotions=%d Versions=%d Unauthorized=%d Violations=%d\n%s", seed, result.Served, result.Failed,
+			result.Starts, result.Promotions, result.Versions, result.Unauthorized, len(result.Violations), strings.Join(append(result.Violations, ""), "\n"))
 		violations += len(result.Violations)
 	}
 	if violations > 0 {
@@ -81,9 +84,12 @@
 	plan.Length, plan.Proxies, plan.Groups = time.Duration(c.Seconds)*time.Second, c.Proxies, c.Groups
 	plan.DataCentres, plan.ClientsPerGroup, plan.Slots = c.DataCentres, c.Clients, c.Slots
 	plan.StatementTime, plan.FaultPause = time.Duration(c.StatementMs)*time.Millisecond, time.Duration(c.PauseMs)*time.Millisecond
+	plan.Teams, plan.CheckQuotas, plan.Connections = c.Teams, c.CheckQuotas, c.Connections
 	switch {
 	case len(c.Faults) > 0:
 		plan.Faults = c.Faults
+	case c.Teams > 0:
+		plan.Faults = soak.TeamFaults()
 	case c.Harsh:
 		plan.Faults = soak.HarshFaults()
 	case c.Orders:
--- a/internal/lab/soak/bytes.go
+++ b/internal/lab/soak/bytes.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"eelgrassladder.example/eelgrassladder/internal/lab/line"
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
@@ -38,31 +39,43 @@
 	return strconv.Atoi(value)
 }
 
+// sentStatement is a statement that a client has sent. It is immutable.
+type sentStatement struct {
+	// Run is what a member may run. An EXECUTE has no Text, because proxies rename prepared
+	// statements.
+	member.Run
+	// key is what the client has identified itself with, and proxy the name of its proxy.
+	key, proxy string
+	// operation is the number of the single statement or transaction, and began when the client
+	// sent its first statement.
+	operation uint64
+	began     time.Time
+}
+
 // statements holds the statements of all clients.
 type statements struct {
 	// mutex guards the fields below. No other lock is taken while it is held.
 	mutex sync.Mutex
-	// sent holds what a member may run by the ID of the statement. An EXECUTE has no Text,
-	// because proxies rename prepared statements.
-	sent map[string]member.Run
+	// sent holds the statements by their IDs.
+	sent map[string]sentStatement
 	// ran counts the statements that members ran.
 	ran int
 }
 
 // note records a statement before it is sent.
-func (s *statements) note(run member.Run) {
+func (s *statements) note(sent sentStatement) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.sent[run.ID] = run
+	s.sent[sent.ID] = sent
 }
 
 // take counts a statement that a member ran, and returns what was noted under its ID.
-func (s *statements) take(id string) (member.Run, bool) {
+func (s *statements) take(id string) (sentStatement, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.ran++
-	run, ok := s.sent[id]
-	return run, ok
+	sent, ok := s.sent[id]
+	return sent, ok
 }
 
 // compared returns how many statements members ran.
@@ -72,9 +85,13 @@
 	return s.ran
 }
 
-// checkRun compares what a member ran with what a client sent, byte for byte.
+// checkRun compares what a member ran with what a client sent, byte for byte, and checks for
+// whom it ran.
 func (r *runner) checkRun(run member.Run) {
 	sent, ok := r.statements.take(run.ID)
+	if ok && r.plan.Teams > 0 {
+		r.checkCaller(run, sent)
+	}
 	if run.Prepared != "" {
 		run.Text = ""
 	}
--- a/internal/lab/soak/bytes_test.go
+++ b/internal/lab/soak/bytes_test.go
@@ -25,11 +25,11 @@
 		func(_, execute *member.Run) { execute.Prepared = "WRITE c" },
 		func(_, execute *member.Run) { execute.Arguments = "a b" },
 	} {
-		r := &runner{statements: statements{sent: map[string]member.Run{}}}
+		r := &runner{statements: statements{sent: map[string]sentStatement{}}}
 		noted := execute
 		noted.Text = ""
-		r.statements.note(write)
-		r.statements.note(noted)
+		r.statements.note(sentStatement{Run: write})
+		r.statements.note(sentStatement{Run: noted})
 		ranWrite, ranExecute := write, execute
 		ranExecute.Text = "EXECUTE w1 a b\r" // proxies rename prepared statements
 		change(&ranWrite, &ranExecute)
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrassladder.example/eelgrassladder/internal/lab/testbed"
@@ -15,6 +16,7 @@
 // has not been applied.
 var notAppliedCodes = map[string]bool{
 	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "OVERLOAD": true,
+	unauthorized: true,
 }
 
 // ledger records what one client has written to its two items, which no other client
@@ -31,8 +33,8 @@
 	refused map[int]bool
 	// told holds the values whose writes were acknowledged to the client.
 	told map[int]bool
-	// served and failed count operations.
-	served, failed int
+	// served and failed count operations. Others than the client read them.
+	served, failed atomic.Int64
 }
 
 // client runs operations on its own items and reports violated guarantees. One
@@ -44,15 +46,17 @@
 	group  int
 	random *rand.Rand
 	ledger ledger
+	// team is the number of the client's team, if there are teams.
+	team int
 }
 
 // work runs sessions one after another until ctx ends, each through a random proxy and
-// with 1 to 40 operations.
+// with 1 to 40 operations, or more where there are teams.
 func (c *client) work(ctx context.Context) {
 	for ctx.Err() == nil {
 		p := c.run.processes[c.random.IntN(len(c.run.processes))]
 		kind := []string{"primary", "own"}[c.random.IntN(2)]
-		s, err := c.run.dial(p.callerAddress, fmt.Sprintf("%s-%d", kind, c.group))
+		s, err := c.run.dial(p, c.chooseKey(), fmt.Sprintf("%s-%d", kind, c.group))
 		if err != nil {
 			c.backOff(ctx)
 			continue
@@ -64,8 +68,9 @@
 			minimum = c.ledger.acknowledged
 		}
 		goesOn := s.prepare(c.random)
-		for n := c.random.IntN(40) + 1; goesOn && n > 0 && ctx.Err() == nil; n-- {
+		for n := c.random.IntN(c.sessionLength()) + 1; goesOn && n > 0 && ctx.Err() == nil; n-- {
 			goesOn = c.runOperation(s, kind, &minimum)
+			c.pace(ctx)
 		}
 		s.Close()
 	}
@@ -103,15 +108,16 @@
 		a, err := s.Do(text)
 		if err != nil {
 			c.ledger.refused[value] = true // COMMIT was never sent
-			c.ledger.failed++
+			c.ledger.failed.Add(1)
 			return false
 		}
 		if !a.OK() {
 			c.ledger.refused[value] = true
-			c.ledger.failed++
+			c.ledger.failed.Add(1)
 			_, err := s.Do("ROLLBACK")
 			return err == nil
 		}
+		c.rest()
 	}
 	a, err := s.Do("COMMIT")
 	return c.recordWrite(a, err, value, minimum)
@@ -122,19 +128,19 @@
 func (c *client) recordWrite(a testbed.Answer, err error, value int, minimum *int) bool {
 	switch {
 	case err != nil:
-		c.ledger.failed++
+		c.ledger.failed.Add(1)
 		return false
 	case a.OK():
 		c.checkSignature(a)
-		c.ledger.served++
+		c.ledger.served.Add(1)
 		c.ledger.acknowledged = value
 		c.ledger.told[value] = true
 		*minimum = value
 	case notAppliedCodes[a.Code]:
-		c.ledger.failed++
+		c.ledger.failed.Add(1)
 		c.ledger.refused[value] = true
 	default:
-		c.ledger.failed++
+		c.ledger.failed.Add(1)
 	}
 	return a.State == "I"
 }
@@ -146,11 +152,11 @@
 	}
 	a, err := s.Do("READ " + c.ledger.item)
 	if err != nil || !a.OK() {
-		c.ledger.failed++
+		c.ledger.failed.Add(1)
 		return err == nil && a.State == "I"
 	}
 	c.checkSignature(a)
-	c.ledger.served++
+	c.ledger.served.Add(1)
 	if len(a.Rows) != 1 {
 		c.run.recordViolation("%s: a read answered %d rows", c.ledger.item, len(a.Rows))
 		return false
@@ -182,8 +188,11 @@
 }
 
 // backOff waits a short time before the next attempt to connect.
-func (c *client) backOff(ctx context.Context) {
-	timer := time.NewTimer(20 * time.Millisecond)
+func (c *client) backOff(ctx context.Context) { pause(ctx, 20*time.Millisecond) }
+
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/lab/soak/harsh.go
+++ b/internal/lab/soak/harsh.go
@@ -29,6 +29,7 @@
 	"Standstill": (*runner).standstillFault, "HolderStop": (*runner).holderStopFault,
 	"Crash": (*runner).crashFault, "Scatter": (*runner).scatterFault, "Answer": (*runner).answerFault, "Backlog": (*runner).backlogFault,
 	"OrderStop": (*runner).orderStopFault, "RollingRestart": (*runner).rollingRestartFault, stutterName: (*runner).stutterFault,
+	"Keys": (*runner).keysFault, "Limits": (*runner).limitsFault, "Hot": (*runner).hotFault, "Refuse": (*runner).refuseFault, "PowerLoss": (*runner).powerLossFault,
 }
 
 // UsualFaults returns the names of the faults of a run on a machine with time to spare.
@@ -49,12 +50,16 @@
 	return strings.Fields("Crash Crash Crash Scatter Answer Backlog Standstill OrderStop OrderStop RollingRestart Stop")
 }
 
-// checkFaults returns an error if the plan names a fault that does not exist.
+// checkFaults returns an error if the plan names a fault that does not exist, or one of teams
+// although there are none.
 func (r *runner) checkFaults() error {
 	for _, name := range r.plan.Faults {
 		if _, ok := drawings[name]; !ok {
 			return errors.Errorf("no fault is called %q", name)
 		}
+		if r.plan.Teams == 0 && slices.Contains([]string{"Keys", "Limits", "Hot"}, name) {
+			return errors.Errorf("fault %q needs teams", name)
+		}
 	}
 	return nil
 }
@@ -256,7 +261,7 @@
 		name:  fmt.Sprintf("zone-%d loses the store", dataCentre),
 		begin: func() { setConditions(cut, relay.Conditions{BlockForward: true, BlockBackward: true}) },
 		end:   func() { setConditions(cut, relay.Conditions{}) },
-	})
+	}, names...)
 }
 
 // setConditions sets the conditions of relays.
--- a/internal/lab/soak/holder.go
+++ b/internal/lab/soak/holder.go
@@ -82,16 +82,26 @@
 	ended time.Time
 }
 
-// disruptingStore returns a fault as one of the store or of a link to it.
-func (r *runner) disruptingStore(f fault) fault {
+// disruptingStore returns a fault as one of the links to the store with these names; of the
+// whole store if there are none.
+func (r *runner) disruptingStore(f fault, links ...string) fault {
+	if len(links) == 0 {
+		links = []string{storePart}
+	}
 	begin, end := f.begin, f.end
 	f.begin = func() {
 		r.store.begin()
+		for _, part := range links {
+			r.spans.begin(part)
+		}
 		begin()
 	}
 	f.end = func() {
 		end()
 		r.store.end()
+		for _, part := range links {
+			r.spans.end(part)
+		}
 	}
 	return f
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -37,12 +37,18 @@
 	// or signal.
 	stopped   bool
 	disrupted time.Time
+	// ending is true from a signal that ends the process to its next start.
+	ending bool
+	// spans records when the process does not run, is stopped or ends, and disturbed is true
+	// meanwhile.
+	spans     *spans
+	disturbed bool
 }
 
 // newProcess returns a proxy that is not started yet, with the store at an address
 // and free ports to listen on. It writes the settings and creates the log in the
 // folder.
-func newProcess(s settings.Node, store, binary, folder string) (*process, error) {
+func newProcess(s settings.Node, store, binary, folder string, disturbances *spans) (*process, error) {
 	name := s.Name
 	s.Store = store
 	for _, a := range []*string{&s.Callers, &s.Readiness, &s.Metrics, &s.Sibling} {
@@ -56,7 +62,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p := &process{settings: s, binary: binary, settingsFile: filepath.Join(folder, name+".hujson")}
+	p := &process{settings: s, binary: binary, settingsFile: filepath.Join(folder, name+".hujson"), spans: disturbances}
 	if err := os.WriteFile(p.settingsFile, text, 0o600); err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -76,11 +82,13 @@
 		p.mutex.Lock()
 		p.running = command.Process
 		p.starts++
-		p.stopped, p.disrupted = false, time.Now()
+		p.stopped, p.ending, p.disrupted = false, false, time.Now()
+		p.recordSpan()
 		p.mutex.Unlock()
 		_ = command.Wait() // the process ends by a signal; its log says why
 		p.mutex.Lock()
 		p.running = nil
+		p.recordSpan()
 		p.mutex.Unlock()
 		pause := time.NewTimer(restartDelay)
 		select {
@@ -100,7 +108,23 @@
 	if p.running != nil {
 		_ = p.running.Signal(s) // the process may have ended meanwhile
 		p.stopped = s == syscall.SIGSTOP || (p.stopped && s != syscall.SIGCONT)
+		p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 		p.disrupted = time.Now()
+		p.recordSpan()
+	}
+}
+
+// recordSpan records the begin or the end of a disturbance. The caller holds the mutex.
+func (p *process) recordSpan() {
+	now := p.running == nil || p.stopped || p.ending
+	if now == p.disturbed {
+		return
+	}
+	p.disturbed = now
+	if now {
+		p.spans.begin(p.settings.Name)
+	} else {
+		p.spans.end(p.settings.Name)
 	}
 }
 
--- a/internal/lab/soak/relay.go
+++ b/internal/lab/soak/relay.go
@@ -165,7 +165,7 @@
 	k := kinds[random.IntN(len(kinds))]
 	f := fault{name: named.name + " " + k.name, begin: k.begin, end: func() { named.relay.SetConditions(relay.Conditions{}) }}
 	if strings.HasSuffix(named.name, linkToStore) {
-		return r.disruptingStore(f)
+		return r.disruptingStore(f, named.name)
 	}
 	return f
 }
--- a/internal/lab/soak/session.go
+++ b/internal/lab/soak/session.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"time"
 
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
 	"eelgrassladder.example/eelgrassladder/internal/lab/testbed"
@@ -16,15 +17,26 @@
 	// under the name s; empty for none.
 	values map[string]string
 	shape  string
+	// key is what the session has identified itself with, and proxy the name of its proxy.
+	key, proxy string
+	// operation is the number of the newest operation, which began at a time. It goes on while
+	// a transaction is open.
+	operation     uint64
+	began         time.Time
+	inTransaction bool
 }
 
-// dial opens a session for a database.
-func (r *runner) dial(address, database string) (*session, error) {
-	c, err := testbed.Dial(address, database)
+// dial opens a session for a database at a proxy with a key.
+func (r *runner) dial(p *process, key, database string) (*session, error) {
+	began := time.Now()
+	c, err := testbed.DialAs(p.callerAddress, database, key)
+	if r.plan.Teams > 0 {
+		r.checkGreeting(p.settings.Name, key, began, err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return &session{Client: c, run: r}, nil
+	return &session{Client: c, run: r, key: key, proxy: p.settings.Name}, nil
 }
 
 // Do notes a statement and runs it.
@@ -33,8 +45,16 @@
 	if arguments, ok := strings.CutPrefix(text, "EXECUTE s "); ok {
 		run.Text, run.Prepared, run.Arguments = "", "WRITE "+s.shape, arguments
 	}
-	s.run.statements.note(run)
-	return s.DoAs(run.ID, text)
+	if !s.inTransaction {
+		s.operation, s.began = s.run.operationCount.Add(1), time.Now()
+	}
+	s.run.statements.note(sentStatement{Run: run, key: s.key, proxy: s.proxy, operation: s.operation, began: s.began})
+	a, err := s.DoAs(run.ID, text)
+	if err == nil && a.Code == unauthorized {
+		s.checkUnauthorized(a)
+	}
+	s.inTransaction = err == nil && a.State != "I"
+	return a, err
 }
 
 // prepare sets a value in some sessions and prepares a write in some, and reports whether the
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -51,6 +52,13 @@
 	// Faults names the faults to draw, one of them at a time. Each is as likely as the
 	// number of times that it is named.
 	Faults []string
+	// Teams is the number of teams in whose names the clients call; zero for a platform
+	// without teams. CheckQuotas makes the run check that no team exceeds its limit.
+	Teams       int
+	CheckQuotas bool
+	// Connections is the limit of connections of each member; zero for 24, or two for each
+	// proxy.
+	Connections int
 	// FaultPause is the longest pause between the starts of two faults.
 	FaultPause time.Duration
 	// Binary is the path of the program that runs as a proxy.
@@ -70,6 +78,9 @@
 	// Compared counts the statements that members ran and that were compared with what
 	// clients had sent.
 	Compared int
+	// Versions counts the versions of the teams, and Unauthorized the statements and sessions
+	// that were refused for their keys.
+	Versions, Unauthorized int
 	// Starts counts the starts of proxies' processes, and Promotions the promotions that
 	// the groups accepted.
 	Starts, Promotions int
@@ -100,6 +111,16 @@
 	// holders checks the holders of orders, and store records the disruptions of the store.
 	holders holders
 	store   disruptions
+	// spans records all disturbances that delay the spread of a version of the configuration.
+	spans spans
+	// versions holds the versions of the teams, and operations what members ran for each.
+	// operationCount numbers the operations, and unauthorized counts refusals.
+	versions       versions
+	operations     operations
+	operationCount atomic.Uint64
+	unauthorized   atomic.Int64
+	// pacing says how fast the clients of teams are.
+	pacing pacing
 	// orderStops holds the stops of processes around orders.
 	orderStops orderStops
 	// standstill is true while the promotion interface stands still, and until it has
@@ -117,6 +138,8 @@
 	outputMutex sync.Mutex
 	// joined counts the members that the schedule adds.
 	joined int
+	// addedKeys counts the keys that the schedule adds to those of the first version.
+	addedKeys int
 }
 
 // Build compiles the program of a proxy into the folder and returns its path. The error
@@ -130,7 +153,7 @@
 // Run runs one soak. It fails if the system can't be started or does not serve before
 // any fault; violated guarantees are in the result.
 func Run(ctx context.Context, p Plan) (Result, error) {
-	r := &runner{plan: p, faultyParts: map[string]bool{}, delays: delays{random: rand.New(rand.NewPCG(p.Seed, 0))}, statements: statements{sent: map[string]member.Run{}}}
+	r := &runner{plan: p, began: time.Now(), faultyParts: map[string]bool{}, delays: delays{random: rand.New(rand.NewPCG(p.Seed, 0))}, statements: statements{sent: map[string]sentStatement{}}}
 	r.network.repeating, r.network.seed = p.stutters(), p.Seed
 	if err := r.checkFaults(); err != nil {
 		return Result{}, err
@@ -141,8 +164,13 @@
 		_ = platform.Wait() // the tasks end with the error of their context
 	}()
 	platformPlan := testbed.DefaultPlan()
-	platformPlan.Groups, platformPlan.Connections = p.Groups, max(24, 2*p.Proxies)
+	platformPlan.Groups, platformPlan.Connections = p.Groups, cmp.Or(p.Connections, max(24, 2*p.Proxies))
 	platformPlan.Slots, platformPlan.StatementTime = p.Slots, p.StatementTime
+	if p.Teams > 0 {
+		platformPlan.Teams = r.firstTeams()
+		r.versions.begin(newVersion(platformPlan.Teams))
+		r.versions.acknowledge()
+	}
 	t, err := testbed.New(platform, platformPlan)
 	if err != nil {
 		return Result{}, err
@@ -151,6 +179,9 @@
 	for _, g := range t.Groups {
 		g.OnPromotion = func(*member.Member) { r.promotions.Add(1) }
 		g.DelayPromotion, g.LateLead, g.OnOrder, g.OnRun = r.delayPromotion, r.delayLead, r.noteOrder, r.checkRun
+		if p.Teams > 0 {
+			g.OnMessage = r.checkMessage
+		}
 		g.OnLost = func(description string, commits []map[string]string) {
 			r.printf("%s  LOST %s; %q\n", time.Now().Format(logTime), description, commits)
 			r.violations.addLost(commits)
@@ -206,7 +237,7 @@
 		}
 		settings := r.testbed.Settings(name)
 		settings.DataCentre = fmt.Sprintf("zone-%d", dataCentre)
-		p, err := newProcess(settings, store, r.plan.Binary, r.plan.Folder)
+		p, err := newProcess(settings, store, r.plan.Binary, r.plan.Folder, &r.spans)
 		if err != nil {
 			return err
 		}
@@ -236,17 +267,24 @@
 	r.printf("  0.000 s  faults begin at %s\n", r.began.Format(logTime))
 	random := rand.New(rand.NewPCG(r.plan.Seed, 1))
 	faults := r.drawSchedule(random, r.plan.Length)
-	clientsContext, stopClients := context.WithCancel(ctx)
-	g := task.New(clientsContext)
 	for i := range r.plan.Groups * r.plan.ClientsPerGroup {
 		c := &client{
-			run: r, index: uint64(i), group: i % r.plan.Groups, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
+			run: r, index: uint64(i), group: i % r.plan.Groups, team: i / r.plan.Groups % max(r.plan.Teams, 1), random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i)+2)),
 			ledger: ledger{item: fmt.Sprintf("item-%d", i), refused: map[int]bool{}, told: map[int]bool{}},
 		}
 		r.clients = append(r.clients, c)
+	}
+	r.runClients(ctx, func() { r.runSchedule(ctx, faults) })
+}
+
+// runClients runs the clients until a function returns.
+func (r *runner) runClients(ctx context.Context, until func()) {
+	clientsContext, stopClients := context.WithCancel(ctx)
+	g := task.New(clientsContext)
+	for _, c := range r.clients {
 		g.GoIsolated("client", c.work)
 	}
-	r.runSchedule(ctx, faults)
+	until()
 	stopClients()
 	_ = g.Wait() // clients return no error
 }
@@ -270,12 +308,18 @@
 		r.recordViolation("service is not back after the end of the faults: %v", err)
 	}
 	r.printf("service is back %v after the end of the faults\n", time.Since(began))
+	if r.plan.Teams > 0 {
+		r.checkCalm(ctx)
+	}
+	if r.plan.Teams > 0 && r.plan.CheckQuotas {
+		r.checkQuotas()
+	}
 	var result Result
 	for _, c := range r.clients {
 		r.verifyLastWrite(c)
 		r.verifyLostWrites(c)
-		result.Served += c.ledger.served
-		result.Failed += c.ledger.failed
+		result.Served += int(c.ledger.served.Load())
+		result.Failed += int(c.ledger.failed.Load())
 	}
 	for _, g := range r.testbed.Groups {
 		if lost, lowered := g.Violations(); lost+lowered > 0 {
@@ -286,6 +330,7 @@
 		result.Starts += p.starts
 	}
 	result.Promotions, result.Compared = int(r.promotions.Load()), r.statements.compared()
+	result.Versions, result.Unauthorized = len(r.versions.all()), int(r.unauthorized.Load())
 	result.Violations = r.violations.messages
 	return result
 }
@@ -296,7 +341,7 @@
 	for _, p := range r.processes {
 		for i := range r.plan.Groups {
 			err := testbed.WaitFor(ctx, recoveryLimit, func() bool {
-				s, err := r.dial(p.callerAddress, fmt.Sprintf("primary-%d", i))
+				s, err := r.dial(p, inspectionKey, fmt.Sprintf("primary-%d", i))
 				if err != nil {
 					return false
 				}
@@ -326,7 +371,7 @@
 // verifyLastWrite reads a client's item through the first proxy and checks its value
 // against the client's ledger.
 func (r *runner) verifyLastWrite(c *client) {
-	s, err := r.dial(r.processes[0].callerAddress, fmt.Sprintf("primary-%d", c.group))
+	s, err := r.dial(r.processes[0], inspectionKey, fmt.Sprintf("primary-%d", c.group))
 	if err != nil {
 		r.recordViolation("%s: the last read failed: %v", c.ledger.item, err)
 		return
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -74,6 +74,30 @@
 	assert.Assert(t, result.Served > 500, "%+v", result)
 }
 
+// TestTheSoakFindsNoBrokenPromiseWithTeams is the same with teams whose keys and limits change
+// while sessions are open. It runs alone, because it judges service in calm.
+func TestTheSoakFindsNoBrokenPromiseWithTeams(t *testing.T) {
+	binary, err := soak.Build(t.TempDir())
+	assert.NilError(t, err)
+	plan := soak.DefaultPlan(7201)
+	plan.Length, plan.Teams, plan.Binary, plan.Folder = 4*time.Second, 4, binary, t.TempDir()
+	plan.Faults, plan.FaultPause = soak.TeamFaults(), 500*time.Millisecond
+	result, err := soak.Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
+	assert.Assert(t, result.Served > 500, "%+v", result)
+	assert.Assert(t, result.Versions > 3, "only those at the start and the end: %+v", result)
+	assert.Assert(t, result.Unauthorized > 0, "%+v", result)
+}
+
+// TestTheSoakRefusesAFaultOfTeamsWithoutAny guards against a run that draws from no teams.
+func TestTheSoakRefusesAFaultOfTeamsWithoutAny(t *testing.T) {
+	plan := soak.DefaultPlan(1)
+	plan.Faults = soak.TeamFaults()
+	_, err := soak.Run(context.Background(), plan)
+	assert.ErrorContains(t, err, "needs teams")
+}
+
 func TestTheSoakRefusesAFaultThatDoesNotExist(t *testing.T) {
 	plan := soak.DefaultPlan(1)
 	plan.Faults = append(plan.Faults, "Earthquake")
