--- a/internal/table/lockrank/lockrank.go
+++ b/internal/table/lockrank/lockrank.go
@@ -50,6 +50,8 @@
 	Cluster
 	// Burn is the table of good and bad requests by class.
 	Burn
+	// Budget is the table of the accounts of clients.
+	Budget
 )
 
 // checksEnabled is set by tests before they start goroutines, since a lock that
