Charge clients and other proxies for what they hold

Cause: a reader's buffer grew to 1 MiB for each connection, each SET copied all values of the session into a text, session values and prepared statements were kept without a bound, also by idle connections to endpoints, and the ports for siblings, metrics and readiness had no bounds.

SET, PREPARE and BEGIN are refused if the session would hold more than it may. - A connection to an endpoint that keeps more than 128 KiB of sessions is closed when it is returned. - The siblings' port takes messages of 1 MiB and 256 connections within a budget of its own; metrics and readiness 64 connections, headers of 8 KiB, and bounded times. A connection beyond closes the one that is idle for longest. - The Go memory limit is 6 tenths of MemoryMegabytes (before: 5).

--- a/connection.go
+++ b/connection.go
@@ -25,6 +25,8 @@
 	// Team returns the name of the team for which the connection was opened; empty for
 	// none. Endpoints attribute all that runs on a connection to one team.
 	Team() string
+	// Retained returns how many bytes the connection keeps of the sessions that used it.
+	Retained() int
 	// ApplySession sets the session values, and prepares the statement if s executes a
 	// prepared one. It sends only what the connection does not have yet. After a reply whose
 	// code is not OK, the connection has some of the values only, and must not be used again.
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -138,7 +138,7 @@
 func (e *execution) runAssigned(a scheduler.Assignment) {
 	defer func() {
 		if r := recover(); r != nil {
-			klog.ErrorS(nil, "Running a statement panicked", "Request", e.statement.ID, "Reason", r, "Stack", string(debug.Stack()))
+			klog.ErrorS(nil, "Running a statement panicked", "Request", shortened(e.statement.ID), "Reason", r, "Stack", string(debug.Stack()))
 			e.finish(statement.ErrorReply(statement.InDoubt, "internal error"))
 		}
 	}()
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -149,14 +150,22 @@
 // it returns no session, the reply says why.
 // If there are no routes yet, it waits for them, up to firstRoutesTimeout, because it
 // cannot tell before whether the database exists.
-func (g *Gateway) Open(database, key string) (*Session, statement.Reply) {
+func (g *Gateway) Open(database, key string, options ...SessionOption) (*Session, statement.Reply) {
 	if !g.awaitRoutes() {
 		return nil, statement.ErrorReply(statement.Busy, "the routes are not known yet")
 	}
 	if _, _, refusal := identify(g.routes.Routes(), database, key); refusal.Code != statement.OK {
 		return nil, refusal
 	}
-	return &Session{gateway: g, database: database, key: key, prepared: map[string]statement.Prepared{}}, statement.Reply{}
+	// The texts are parts of the whole message, which they would keep.
+	s := &Session{
+		gateway: g, database: strings.Clone(database), key: strings.Clone(key), prepared: map[string]statement.Prepared{},
+		account: eelgrassladder.UnlimitedMemory{},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s, statement.Reply{}
 }
 
 // awaitRoutes waits for the first routes and reports whether there are any.
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -50,7 +50,7 @@
 	if !allowed {
 		return
 	}
-	klog.InfoS(message, "Request", a.Statement.ID, "Kind", a.Statement.Kind.String(),
+	klog.InfoS(message, "Request", shortened(a.Statement.ID), "Kind", a.Statement.Kind.String(),
 		"Code", a.Reply.Code.String(), "Detail", a.Reply.Detail, "Database", a.Route.Database, "Group", a.Route.Group,
 		"Version", a.RoutesVersion, "Team", a.Team, "Endpoint", a.Endpoint, "Primary", a.Primary, "Term", a.Leader.Term,
 		"Closed", a.Leader.Closed, "ProofAgeMs", (a.Now - a.Leader.Proven).Milliseconds(),
@@ -66,7 +66,7 @@
 	if !allowed {
 		return
 	}
-	klog.InfoS("Commit passed on without a fresh record", "Request", a.Statement.ID, "Doubt", d.String(), "Group", a.Route.Group,
+	klog.InfoS("Commit passed on without a fresh record", "Request", shortened(a.Statement.ID), "Doubt", d.String(), "Group", a.Route.Group,
 		"Endpoint", a.Endpoint, "Position", a.Reply.Position.String(), "Known", a.Leader.Endpoint, "Term", a.Leader.Term,
 		"Closed", a.Leader.Closed, "KnownForMs", (a.Now - a.Leader.Since).Milliseconds(),
 		"RecordAgeMs", a.Leader.RecordAgeMs(a.Now), "TookMs", a.Took.Milliseconds(), "Omitted", omitted)
@@ -78,7 +78,7 @@
 	if !allowed {
 		return
 	}
-	klog.InfoS("Try failed", "Request", f.Statement.ID, "Kind", f.Statement.Kind.String(), "Endpoint", f.Endpoint,
+	klog.InfoS("Try failed", "Request", shortened(f.Statement.ID), "Kind", f.Statement.Kind.String(), "Endpoint", f.Endpoint,
 		"Reason", f.Reason, "After", f.After.String(), "Position", f.Reply.Position.String(), "Sent", f.Sent, "TookMs", f.Took.Milliseconds(), "Omitted", omitted)
 }
 
--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -72,7 +72,7 @@
 func identify(routes route.Table, database, key string) (route.Route, team.Team, statement.Reply) {
 	r, ok := routes.Route(database)
 	if !ok {
-		return r, team.Team{}, statement.ErrorReply(statement.NoDatabase, "no route leads to database "+database)
+		return r, team.Team{}, statement.ErrorReply(statement.NoDatabase, "no route leads to database "+shortened(database))
 	}
 	caller, ok := routes.Caller(r, key)
 	if !ok {
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -29,8 +29,12 @@
 	key string
 	// values are the session values that the client has set.
 	values statement.Values
-	// prepared holds the prepared statements by the names that the client gave them.
-	prepared map[string]statement.Prepared
+	// prepared holds the prepared statements by the names that the client gave them, and
+	// preparedSize is what they take in memory.
+	prepared     map[string]statement.Prepared
+	preparedSize int
+	// account is charged for what the session keeps.
+	account eelgrassladder.Account
 	// written is a position that covers all commits of the session; zero for none.
 	written position.Position
 	// transaction is the open transaction; nil if there is none.
@@ -107,18 +111,15 @@
 	case statement.Rollback:
 		return s.withState(s.rollback(st))
 	case statement.Set:
-		s.values = s.values.With(st.Name, st.Value)
-		return s.withState(statement.Reply{})
+		return s.withState(s.set(st))
 	case statement.Prepare:
-		s.prepared[st.Name] = st.Prepared
-		return s.withState(statement.Reply{})
+		return s.withState(s.prepare(st))
 	case statement.Deallocate:
-		delete(s.prepared, st.Name)
-		return s.withState(statement.Reply{})
+		return s.withState(s.deallocate(st))
 	case statement.Execute:
 		prepared, ok := s.prepared[st.Name]
 		if !ok {
-			return s.withState(s.fail(statement.NoStatement, "no statement is prepared under the name "+st.Name))
+			return s.withState(s.fail(statement.NoStatement, "no statement is prepared under the name "+shortened(st.Name)))
 		}
 		return s.withState(s.run(st.WithPrepared(prepared)))
 	case statement.Read, statement.Write:
@@ -165,6 +166,10 @@
 	if refusal.Code != statement.OK {
 		return refusal
 	}
+	if err := s.hold(s.values.Size(), s.preparedSize, len(st.ID)); err != nil {
+		s.giveBack(o)
+		return s.refuseMemory(err)
+	}
 	s.transaction = &transaction{operation: o, begin: st}
 	return statement.Reply{}
 }
@@ -176,6 +181,7 @@
 		s.giveBack(s.transaction.operation)
 	}
 	s.transaction = nil
+	s.release()
 }
 
 // rollback ends the open transaction without effect.
@@ -206,7 +212,11 @@
 		}
 		return statement.ErrorReply(statement.Aborted, "the transaction had failed and was rolled back")
 	}
-	return s.run(st)
+	reply := s.run(st)
+	if !s.abandoned {
+		s.release()
+	}
+	return reply
 }
 
 // rollBackAtEndpoint rolls back the open transaction at its endpoint and returns its
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/failover"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
@@ -41,6 +42,8 @@
 	// group's record was not surely open, and as SinceOpen those that turned out so
 	// later. A commit can count under two of them.
 	unconfirmed *prometheus.CounterVec
+	// refused counts by Reason the clients that were refused, or whose connections were closed.
+	refused *prometheus.CounterVec
 	// olderRecords counts the records that were applied after a newer one.
 	olderRecords prometheus.Counter
 }
@@ -74,18 +77,28 @@
 		unconfirmed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_unconfirmed_commits_total", Help: "Commits that clients were told of while the group's record was not surely open.",
 		}, []string{"Doubt"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_clients_refused_total", Help: "Clients that were refused, or whose connections were closed.",
+		}, []string{"Reason"}),
 		olderRecords: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_older_records_total", Help: "Records of primaries that were applied after a newer one.",
 		}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
+	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords, n.refused)
+	for _, r := range eelgrassladder.RefusalReasons() {
+		n.refused.WithLabelValues(string(r))
+	}
 	return n
 }
 
+// maxScrapes is how many requests for the metrics are answered at one time. Each takes some
+// hundred kilobytes.
+const maxScrapes = 4
+
 // Handler serves the metrics at the path /metrics.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	return mux
 }
 
@@ -133,19 +146,25 @@
 	n.unconfirmed.WithLabelValues(doubtSinceOpen).Add(float64(commits))
 }
 
+// ClientRefused counts a client that was refused, or whose connection was closed.
+func (n *Node) ClientRefused(r eelgrassladder.RefusalReason) {
+	n.refused.WithLabelValues(string(r)).Inc()
+}
+
 // OlderRecordApplied records that a record was applied after a newer one of its group.
 func (n *Node) OlderRecordApplied() { n.olderRecords.Inc() }
 
 // RegisterGauges registers gauges for the version of the routes, the client
-// connections and the known primaries by group. The functions are called at each
+// connections, the bytes that clients hold, and the known primaries by group. The functions are called at each
 // scrape. Like the times in leader.State, now is a time since boot.
-func (n *Node) RegisterGauges(version, clients func() float64, primaries func() map[string]leader.State, now func() time.Duration) {
+func (n *Node) RegisterGauges(version, clients, held func() float64, primaries func() map[string]leader.State, now func() time.Duration) {
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
 	}{
 		{"eelgrassladder_node_configuration_version", "Version of the routes in force.", version},
 		{"eelgrassladder_node_client_connections", "Connections of clients.", clients},
+		{"eelgrassladder_clients_held_bytes", "Bytes that clients hold above what each connection may hold.", held},
 	} {
 		n.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.name, Help: g.help}, g.value))
 	}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -29,7 +28,9 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/peer/sibling"
+	policy "eelgrassladder.example/eelgrassladder/internal/policy/budget"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
+	"eelgrassladder.example/eelgrassladder/internal/table/budget"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -50,6 +51,10 @@
 	// gcPercent is the garbage collector's target percentage, twice the default. It
 	// trades memory for processor time, because the heap is small.
 	gcPercent = 200
+	// goMemoryTenths is how many tenths of the process's memory the Go runtime may use
+	// before it collects garbage as often as needed. The rest is for the program's text and
+	// for what is allocated while the garbage is being collected.
+	goMemoryTenths = 6
 )
 
 // Frontend serves clients.
@@ -67,9 +72,9 @@
 type Instruments interface {
 	failover.Observer
 	// RegisterGauges exports the version of the routes, the number of clients'
-	// connections, and the age of what is known of each group's primary. The
+	// connections, the bytes that clients hold, and the age of what is known of each group's primary. The
 	// functions must be safe for concurrent use.
-	RegisterGauges(version, clients func() float64, leaders func() map[string]leader.State, now func() time.Duration)
+	RegisterGauges(version, clients, held func() float64, leaders func() map[string]leader.State, now func() time.Duration)
 	// CommitsUnconfirmed counts commits that the primary of a group acknowledged between
 	// the time at which its record was last known to be open and the time at which this
 	// proxy learned that it is closed.
@@ -88,8 +93,8 @@
 	Clock       eelgrassladder.Clock
 	Observer    gateway.Observer
 	Instruments Instruments
-	// NewFrontend returns the front end that serves clients through a gateway.
-	NewFrontend func(*gateway.Gateway, eelgrassladder.Timer, *task.Group) Frontend
+	// NewFrontend returns the front end that serves clients through a gateway, within a budget.
+	NewFrontend func(*gateway.Gateway, eelgrassladder.Timer, *task.Group, eelgrassladder.Budget) Frontend
 	// Readiness returns the handler of the readiness probe.
 	Readiness func(ready func() bool) http.Handler
 	// Metrics is the handler of the metrics page.
@@ -112,6 +117,8 @@
 	checker      *healthcheck.Checker
 	frontend     Frontend
 	state        *clusterState
+	// clients limits what clients hold in memory, and peers what other proxies do.
+	clients, peers *budget.Table
 	// storeRead is true once the store has been read for the first time.
 	storeRead atomic.Bool
 	// registered is true while the store lists this proxy. registrationLeaseID is the
@@ -142,10 +149,13 @@
 	n.checker = healthcheck.New(n.timer, n.table, dialer, n.tasks)
 	n.gossip = gossip.New(n.timer, d.Clock, n.table, sibling.NewClient(), n.state)
 	n.table.OnProofNeeded(n.prober.Probe)
-	n.frontend = d.NewFrontend(n.gateway, n.timer, n.tasks)
+	memory := int64(s.MemoryMegabytes) << 20
+	n.clients, n.peers = budget.New(n.timer, policy.NewLimits(memory)), budget.New(n.timer, policy.NewPeerLimits(memory))
+	n.frontend = d.NewFrontend(n.gateway, n.timer, n.tasks, n.clients)
 	d.Instruments.RegisterGauges(
 		func() float64 { return float64(n.state.Routes().Version) },
-		func() float64 { return float64(n.frontend.Connections()) }, n.leaders, d.Clock.SinceBoot)
+		func() float64 { return float64(n.frontend.Connections()) },
+		func() float64 { return float64(n.clients.Held()) }, n.leaders, d.Clock.SinceBoot)
 	return n, nil
 }
 
@@ -174,9 +184,9 @@
 // returns. If a part of the process fails, it stops the others and returns the error.
 func (n *Node) Run(stopping context.Context) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 2)
+	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 10 * goMemoryTenths)
 	n.tasks.Go("siblings", func(ctx context.Context) error {
-		return sibling.NewServer(n.gossip).Serve(ctx, n.listeners.siblings)
+		return sibling.NewServer(n.gossip, sibling.WithBudget(n.peers)).Serve(ctx, n.listeners.siblings)
 	})
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
@@ -204,17 +214,6 @@
 	return n.storeRead.Load() && n.state.WasRegistered() && !n.leaving.Load() && n.state.Routes().Version > 0
 }
 
-// serve answers HTTP requests until ctx ends.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.WithStack(err)
-	}
-	return nil
-}
-
 // awaitStop waits until stopping ends. Then it drains the process: it gives the load
 // balancer time to notice, drains the front end, and stops the tasks when all clients
 // have left or the grace period is nearly over.
--- a/internal/host/proof/copies_test.go
+++ b/internal/host/proof/copies_test.go
@@ -41,6 +41,8 @@
 	return s, statement.Reply{Position: s.Received, Doubtful: true}, nil
 }
 
+func (r *repeatedStatus) Retained() int { return 0 }
+
 func (r *repeatedStatus) Close() {}
 
 // prove runs one round of a proxy that takes p for the primary of term 1. The proof is about
--- a/internal/model/statement/reply.go
+++ b/internal/model/statement/reply.go
@@ -109,3 +109,18 @@
 	r.Position = p
 	return r
 }
+
+// replyBytes is what a reply takes beside its texts.
+const replyBytes = 128
+
+// Size returns how many bytes the reply takes in memory, about.
+func (r Reply) Size() int {
+	size := replyBytes + len(r.Detail)
+	for _, row := range r.Rows {
+		size += len(row) + rowBytes
+	}
+	return size
+}
+
+// rowBytes is what a row takes beside its text.
+const rowBytes = 16
--- a/internal/model/statement/values.go
+++ b/internal/model/statement/values.go
@@ -3,16 +3,14 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 )
 
 // Values are the session values that a client has set. They are immutable.
 type Values struct {
 	// named holds the values by name. It is never modified.
 	named map[string]string
-	// digest lists all names and values in the order of the names, each after its length, so
-	// that no text of theirs can look like the start of another; empty for no values.
-	digest string
+	// size is the sum of the lengths of all names and values, with what each takes beside.
+	size int
 }
 
 // With returns the values with the named value added or replaced.
@@ -22,21 +20,28 @@
 		named = map[string]string{}
 	}
 	named[name] = value
-	var digest []byte
-	for _, n := range slices.Sorted(maps.Keys(named)) {
-		for _, text := range []string{n, named[n]} {
-			digest = append(strconv.AppendInt(digest, int64(len(text)), 10), ' ')
-			digest = append(digest, text...)
-		}
+	return Values{named: named, size: v.SizeWith(name, value)}
+}
+
+// entryBytes is what a named value takes beside its texts, in two maps while one is copied.
+const entryBytes = 256
+
+// Size returns how many bytes the values take in memory, about.
+func (v Values) Size() int { return v.size }
+
+// SizeWith returns the size of the values with the named value added or replaced.
+func (v Values) SizeWith(name, value string) int {
+	if before, ok := v.named[name]; ok {
+		return v.size + len(value) - len(before)
 	}
-	return Values{named: named, digest: string(digest)}
+	return v.size + entryBytes + len(name) + len(value)
 }
 
 // Equal reports whether both hold the same values.
-func (v Values) Equal(w Values) bool { return v.digest == w.digest }
+func (v Values) Equal(w Values) bool { return maps.Equal(v.named, w.named) }
 
 // Empty reports whether there are no values.
-func (v Values) Empty() bool { return v.digest == "" }
+func (v Values) Empty() bool { return len(v.named) == 0 }
 
 // Each calls f with every name and value, ordered by name.
 func (v Values) Each(f func(name, value string)) {
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -7,10 +7,14 @@
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
+	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/gen/peer"
+	"eelgrassladder.example/eelgrassladder/internal/host/listener"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 )
 
@@ -27,10 +31,25 @@
 // Server answers the calls of other proxies. Use NewServer to make one.
 type Server struct {
 	handler Handler
+	// budget limits what other proxies hold.
+	budget eelgrassladder.Budget
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithBudget sets what limits the memory that other proxies hold. Without it they may hold any
+// amount.
+func WithBudget(b eelgrassladder.Budget) Option { return func(s *Server) { s.budget = b } }
+
 // NewServer returns a Server that answers each call with the result of the handler.
-func NewServer(h Handler) *Server { return &Server{handler: h} }
+func NewServer(h Handler, options ...Option) *Server {
+	s := &Server{handler: h, budget: eelgrassladder.UnlimitedMemory{}}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
 
 // Serve accepts connections until ctx ends, and then returns the error of ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
@@ -38,7 +57,11 @@
 	if err := peer.DRPCRegisterPeer(mux, s); err != nil {
 		return errors.WithStack(err)
 	}
-	err := drpcserver.New(mux).Serve(ctx, l)
+	options := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}}
+	bounded := listener.NewBounded(l, maxConnections, func(address string) {
+		klog.InfoS("Connection of another proxy closed for a new one", "Client", address, "Limit", maxConnections)
+	})
+	err := drpcserver.NewWithOptions(mux, options).Serve(ctx, boundedListener{Bounded: bounded, budget: s.budget})
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -33,6 +33,11 @@
 	Reset bool
 }
 
+// maxRetained is how many bytes of the sessions that used it an idle connection may keep. The
+// sessions' clients may be gone, and nobody is charged for the bytes. The session values and
+// 64 prepared statements of ordinary sessions take less.
+const maxRetained = 128 << 10
+
 // Return gives a connection back to the table after its statement has ended.
 func (t *Table) Return(id string, c eelgrassladder.Connection, o Outcome) {
 	t.mutex.Lock()
@@ -44,7 +49,7 @@
 	}
 	e.running--
 	t.observe(e, o)
-	if e.unlisted || e.open > e.share {
+	if e.unlisted || e.open > e.share || c.Retained() > maxRetained {
 		t.closeConnection(e, c)
 	} else {
 		e.idle = append(e.idle, idleConnection{connection: c, since: t.timer.Now()})
--- a/internal/table/scheduler/scheduler_test.go
+++ b/internal/table/scheduler/scheduler_test.go
@@ -27,14 +27,17 @@
 // connection counts its calls of Close.
 type connection struct {
 	eelgrassladder.Connection
-	closed *int
-	team   string
+	closed   *int
+	team     string
+	retained int
 }
 
 func (c connection) Close() { *c.closed++ }
 
 func (c connection) Team() string { return c.team }
 
+func (c connection) Retained() int { return c.retained }
+
 // fixture is a table of one group with a remote primary p and a local replica
 // r.
 type fixture struct {
