Charge a session for the answer that is being read

Cause: answers of endpoints were charged once they had arrived whole. TestSlowReadersOfLargeAnswers, 150 clients with answers of 900,000 bytes and 96 MB, took 100 MB.

Change: a connection charges the session's account while it reads the answer to its statement. A wait for memory does not count as the endpoint's, and a refusal is answered with OVERLOAD, or as in doubt for a write.

--- a/connection.go
+++ b/connection.go
@@ -25,6 +25,10 @@
 	// Team returns the name of the team for which the connection was opened; empty for
 	// none. Endpoints attribute all that runs on a connection to one team.
 	Team() string
+	// Charge sets the account that is charged for the answers to Run and Await from now on.
+	// They return ErrMemoryShort or ErrDisplaced if it may not hold an answer; the connection
+	// must then not be used again, and the statement has run.
+	Charge(a Account)
 	// Retained returns how many bytes the connection keeps of the sessions that used it.
 	Retained() int
 	// ApplySession sets the session values, and prepares the statement if s executes a
--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -261,6 +261,6 @@
 func Failure(err error) scheduler.Outcome {
 	return scheduler.Outcome{
 		Unused:   errors.Is(err, eelgrassladder.ErrUnfit),
-		Answered: errors.Is(err, eelgrassladder.ErrUnclearAnswer), Refused: Refused(err), Reset: Reset(err),
+		Answered: errors.Is(err, eelgrassladder.ErrUnclearAnswer) || eelgrassladder.IsMemoryRefusal(err), Refused: Refused(err), Reset: Reset(err),
 	}
 }
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -254,7 +254,9 @@
 	sentSinceBoot, sentAt := g.clock.SinceBoot(), g.timer.Now()
 	reply, err := e.send(c, a.Endpoint.ID, e.attemptDeadline(sentAt), a.After, e.statement.Writes())
 	if timedOut(err) && !e.statement.Writes() && !g.budget.Spend(g.timer.Now()) {
+		c.Charge(e.session.account)
 		reply, err = c.Await(e.deadline)
+		c.Charge(eelgrassladder.UnlimitedMemory{})
 	}
 	took := g.timer.Now().Sub(sentAt)
 	if errors.Is(err, eelgrassladder.ErrTooLong) {
@@ -287,12 +289,16 @@
 	e.handleReply(a, reply)
 }
 
-// send runs the statement on a connection and returns the answer. It tells the table
+// send runs the statement on a connection and returns the answer, for which the session's
+// account is charged. It tells the table
 // when a write is sent and when its answer or error has come, so that the table can
 // detect a primary that stalls.
 func (e *execution) send(c eelgrassladder.Connection, id string, deadline time.Time, after position.Position,
 	writes bool,
 ) (statement.Reply, error) {
+	c.Charge(e.session.account)
+	// Others use the connection next, or wait for the answer in the background.
+	defer c.Charge(eelgrassladder.UnlimitedMemory{})
 	if !writes {
 		return c.Run(deadline, e.statement, after)
 	}
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -48,6 +48,10 @@
 		e.finishUnknown(a, err, took)
 		return
 	}
+	if eelgrassladder.IsMemoryRefusal(err) {
+		e.finish(e.session.fail(statement.Overload, "the answer: "+err.Error()))
+		return
+	}
 	e.retry(a, statement.Reply{}, err.Error(), true)
 }
 
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -129,6 +129,10 @@
 	}
 }
 
+// Abandoned reports whether a statement was replied to because the process stops. The session's
+// account may then still be in use.
+func (s *Session) Abandoned() bool { return s.abandoned }
+
 // FailTransaction rolls back the open transaction and marks it as failed, for example
 // after an error, or if it was idle for too long. It does nothing if there is none.
 func (s *Session) FailTransaction() {
--- a/memory.go
+++ b/memory.go
@@ -1,5 +1,7 @@
 package eelgrassladder
 
+import "github.com/pkg/errors"
+
 // Budget limits the memory that clients hold in this process, over all front ends.
 type Budget interface {
 	// Open opens the account of a new client. It reports false if there are already as many
@@ -44,6 +46,11 @@
 // ErrSessionTooLarge is returned when one session would hold more than it may.
 const ErrSessionTooLarge = constantError("the session would hold more than one session may")
 
+// IsMemoryRefusal reports whether an error says that a client may not hold what it needs.
+func IsMemoryRefusal(err error) bool {
+	return errors.Is(err, ErrMemoryShort) || errors.Is(err, ErrDisplaced) || errors.Is(err, ErrSessionTooLarge)
+}
+
 // UnlimitedMemory is a Budget and an Account without limits.
 type UnlimitedMemory struct{}
 
