--- a/internal/model/session/session_test.go
+++ b/internal/model/session/session_test.go
@@ -38,3 +38,20 @@
 		assert.Assert(t, err != nil, text)
 	}
 }
+
+// FuzzToken checks that any token of a caller that can be parsed stays the same when it is
+// written and parsed again.
+func FuzzToken(f *testing.F) {
+	for _, text := range []string{"", "orders:1.2", "a:1.2,b:3.4", "a:1.2,a:1.3", "a:01.2", ":", "a:18446744073709551615.0", "a:b:1.2"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		token, err := session.Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := session.Parse(token.String())
+		assert.NilError(t, err)
+		assert.Equal(t, again.String(), token.String())
+	})
+}
--- a/internal/peer/caller/caller_test.go
+++ b/internal/peer/caller/caller_test.go
@@ -231,3 +231,36 @@
 		assert.NilError(t, other.Close(ctx))
 	})
 }
+
+// FuzzStartUp sends arbitrary bytes as the start-up, before the caller is known, and checks
+// that another caller can connect.
+func FuzzStartUp(f *testing.F) {
+	startup := encodeMessages(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "owners", "database": "orders"},
+	})
+	f.Add(startup)
+	f.Add(append(encodeMessages(&pgproto3.SSLRequest{}), startup...))
+	f.Add(append(encodeMessages(&pgproto3.GSSEncRequest{}), startup...))
+	f.Add(encodeMessages(&pgproto3.CancelRequest{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}}))
+	f.Add(append(startup, encodeMessages(&pgproto3.SASLInitialResponse{AuthMechanism: "SCRAM-SHA-256", Data: []byte("n,,n=,r=a")}, &pgproto3.SASLResponse{Data: []byte("c=biws")})...))
+	f.Add([]byte{0, 0, 0, 8, 0, 3, 0, 0})
+	f.Add([]byte{0, 0, 0, 9, 0, 3, 0, 0, 0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0})
+	f.Add([]byte{0, 0, 0, 12, 0x04, 0xd2, 0x16, 0x2e, 0, 0, 0, 1})
+	address, _ := serve(f, &fakeDispatcher{})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		connection, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, _ = connection.Write(input)
+		// Closing the writing side ends an incomplete start-up at once, in place of a timeout.
+		_ = connection.(*net.TCPConn).CloseWrite()
+		_ = connection.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.Copy(io.Discard, connection)
+		_ = connection.Close()
+		other, err := pgconn.Connect(ctx, connectionURL(address, ""))
+		assert.NilError(t, err)
+		assert.NilError(t, other.Close(ctx))
+	})
+}
