--- a/eelgrassladder.go
+++ b/eelgrassladder.go
@@ -15,6 +15,8 @@
 //	Clock       the time since boot                                (host/clock)
 //	Connector   opens connections to endpoints                     (platform/endpoint)
 //	Promoter    promotes a member of a database group              (platform/promoter)
+//	Budget      limits the memory that clients hold                (table/budget)
+//	Refusals    records refused clients                            (host/refusal)
 //	KeyValue    a key-value store with transactions and leases     (platform/store)
 //
 // Run `go run ./cmd/eelgrasslab demo` to see a request pass through all parts.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -150,7 +150,11 @@
 	n.gossip = gossip.New(n.timer, d.Clock, n.table, sibling.NewClient(), n.state)
 	n.table.OnProofNeeded(n.prober.Probe)
 	memory := int64(s.MemoryMegabytes) << 20
-	n.clients, n.peers = budget.New(n.timer, policy.NewLimits(memory)), budget.New(n.timer, policy.NewPeerLimits(memory))
+	clientLimits := policy.NewLimits(memory)
+	if s.Clients.Megabytes > 0 {
+		clientLimits = clientLimits.WithShared(int64(s.Clients.Megabytes) << 20)
+	}
+	n.clients, n.peers = budget.New(n.timer, clientLimits), budget.New(n.timer, policy.NewPeerLimits(memory))
 	n.frontend = d.NewFrontend(n.gateway, n.timer, n.tasks, n.clients)
 	d.Instruments.RegisterGauges(
 		func() float64 { return float64(n.state.Routes().Version) },
--- a/internal/host/settings/node.go
+++ b/internal/host/settings/node.go
@@ -37,8 +37,10 @@
 	// under; above zero. The proxy limits its client connections accordingly.
 	Descriptors int
 	// MemoryMegabytes is the memory limit, in MiB, above which the platform kills
-	// the process; above zero. The Go runtime's soft limit is set to half of it.
+	// the process; above zero. The Go runtime's soft limit is set to 6 tenths of it.
 	MemoryMegabytes int
+	// Clients limits clients. Zero values stand for the defaults.
+	Clients Clients
 	// Contracts names the parts of the platform's contract that are in force. The adapter
 	// of the platform knows their names.
 	Contracts []string
@@ -47,6 +49,40 @@
 	LogLevel int
 }
 
+// Clients are the limits for clients that an operator may change. It is immutable.
+type Clients struct {
+	// Megabytes is how much clients may hold above what each connection may, in MiB; a fifth
+	// of MemoryMegabytes by default.
+	Megabytes int
+	// MessageSeconds bounds the wait for the next byte of a message that has begun, and
+	// AnswerSeconds the time in which a client must read an answer.
+	MessageSeconds, AnswerSeconds float64
+}
+
+// The default values of Clients. No client that follows the protocol reaches them.
+const (
+	defaultMessageTimeout = 30 * time.Second
+	defaultAnswerTimeout  = 5 * time.Second
+)
+
+// MessageTimeout returns how long a client may send nothing of a message that has begun.
+func (c Clients) MessageTimeout() time.Duration {
+	return seconds(c.MessageSeconds, defaultMessageTimeout)
+}
+
+// AnswerTimeout returns the time in which a client must read an answer.
+func (c Clients) AnswerTimeout() time.Duration {
+	return seconds(c.AnswerSeconds, defaultAnswerTimeout)
+}
+
+// seconds returns a number of seconds, or the default for zero.
+func seconds(n float64, byDefault time.Duration) time.Duration {
+	if n == 0 {
+		return byDefault
+	}
+	return time.Duration(n * float64(time.Second))
+}
+
 // Grace returns how long a graceful shutdown may take.
 func (n Node) Grace() time.Duration {
 	return time.Duration(n.GraceSeconds * float64(time.Second))
@@ -89,6 +125,12 @@
 	if n.MemoryMegabytes <= 0 {
 		d.Addf("/MemoryMegabytes", "must be above zero")
 	}
+	if n.Clients.Megabytes < 0 || n.Clients.Megabytes > n.MemoryMegabytes/2 {
+		d.Addf("/Clients/Megabytes", "must be from 0 to half of MemoryMegabytes")
+	}
+	if n.Clients.MessageSeconds < 0 || n.Clients.AnswerSeconds < 0 {
+		d.Addf("/Clients", "MessageSeconds and AnswerSeconds must not be negative")
+	}
 	if n.LogLevel < 0 || n.LogLevel > 4 {
 		d.Addf("/LogLevel", "must be from 0 to 4")
 	}
--- a/internal/policy/budget/budget.go
+++ b/internal/policy/budget/budget.go
@@ -19,8 +19,9 @@
 	pageBytes = 4 << 10
 	// kernelBytes is what the kernel may hold for one client that is not read from.
 	kernelBytes = 128 << 10
-	// minSession is the least that one session may hold: one value of the longest message.
-	minSession = 2 << 20
+	// minSession is the least that one session may hold: one value of the longest message,
+	// counted twice.
+	minSession = 2<<20 + 64<<10
 	// grace is how long a client may hold memory before it can be closed for others. A
 	// message of 1 MiB needs less at 10 Mbit/s.
 	grace = time.Second
@@ -45,8 +46,19 @@
 // NewLimits returns the limits for a process that may use a number of bytes. A quarter is for
 // connections, a fifth for what clients hold above Free. The rest is for the process itself
 // and for garbage that was not collected yet.
-func NewLimits(memory int64) Limits {
-	shared := memory / 5
+func NewLimits(memory int64) Limits { return newLimits(memory, memory/5) }
+
+// WithShared returns limits under which clients may hold another number of bytes above Free.
+func (l Limits) WithShared(shared int64) Limits {
+	connections := l.Connections
+	l = newLimits(0, shared)
+	l.Connections = connections
+	return l
+}
+
+// newLimits returns the limits for a process that may use a number of bytes, shared of them
+// for what clients hold above Free.
+func newLimits(memory, shared int64) Limits {
 	return Limits{
 		Connections: int(memory / 4 / Free), Shared: shared, Reserve: shared / 4,
 		Session: int(max(shared/8, minSession)), Waiting: int(shared / kernelBytes),
--- a/internal/table/scheduler/team_test.go
+++ b/internal/table/scheduler/team_test.go
@@ -56,3 +56,16 @@
 	assert.Assert(t, ok && c.Team() == "bakery")
 	assert.Equal(t, f.closed, 0)
 }
+
+// TestAConnectionThatKeepsMuchOfASessionIsClosed guards against idle connections that keep the
+// session values of clients that are gone.
+func TestAConnectionThatKeepsMuchOfASessionIsClosed(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	assert.Assert(t, f.submitFor(t, "") == nil)
+	f.table.Return("p", connection{closed: &f.closed, retained: 8 << 10}, scheduler.Outcome{Answered: true})
+	assert.Equal(t, f.closed, 0)
+	assert.Assert(t, f.submitFor(t, "") != nil)
+	f.table.Return("p", connection{closed: &f.closed, retained: 1 << 20}, scheduler.Outcome{Answered: true})
+	assert.Equal(t, f.closed, 1)
+	assert.Assert(t, f.submitFor(t, "") == nil)
+}
