Record that times of other proxies overflow

FuzzParcel found it in its first 3 s run: a budget or a pause of 2^63/1000 us or more that another proxy sends overflows in decodeRequest and decodeAnswer of internal/peer/proxy, so that a request seems to arrive in the future, or RetryAfter is negative.

--- a/internal/peer/proxy/codec_test.go
+++ b/internal/peer/proxy/codec_test.go
@@ -45,8 +45,9 @@
 	})
 }
 
-// FuzzParcel checks that any request or answer of another proxy can be decoded, and that an
-// answer stays the same when it is encoded again.
+// FuzzParcel checks that any request or answer of another proxy can be decoded, that no request
+// seems to arrive later than now, and that an answer stays the same when it is encoded again.
+// The last two seeds are times that do not fit a Duration, and could come out as other ones.
 func FuzzParcel(f *testing.F) {
 	now := time.Unix(1_000_000, 0)
 	f.Add(marshal(f, &sibling.Parcel{Id: 1, Request: encodeRequest(request.Request{
@@ -56,12 +57,15 @@
 		Outcome: request.Done, Payload: []byte("C"), Position: position.Position{Term: 1, Log: 2}, Refusal: request.Refusal{RetryAfter: time.Second},
 	})}))
 	f.Add(marshal(f, &sibling.Parcel{Request: &sibling.Request{Prepared: []*sibling.Prepared{nil}}, Answer: &sibling.Answer{Outcome: -1}}))
+	f.Add(marshal(f, &sibling.Parcel{Request: &sibling.Request{BudgetMicros: 9223372036854776}}))
+	f.Add(marshal(f, &sibling.Parcel{Answer: &sibling.Answer{RetryAfterMicros: 9223372036854776}}))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		var m sibling.Parcel
 		if proto.Unmarshal(value, &m) != nil {
 			return
 		}
 		r := decodeRequest(m.GetRequest(), now)
+		assert.Assert(t, !r.Arrived.After(now), "a request arrives %v after now", r.Arrived.Sub(now))
 		assert.Equal(t, len(r.Prepared), len(m.GetRequest().GetPrepared()))
 		answer := decodeAnswer(m.GetAnswer(), "proxy-2")
 		assert.DeepEqual(t, decodeAnswer(encodeAnswer(answer), "proxy-2"), answer)
