Let only the first requests for memory look for clients to close

Cause: each of up to 294 waiting requests went through all holders five times a second.

Change: the first 16 do; those behind wait for the same memory.

Result: the tests of table/budget pass with -race.

--- a/internal/table/budget/budget.go
+++ b/internal/table/budget/budget.go
@@ -3,6 +3,7 @@
 package budget
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,10 @@
 // memory is granted at once.
 const recheckInterval = 200 * time.Millisecond
 
+// maxSearching is how many of the requests that wait look for clients to close. A search goes
+// through all holders, and those behind wait for the same memory.
+const maxSearching = 16
+
 // Table holds the accounts of clients. Use New to make one.
 type Table struct {
 	timer  eelgrassladder.Timer
@@ -188,6 +193,9 @@
 		t.decide(r, eelgrassladder.ErrMemoryShort)
 		return nil
 	}
+	if slices.Index(t.waiting, r) >= maxSearching {
+		return nil
+	}
 	var accounts []*account
 	var holders []policy.Holder
 	for a := range t.holders {
@@ -212,11 +220,8 @@
 // the mutex.
 func (t *Table) decide(r *request, err error) {
 	r.account.request = nil
-	for i, w := range t.waiting {
-		if w == r {
-			t.waiting = append(t.waiting[:i], t.waiting[i+1:]...)
-			break
-		}
+	if i := slices.Index(t.waiting, r); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
 	}
 	r.decided <- err
 }
