Delegate operations to proxies that pool connections

Where an endpoint accepts less than three quarters of a connection for each proxy, a transaction held the one connection of its proxy to the primary, and the proxy's other statements for it were rejected. Connections on demand did not help, because each occupies a slot of the endpoint for 12 ms.

Some proxies of each data centre (policy/pooling) now pool the connections to a group's endpoints, and the others have their operations run by them (host/delegation), over one stream for each pair of proxies. At a pooler an operation is a session of the gateway, so placement, queueing, proofs and retries are the same code. A proxy's registration says its data centre.

--- /dev/null
+++ b/internal/host/gateway/delegated.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/delegation"
+	"eelgrassladder.example/eelgrassladder/internal/model/route"
+	"eelgrassladder.example/eelgrassladder/internal/model/statement"
+	"eelgrassladder.example/eelgrassladder/internal/model/team"
+	"eelgrassladder.example/eelgrassladder/internal/table/delegations"
+)
+
+// origin is what a session at a pooler knows of the proxy that has the client.
+type origin struct {
+	// asker is the name of the proxy.
+	asker string
+	// team is the name of the client's team, which the asker has identified.
+	team string
+	// deadline is when the reply to the current statement must be ready.
+	deadline time.Time
+	// last is the execution of the current statement; nil if it needed no endpoint.
+	last *execution
+}
+
+// delegatedSession runs one operation of another proxy's client. It implements
+// delegations.Session.
+type delegatedSession struct{ session *Session }
+
+// OpenDelegated opens the session of an operation that another proxy delegates. It reports
+// false if this proxy's routes are older than those under which the operation began, or do
+// not lead to the database.
+func (g *Gateway) OpenDelegated(o delegation.Opening) (delegations.Session, bool) {
+	routes := g.routes.Routes()
+	if _, ok := routes.Route(o.Database); !ok || routes.Version < o.Version {
+		return nil, false
+	}
+	s := &Session{
+		gateway: g, database: o.Database, prepared: map[string]statement.Prepared{}, written: o.Written,
+		origin: &origin{asker: o.Asker, team: o.Team},
+	}
+	if o.Begin.Kind != statement.Unknown {
+		if reply := s.Do(o.Begin); reply.Code != statement.OK {
+			return nil, false
+		}
+	}
+	return delegatedSession{s}, true
+}
+
+// Do runs a statement of the operation.
+func (d delegatedSession) Do(deadline time.Time, r delegation.Request) delegation.Answer {
+	s := d.session
+	s.origin.deadline, s.origin.last = deadline, nil
+	if r.Values != nil {
+		s.values = *r.Values
+	}
+	if r.Statement.Kind == statement.Execute {
+		s.prepared[r.Statement.Name] = r.Statement.Prepared
+	}
+	t := s.transaction
+	a := delegation.Answer{Reply: s.Do(r.Statement), RanOutside: t != nil && t.ranOutside}
+	if s.abandoned {
+		return a
+	}
+	a.Written = s.written
+	if e := s.origin.last; e != nil {
+		a.Endpoint, a.Primary, a.Attempts = e.endpointID, e.asPrimary, e.attempts
+	}
+	return a
+}
+
+// Close ends the operation, and rolls back an open transaction.
+func (d delegatedSession) Close() { d.session.Close() }
+
+// identify is the function identify for an operation whose client another proxy has
+// identified. That proxy applies the limits of teams.
+func (o *origin) identify(routes route.Table, database string) (route.Route, team.Team, statement.Reply) {
+	r, ok := routes.Route(database)
+	if !ok {
+		return r, team.Team{}, statement.ErrorReply(statement.Busy, "no route leads to database "+database+" any more")
+	}
+	return r, team.Team{Name: o.team}, statement.Reply{}
+}
+
+// times sets the times of an execution of the origin's statement. The statement arrived as
+// long ago as its route's timeout and the time that is left say.
+func (o *origin) times(e *execution) {
+	o.last = e
+	e.deadline = o.deadline
+	e.arrived = e.deadline.Add(replyMargin - e.route.Timeout)
+}
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -55,6 +55,8 @@
 	// chosen as the primary.
 	endpointID string
 	asPrimary  bool
+	// pooler is the name of the proxy that was asked last to run the statement; empty for none.
+	pooler string
 	// committed is true if the reply says that a commit is acknowledged, and the group
 	// is replicated.
 	committed bool
@@ -78,6 +80,13 @@
 		}
 	}
 	e.deadline = e.arrived.Add(e.route.Timeout - replyMargin)
+	if s.origin != nil {
+		s.origin.times(e)
+	}
+	if reply, ok := e.runDelegated(); ok {
+		e.observe(reply)
+		return reply
+	}
 	if t := s.transaction; t != nil && t.connection != nil {
 		g.table.BeginStatement(t.endpoint.ID)
 		e.runInTransaction()
@@ -90,18 +99,25 @@
 		s.abandoned = true
 		g.observer.Answered(Answered{
 			Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Team: e.team.Name, Reply: reply, Took: g.timer.Now().Sub(e.arrived),
-			Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
+			Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(), Pooler: e.pooler, Asker: s.asker(),
 		})
 		return reply
 	}
 	if s.transaction == nil && e.attempts == 0 && reply.Code != statement.OK {
 		s.giveBack(e.operation)
 	}
+	e.observe(reply)
+	return reply
+}
+
+// observe reports the reply to the observer.
+func (e *execution) observe(reply statement.Reply) {
+	g := e.gateway
 	g.observer.Answered(Answered{
-		Statement: st, Route: e.route, RoutesVersion: e.routesVersion, Team: e.team.Name, Reply: reply, Endpoint: e.endpointID, Primary: e.asPrimary,
+		Statement: e.statement, Route: e.route, RoutesVersion: e.routesVersion, Team: e.team.Name, Reply: reply, Endpoint: e.endpointID, Primary: e.asPrimary,
 		Took: g.timer.Now().Sub(e.arrived), Attempts: e.attempts, Committed: e.committed, Leader: g.table.Leader(e.route.Group), Now: g.clock.SinceBoot(),
+		Pooler: e.pooler, Asker: e.session.asker(),
 	})
-	return reply
 }
 
 // await waits for the reply. If the process stops first, it returns false, and the reply
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -42,6 +42,12 @@
 	observer  Observer
 	quotas    eelgrassladder.Quotas
 	tasks     *task.Group
+	// delegator has operations run by other proxies; nil if this proxy runs all itself.
+	delegator eelgrassladder.Delegator
+	// name is the name of this proxy.
+	name string
+	// sweeps are called with each sweep of the table.
+	sweeps []func()
 	// budget limits the retries of reads whose earlier attempt is still under way.
 	budget *retry.Budget
 }
@@ -86,6 +92,10 @@
 	Took time.Duration
 	// Attempts is the number of attempts at endpoints.
 	Attempts int
+	// Pooler is the name of the proxy that ran the statement, or was asked to, in place of
+	// this one; empty for none. Asker is the name of the proxy that has the client, if it is
+	// not this one.
+	Pooler, Asker string
 	// Committed is true if the reply tells the client that a commit is acknowledged, in a
 	// group that keeps acknowledged commits through a change of primary.
 	Committed bool
@@ -137,6 +147,9 @@
 	return g
 }
 
+// OnSweep has f called with each sweep of the table. Call it before Start.
+func (g *Gateway) OnSweep(f func()) { g.sweeps = append(g.sweeps, f) }
+
 // Start starts the workers and the sweep in the task group. They run until its
 // context is cancelled.
 func (g *Gateway) Start() {
@@ -189,6 +202,9 @@
 			return ctx.Err()
 		case <-ticks.C():
 			g.table.Sweep()
+			for _, f := range g.sweeps {
+				f()
+			}
 		}
 	}
 }
--- a/internal/host/gateway/log.go
+++ b/internal/host/gateway/log.go
@@ -56,7 +56,7 @@
 		"Closed", a.Leader.Closed, "ProofAgeMs", (a.Now - a.Leader.Proven).Milliseconds(),
 		"PositionAgeMs", (a.Now - a.Leader.LastSampleTime()).Milliseconds(),
 		"RecordAgeMs", a.Leader.RecordAgeMs(a.Now), "Position", a.Reply.Position.String(),
-		"TookMs", a.Took.Milliseconds(), "Tries", a.Attempts, "Omitted", omitted)
+		"TookMs", a.Took.Milliseconds(), "Tries", a.Attempts, "Pooler", a.Pooler, "Asker", a.Asker, "Omitted", omitted)
 }
 
 // commitDoubted logs a commit that was passed on to a client although its group's record
--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -32,19 +32,31 @@
 	arrived, routes := g.timer.Now(), g.routes.Routes()
 	o := operation{routesVersion: routes.Version}
 	var reply statement.Reply
-	o.route, o.team, reply = identify(routes, s.database, s.key)
+	if s.origin != nil {
+		o.route, o.team, reply = s.origin.identify(routes, s.database)
+	} else {
+		o.route, o.team, reply = identify(routes, s.database, s.key)
+	}
 	if reply.Code == statement.OK {
 		o, reply = g.charge(o)
 	}
 	if reply.Code != statement.OK {
 		g.observer.Answered(Answered{
 			Statement: st, Route: o.route, RoutesVersion: o.routesVersion, Team: o.team.Name, Reply: reply,
-			Took: g.timer.Now().Sub(arrived), Leader: g.table.Leader(o.route.Group), Now: g.clock.SinceBoot(),
+			Took: g.timer.Now().Sub(arrived), Asker: s.asker(), Leader: g.table.Leader(o.route.Group), Now: g.clock.SinceBoot(),
 		})
 	}
 	return o, reply
 }
 
+// asker returns the name of the proxy that has the session's client; empty for this one.
+func (s *Session) asker() string {
+	if s.origin == nil {
+		return ""
+	}
+	return s.origin.asker
+}
+
 // charge takes one of the team's rights to run an operation, and returns the operation with
 // the time of that. If the reply's code is not OK, the team is over its limit.
 func (g *Gateway) charge(o operation) (operation, statement.Reply) {
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -35,6 +35,8 @@
 	written position.Position
 	// transaction is the open transaction; nil if there is none.
 	transaction *transaction
+	// origin is set in the session of an operation that another proxy delegates to this one.
+	origin *origin
 	// abandoned is true once a statement was replied to because the process stops, while
 	// a worker may still run it. The fields above, except gateway and database, must not
 	// be used any more.
@@ -53,6 +55,8 @@
 	// connection is reserved for the transaction until it ends; nil before the first
 	// statement that needs an endpoint, and after a failure.
 	connection eelgrassladder.Connection
+	// delegated is set while the transaction is open at a pooler, in place of connection.
+	delegated *delegated
 	// primary is true if the endpoint was chosen as the primary.
 	primary bool
 	// wrote is true once a write was sent to the endpoint, or is about to be.
@@ -85,7 +89,7 @@
 // TransactionIdleLimit returns how long the client may leave the open transaction idle;
 // zero means no limit, or no transaction that holds a connection.
 func (s *Session) TransactionIdleLimit() time.Duration {
-	if s.abandoned || s.transaction == nil || s.transaction.connection == nil {
+	if s.abandoned || s.transaction == nil || (s.transaction.connection == nil && s.transaction.delegated == nil) {
 		return 0
 	}
 	return s.gateway.routes.Routes().Limits.TransactionIdleLimit
@@ -215,6 +219,10 @@
 // back by itself.
 func (s *Session) rollBackAtEndpoint(id string) {
 	t := s.transaction
+	if t.delegated != nil {
+		t.rollBackDelegated(s.gateway, id)
+		return
+	}
 	c := t.connection
 	if c == nil {
 		return
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/delegation"
 	"eelgrassladder.example/eelgrassladder/internal/host/failover"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
@@ -43,6 +44,8 @@
 	unconfirmed *prometheus.CounterVec
 	// olderRecords counts the records that were applied after a newer one.
 	olderRecords prometheus.Counter
+	// delegated counts, by Side and Result, operations that one proxy has another run.
+	delegated *prometheus.CounterVec
 }
 
 // NewNode returns the metrics of a proxy, registered in Registry.
@@ -77,8 +80,11 @@
 		olderRecords: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_older_records_total", Help: "Records of primaries that were applied after a newer one.",
 		}),
+		delegated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_delegated_operations_total", Help: "Operations that one proxy has another run.",
+		}, []string{"Side", "Result"}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
+	n.Registry.MustRegister(n.delegated, n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords)
 	return n
 }
 
@@ -91,12 +97,15 @@
 
 // Answered records an answer to a client.
 func (n *Node) Answered(a gateway.Answered) {
-	consistency, code := a.Route.Consistency.String(), a.Reply.Code.String()
-	n.requests.WithLabelValues(consistency, a.Statement.Kind.String(), code).Inc()
-	n.latency.WithLabelValues(consistency, code).Observe(a.Took.Seconds())
 	if d := a.Doubt(); d != gateway.NoDoubt {
 		n.unconfirmed.WithLabelValues(d.String()).Inc()
 	}
+	if a.Asker != "" {
+		return // the proxy that has the client counts the answer
+	}
+	consistency, code := a.Route.Consistency.String(), a.Reply.Code.String()
+	n.requests.WithLabelValues(consistency, a.Statement.Kind.String(), code).Inc()
+	n.latency.WithLabelValues(consistency, code).Observe(a.Took.Seconds())
 	// Only the reply of an endpoint that ran the statement has a signature.
 	if a.Reply.Signature == "" || a.Statement.Writes() || !a.Statement.AccessesData() {
 		return
@@ -133,6 +142,11 @@
 	n.unconfirmed.WithLabelValues(doubtSinceOpen).Add(float64(commits))
 }
 
+// OperationDelegated records a result of an operation that one proxy has another run.
+func (n *Node) OperationDelegated(s delegation.Side, r delegation.Result) {
+	n.delegated.WithLabelValues(string(s), string(r)).Inc()
+}
+
 // OlderRecordApplied records that a record was applied after a newer one of its group.
 func (n *Node) OlderRecordApplied() { n.olderRecords.Inc() }
 
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -22,6 +22,8 @@
 	node *Node
 	// proxies holds the addresses of all registered proxies by name, this one included.
 	proxies map[string]string
+	// dataCentres holds the data centres of the proxies by name, as far as they are known.
+	dataCentres map[string]string
 	// malformed holds the keys of the items that cannot be decoded. Each is logged once,
 	// however often it is written.
 	malformed map[string]bool
@@ -29,7 +31,7 @@
 
 // newFollower returns a follower for the node.
 func newFollower(n *Node) *follower {
-	return &follower{node: n, proxies: map[string]string{}, malformed: map[string]bool{}}
+	return &follower{node: n, proxies: map[string]string{}, dataCentres: map[string]string{}, malformed: map[string]bool{}}
 }
 
 // noteDecoded records whether an item could be decoded; err is nil if it could, or if the
@@ -47,7 +49,7 @@
 
 // Reset applies all items of the store, as read at a revision or later.
 func (f *follower) Reset(items []eelgrassladder.Item, revision uint64) {
-	f.proxies = map[string]string{}
+	f.proxies, f.dataCentres = map[string]string{}, map[string]string{}
 	f.applyAll(topology.New(), items)
 	if !slices.ContainsFunc(items, func(i eelgrassladder.Item) bool { return i.Key == leadership.PromotionLockKey }) {
 		f.node.state.LearnPromotionLock(leadership.RemovedPromotionLock(revision))
@@ -140,8 +142,9 @@
 	gone := i.Gone || err != nil
 	if gone {
 		delete(f.proxies, name)
+		delete(f.dataCentres, name)
 	} else {
-		f.proxies[name] = registered.address
+		f.proxies[name], f.dataCentres[name] = registered.address, registered.dataCentre
 	}
 	klog.InfoS("Proxy registered or gone", "Proxy", name, "Gone", gone, "Proxies", len(f.proxies))
 	if name == f.node.settings.Name {
@@ -149,6 +152,7 @@
 	}
 	others := maps.Clone(f.proxies)
 	delete(others, f.node.settings.Name)
+	f.node.state.setDataCentres(maps.Clone(f.dataCentres))
 	f.node.state.setProxies(others)
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -17,6 +17,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
+	"eelgrassladder.example/eelgrassladder/internal/host/delegation"
 	"eelgrassladder.example/eelgrassladder/internal/host/failover"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/gossip"
@@ -66,6 +67,7 @@
 // primary.
 type Instruments interface {
 	failover.Observer
+	delegation.Observer
 	// RegisterGauges exports the version of the routes, the number of clients'
 	// connections, and the age of what is known of each group's primary. The
 	// functions must be safe for concurrent use.
@@ -106,6 +108,7 @@
 	tasks        *task.Group
 	table        *scheduler.Table
 	gateway      *gateway.Gateway
+	delegations  *delegation.Server
 	prober       *proof.Prober
 	gossip       *gossip.Gossip
 	controller   *failover.Controller
@@ -136,7 +139,10 @@
 	n.prober = proof.New(n.timer, d.Clock, n.table, dialer, reader, n.tasks, func(group string) []topology.Endpoint {
 		return n.state.Endpoints().Group(group)
 	})
-	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, n.prober, d.Observer, n.tasks)
+	delegator := delegation.NewClient(n.timer, n.tasks, &pools{clusterState: n.state, fleet: n.fleet}, openDelegation, d.Instruments)
+	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, n.prober, d.Observer, n.tasks, gateway.WithDelegator(s.Name, delegator))
+	n.delegations = delegation.NewServer(n.gateway, n.state, n.timer, n.tasks, d.Instruments)
+	n.gateway.OnSweep(n.delegations.Sweep)
 	n.state.onRecord = n.updateLeader
 	n.controller = failover.New(s.Name, n.timer, d.Clock, n.table, dialer, d.Store, d.Promoter, sibling.NewClient(), reader, n.tasks, d.Instruments)
 	n.checker = healthcheck.New(n.timer, n.table, dialer, n.tasks)
@@ -161,7 +167,9 @@
 
 // fleet returns the registered proxies and this one.
 func (n *Node) fleet() sharing.Fleet {
-	return sharing.NewFleet(n.settings.Name, slices.Collect(maps.Keys(n.state.Proxies()))...)
+	dataCentres := maps.Clone(*n.state.dataCentres.Load())
+	dataCentres[n.settings.Name] = n.settings.DataCentre
+	return sharing.NewFleet(n.settings.Name, slices.Collect(maps.Keys(n.state.Proxies()))...).WithDataCentres(dataCentres)
 }
 
 // CallerAddress returns the address at which clients are served.
@@ -176,7 +184,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(n.settings.MemoryMegabytes) << 20 / 2)
 	n.tasks.Go("siblings", func(ctx context.Context) error {
-		return sibling.NewServer(n.gossip).Serve(ctx, n.listeners.siblings)
+		return sibling.NewServer(n.gossip).WithDelegations(n.delegations).Serve(ctx, n.listeners.siblings)
 	})
 	n.tasks.Go("gossip", n.gossip.Run)
 	n.tasks.Go("timer", n.timer.Run)
@@ -217,7 +225,8 @@
 
 // awaitStop waits until stopping ends. Then it drains the process: it gives the load
 // balancer time to notice, drains the front end, and stops the tasks when all clients
-// have left or the grace period is nearly over.
+// have left and the operations of other proxies have ended, or the grace period is nearly
+// over. Their open transactions are rolled back after half of it.
 func (n *Node) awaitStop(ctx, stopping context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -225,12 +234,16 @@
 	case <-stopping.Done():
 	}
 	n.leaving.Store(true)
+	n.delegations.Drain()
 	klog.InfoS("Proxy is leaving", "Proxy", n.settings.Name, "Clients", n.frontend.Connections())
-	grace := n.settings.Grace()
-	deadline := n.timer.Now().Add(grace - graceMargin)
+	grace, began := n.settings.Grace(), n.timer.Now()
+	deadline := began.Add(grace - graceMargin)
 	timer.Pause(ctx, n.timer, min(drainTime, grace/2))
 	n.frontend.Drain()
-	for n.frontend.Connections() > 0 && n.timer.Now().Before(deadline) {
+	for (n.frontend.Connections() > 0 || n.delegations.Count() > 0) && n.timer.Now().Before(deadline) {
+		if n.timer.Now().Sub(began) >= grace/2 {
+			n.delegations.RollBackIdle()
+		}
 		timer.Pause(ctx, n.timer, drainPollInterval)
 	}
 	n.tasks.Stop()
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -38,15 +38,35 @@
 	// lease is the ID of the lease of the entry; zero for none. The store removes the
 	// entry when the lease ends.
 	lease uint64
+	// dataCentre is the proxy's data centre; empty if it is not known.
+	dataCentre string
 }
 
-// String returns the value of the entry in the store, ADDRESS LEASE.
-func (r registration) String() string { return r.address + " " + strconv.FormatUint(r.lease, 10) }
+// newRegistration returns the entry of a proxy. A data centre whose name is not one field is
+// left out.
+func newRegistration(address string, lease uint64, dataCentre string) registration {
+	if fields := strings.Fields(dataCentre); len(fields) != 1 || fields[0] != dataCentre {
+		dataCentre = ""
+	}
+	return registration{address: address, lease: lease, dataCentre: dataCentre}
+}
+
+// String returns the value of the entry in the store, ADDRESS LEASE DATACENTRE, without the
+// last field if it is not known.
+func (r registration) String() string {
+	text := r.address + " " + strconv.FormatUint(r.lease, 10)
+	if r.dataCentre != "" {
+		text += " " + r.dataCentre
+	}
+	return text
+}
 
 // parseRegistration decodes the value of an entry. The lease is zero if the value has
-// none or a malformed one. It returns an error if no proxy can be reached at the address.
+// none or a malformed one. Fields after the data centre are ignored. It returns an error if no proxy can be reached at the address.
 func parseRegistration(value []byte) (registration, error) {
-	text, lease, _ := strings.Cut(string(value), " ")
+	text, rest, _ := strings.Cut(string(value), " ")
+	lease, rest, _ := strings.Cut(rest, " ")
+	dataCentre, _, _ := strings.Cut(rest, " ")
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		return registration{}, errors.Wrap(err, "decode the registration of a proxy")
@@ -56,16 +76,17 @@
 	}
 	n, err := strconv.ParseUint(lease, 10, 64)
 	if err != nil {
-		return registration{address: text}, nil
+		return registration{address: text, dataCentre: dataCentre}, nil
 	}
-	return registration{address: text, lease: n}, nil
+	return registration{address: text, lease: n, dataCentre: dataCentre}, nil
 }
 
 // noteRegistration records whether the store has a valid entry of this proxy, and its
-// lease. An earlier process at the same address may have made the entry; this process then
+// lease. An entry of an earlier version without the data centre is replaced. An earlier process at the same address may have made the entry; this process then
 // renews that process's lease.
 func (n *Node) noteRegistration(r registration, gone bool) {
-	if gone || r.address != n.listeners.siblings.Addr().String() || r.lease == 0 {
+	own := newRegistration(n.listeners.siblings.Addr().String(), r.lease, n.settings.DataCentre)
+	if gone || r != own || r.lease == 0 {
 		n.registered.Store(false)
 		return
 	}
@@ -104,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	r := registration{address: n.listeners.siblings.Addr().String(), lease: lease}
+	r := newRegistration(n.listeners.siblings.Addr().String(), lease, n.settings.DataCentre)
 	_, err = n.dependencies.Store.Apply(ctx, nil, []eelgrassladder.Put{
 		{Key: proxyPrefix + n.settings.Name, Value: []byte(r.String()), Lease: lease},
 	}, nil)
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -42,6 +42,10 @@
 	routesKnown chan struct{}
 	// wasRegistered is true once this proxy has been registered in the store.
 	wasRegistered atomic.Bool
+	// dataCentres holds the data centres of the registered proxies by name. It is replaced,
+	// never modified. proxyGeneration grows with each change of it or of proxies.
+	dataCentres     atomic.Pointer[map[string]string]
+	proxyGeneration atomic.Uint64
 
 	// mutex guards the fields below. Its rank is lockrank.Cluster: the records are read
 	// while the table is locked, so the table is never locked while the mutex is held.
@@ -86,6 +90,7 @@
 	}
 	s.routes.Store(&route.Table{})
 	s.endpoints.Store(&topology.Snapshot{})
+	s.dataCentres.Store(&map[string]string{})
 	return s
 }
 
@@ -135,10 +140,17 @@
 // from the store, and have proofs of primaries from replicas.
 const proxyRetention = proof.MaxRecordAge
 
+// setDataCentres replaces the data centres of the proxies.
+func (s *clusterState) setDataCentres(byName map[string]string) {
+	s.dataCentres.Store(&byName)
+	s.proxyGeneration.Add(1)
+}
+
 // setProxies replaces the addresses of the other proxies.
 func (s *clusterState) setProxies(proxies map[string]string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	defer s.proxyGeneration.Add(1)
 	now := s.clock.SinceBoot()
 	if s.proxiesSince == 0 {
 		s.proxiesSince = now
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -7,8 +7,10 @@
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 
 	"eelgrassladder.example/eelgrassladder/gen/peer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
@@ -27,18 +29,35 @@
 // Server answers the calls of other proxies. Use NewServer to make one.
 type Server struct {
 	handler Handler
+	// delegations serves the operations of other proxies; nil if this proxy runs none.
+	delegations DelegationHandler
+}
+
+// DelegationHandler serves streams of operations.
+type DelegationHandler interface {
+	// ServeDelegations runs the operations of a stream until Receive fails. It then rolls
+	// back the open ones.
+	ServeDelegations(s *DelegationStream)
 }
 
 // NewServer returns a Server that answers each call with the result of the handler.
 func NewServer(h Handler) *Server { return &Server{handler: h} }
 
+// WithDelegations makes the server serve operations of other proxies. Call it before Serve.
+func (s *Server) WithDelegations(h DelegationHandler) *Server {
+	s.delegations = h
+	return s
+}
+
 // Serve accepts connections until ctx ends, and then returns the error of ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
 	if err := peer.DRPCRegisterPeer(mux, s); err != nil {
 		return errors.WithStack(err)
 	}
-	err := drpcserver.New(mux).Serve(ctx, l)
+	err := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: drpcmanager.Options{
+		Stream: drpcstream.Options{MaximumBufferSize: delegationBufferBytes},
+	}}).Serve(ctx, l)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -63,6 +82,17 @@
 	return encodeReport(report), nil
 }
 
+// Delegate serves one stream of operations; it implements the generated service. A panic ends
+// the stream, not the process.
+func (s *Server) Delegate(call peer.DRPCPeer_DelegateStream) (err error) {
+	defer recoverPanic("stream of operations", "", &err)
+	if s.delegations == nil {
+		return errors.New("this proxy runs no operations of others")
+	}
+	s.delegations.ServeDelegations(newDelegationStream(call))
+	return nil
+}
+
 // recoverPanic turns a panic of a call into its error.
 func recoverPanic(call, subject string, err *error) {
 	if r := recover(); r != nil {
--- a/internal/policy/sharing/sharing.go
+++ b/internal/policy/sharing/sharing.go
@@ -3,7 +3,13 @@
 // proxies alone.
 package sharing
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // keptShare is the part of an endpoint's connections that may be kept open unused where
 // there are more proxies than connections. The rest is for the proxies that keep none, for
@@ -24,6 +30,9 @@
 	self string
 	// proxies are the names of the proxies, each once. It is never modified.
 	proxies []string
+	// dataCentres holds the data centres of proxies by name, as far as they are known. It is
+	// never modified.
+	dataCentres map[string]string
 }
 
 // NewFleet returns the fleet of the proxy self and the others.
@@ -37,6 +46,36 @@
 	return Fleet{self: self, proxies: proxies}
 }
 
+// WithDataCentres returns the fleet with the data centres of proxies, by name. The map must
+// not be modified afterwards.
+func (f Fleet) WithDataCentres(byName map[string]string) Fleet {
+	f.dataCentres = byName
+	return f
+}
+
+// Self returns the name of the proxy that decides.
+func (f Fleet) Self() string { return f.self }
+
+// DataCentre returns the data centre of a proxy; empty if it is not known.
+func (f Fleet) DataCentre(proxy string) string { return f.dataCentres[proxy] }
+
+// Ranked returns the proxies of each data centre, by its name, ordered by their rendezvous
+// hashes for a key, the highest first. Proxies whose data centre is not known are left out.
+func (f Fleet) Ranked(key string) map[string][]string {
+	ranked := map[string][]string{}
+	for _, name := range f.proxies {
+		if d := f.dataCentres[name]; d != "" {
+			ranked[d] = append(ranked[d], name)
+		}
+	}
+	for _, names := range ranked {
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Or(cmp.Compare(Hash(b, key), Hash(a, key)), strings.Compare(a, b))
+		})
+	}
+	return ranked
+}
+
 // Size returns the number of proxies, at least one.
 func (f Fleet) Size() int { return max(len(f.proxies), 1) }
 
@@ -71,14 +110,14 @@
 // rank returns how many other proxies have a higher hash for the key than this one. Of
 // equal hashes, the lower name's counts as higher.
 func (f Fleet) rank(key string) int {
-	own, higher := hash(f.self, key), 0
+	own, higher := Hash(f.self, key), 0
 	for _, name := range f.proxies {
-		if h := hash(name, key); h > own || (h == own && name < f.self) {
+		if h := Hash(name, key); h > own || (h == own && name < f.self) {
 			higher++
 		}
 	}
 	return higher
 }
 
-// hash returns the rendezvous hash of a proxy for a key, which all proxies compute alike.
-func hash(proxy, key string) uint64 { return xxhash.Sum64String(proxy + "\x00" + key) }
+// Hash returns the rendezvous hash of a proxy for a key, which all proxies compute alike.
+func Hash(proxy, key string) uint64 { return xxhash.Sum64String(proxy + "\x00" + key) }
--- a/internal/table/lockrank/lockrank.go
+++ b/internal/table/lockrank/lockrank.go
@@ -44,6 +44,8 @@
 	Connections
 	// Callers is the table of caller connections.
 	Callers
+	// Delegations is the table of operations that this proxy runs for others.
+	Delegations
 	// Scheduler is the table of statements that wait for an endpoint.
 	Scheduler
 	// Cluster is what a proxy on the users' platform knows of the system.
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/policy/pooling"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 	"eelgrassladder.example/eelgrassladder/internal/policy/shedding"
 	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
@@ -285,7 +286,8 @@
 // division leaves over remain free for control requests.
 func (t *Table) divideConnections() {
 	for _, e := range t.endpoints {
-		a := t.fleet.Allot(e.listed.ID, t.connectionLimit(e.listed.Group))
+		limit := t.connectionLimit(e.listed.Group)
+		a := pooling.Choose(t.fleet, e.listed.Group, limit).Allot(t.fleet, e.listed.ID, limit)
 		e.keepsUnused = a.Keeps
 		if a.Max != e.share {
 			e.share, e.limit = a.Max, float64(a.Max)
