Mend what the tests of delegated operations found

A COMMIT that was lost after a write as the first statement of its transaction was answered with ABORTED, a promise that nothing took effect: the write was not noted. The deadline of a read, which is shorter at the proxy with the client, made a pooler take the read for one that had waited for half of its timeout, and a stream was closed while its lock was held.

The write is noted before it is sent; requests say how long the statement has waited; streams are closed without waiting for those that use them.

--- a/internal/host/delegation/client.go
+++ b/internal/host/delegation/client.go
@@ -252,9 +252,10 @@
 		return nil, err
 	}
 	s = &stream{Stream: opened, waiting: map[uint64]*operation{}}
-	l.mutex.Lock()
-	l.stream, l.idleSince = s, l.client.timer.Now()
-	l.mutex.Unlock()
+	if !l.adopt(s, address) {
+		opened.Close()
+		return nil, eelgrassladder.ErrNotDelegated
+	}
 	l.client.tasks.GoIsolated("answers of "+l.name, func(ctx context.Context) {
 		defer context.AfterFunc(ctx, opened.Close)()
 		l.receive(s)
@@ -262,6 +263,18 @@
 	return s, nil
 }
 
+// adopt makes a stream to an address the open one. It returns false if the pooler has another
+// address by now.
+func (l *link) adopt(s *stream, address string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.address != address {
+		return false
+	}
+	l.stream, l.idleSince = s, l.client.timer.Now()
+	return true
+}
+
 // current returns the open stream, nil if there is none, and the address of the pooler.
 func (l *link) current() (*stream, string) {
 	l.mutex.Lock()
--- a/internal/host/delegation/server.go
+++ b/internal/host/delegation/server.go
@@ -31,7 +31,7 @@
 
 // Server runs operations of other proxies' clients. Use NewServer to make one.
 type Server struct {
-	gateway  *gateway.Gateway
+	opener   Opener
 	routes   gateway.Routes
 	timer    eelgrassladder.Timer
 	tasks    *task.Group
@@ -43,9 +43,16 @@
 	expireAfter time.Time
 }
 
-// NewServer returns a Server that runs operations through the gateway.
-func NewServer(g *gateway.Gateway, r gateway.Routes, t eelgrassladder.Timer, tasks *task.Group, o Observer) *Server {
-	return &Server{gateway: g, routes: r, timer: t, tasks: tasks, observer: o, table: delegations.New()}
+// Opener opens the sessions of operations.
+type Opener interface {
+	// OpenDelegated opens the session of an operation. It reports false if this proxy cannot
+	// run it, because its configuration is older than the operation's.
+	OpenDelegated(o delegation.Opening) (delegations.Session, bool)
+}
+
+// NewServer returns a Server that runs operations in sessions of the opener.
+func NewServer(g Opener, r gateway.Routes, t eelgrassladder.Timer, tasks *task.Group, o Observer) *Server {
+	return &Server{opener: g, routes: r, timer: t, tasks: tasks, observer: o, table: delegations.New()}
 }
 
 // Count returns the number of operations.
@@ -113,7 +120,7 @@
 			s.observer.OperationDelegated(SidePooler, Moved)
 			err = stream.Send(number, delegation.Answer{Moved: true})
 		case delegations.Unknown:
-			err = stream.Send(number, rolledBack)
+			err = stream.Send(number, rolledBack(r.Statement))
 		default:
 		}
 		if err != nil {
@@ -122,10 +129,14 @@
 	}
 }
 
-// rolledBack is the answer to a statement of a transaction that is not open any more. It was
-// rolled back, since its commit would have been answered.
-var rolledBack = delegation.Answer{
-	Reply: statement.ErrorReply(statement.Aborted, "the pooler has rolled the transaction back").WithState(statement.InFailedTransaction),
+// rolledBack returns the answer to a statement of a transaction that was rolled back, as it
+// was if it is not open any more: the answer to its commit would have been the last.
+func rolledBack(s statement.Statement) delegation.Answer {
+	state := statement.InFailedTransaction
+	if s.Kind == statement.Commit || s.Kind == statement.Rollback {
+		state = statement.Idle
+	}
+	return delegation.Answer{Reply: statement.ErrorReply(statement.Aborted, "the pooler has rolled the transaction back").WithState(state)}
 }
 
 // work runs one statement of an operation, or closes the operation.
@@ -178,13 +189,13 @@
 	}()
 	opening, stale := w.Request.Opening, s.table.GivenUp(o) || !s.timer.Now().Before(w.Deadline)
 	if stale && opening == nil {
-		return rolledBack
+		return rolledBack(w.Request.Statement)
 	}
 	if stale {
 		return delegation.Answer{Reply: statement.ErrorReply(statement.Busy, "the pooler had no time left").WithState(failedState(opening))}
 	}
 	if opening != nil {
-		session, ok := s.gateway.OpenDelegated(*opening)
+		session, ok := s.opener.OpenDelegated(*opening)
 		if !ok {
 			s.observer.OperationDelegated(SidePooler, Moved)
 			return delegation.Answer{Moved: true}
--- a/internal/host/gateway/delegated.go
+++ b/internal/host/gateway/delegated.go
@@ -16,8 +16,9 @@
 	asker string
 	// team is the name of the client's team, which the asker has identified.
 	team string
-	// deadline is when the reply to the current statement must be ready.
-	deadline time.Time
+	// arrived is when the current statement arrived at the asker, and deadline when its reply
+	// must be ready.
+	arrived, deadline time.Time
 	// last is the execution of the current statement; nil if it needed no endpoint.
 	last *execution
 }
@@ -49,7 +50,7 @@
 // Do runs a statement of the operation.
 func (d delegatedSession) Do(deadline time.Time, r delegation.Request) delegation.Answer {
 	s := d.session
-	s.origin.deadline, s.origin.last = deadline, nil
+	s.origin.arrived, s.origin.deadline, s.origin.last = deadline.Add(-r.Left-r.Waited), deadline, nil
 	if r.Values != nil {
 		s.values = *r.Values
 	}
@@ -57,11 +58,11 @@
 		s.prepared[r.Statement.Name] = r.Statement.Prepared
 	}
 	t := s.transaction
-	a := delegation.Answer{Reply: s.Do(r.Statement), RanOutside: t != nil && t.ranOutside}
+	a := delegation.Answer{Reply: s.Do(r.Statement)}
 	if s.abandoned {
 		return a
 	}
-	a.Written = s.written
+	a.Written, a.RanOutside = s.written, t != nil && t.ranOutside
 	if e := s.origin.last; e != nil {
 		a.Endpoint, a.Primary, a.Attempts = e.endpointID, e.asPrimary, e.attempts
 	}
@@ -81,10 +82,7 @@
 	return r, team.Team{Name: o.team}, statement.Reply{}
 }
 
-// times sets the times of an execution of the origin's statement. The statement arrived as
-// long ago as its route's timeout and the time that is left say.
-func (o *origin) times(e *execution) {
-	o.last = e
-	e.deadline = o.deadline
-	e.arrived = e.deadline.Add(replyMargin - e.route.Timeout)
+// begin sets the times of the execution of the current statement, and remembers it.
+func (o *origin) begin(e *execution) {
+	o.last, e.arrived, e.deadline = e, o.arrived, o.deadline
 }
--- a/internal/host/gateway/delegation.go
+++ b/internal/host/gateway/delegation.go
@@ -12,8 +12,8 @@
 const (
 	// maxPoolers is how many poolers a statement is sent to before this proxy runs it.
 	maxPoolers = 3
-	// delegatedReadShare is the part of a route's timeout after which a read that a pooler has
-	// not answered is run by this proxy.
+	// delegatedReadShare is the part of the time that is left after which a read that a pooler
+	// has not answered is run by this proxy.
 	delegatedReadShare = 0.5
 	// minDelegationTime is the time that must be left to ask a further pooler.
 	minDelegationTime = 80 * time.Millisecond
@@ -39,6 +39,9 @@
 // false if this proxy has to run the statement, which has not run then, or only reads.
 func (e *execution) runDelegated() (statement.Reply, bool) {
 	t := e.session.transaction
+	if t != nil && e.statement.Writes() {
+		t.wrote = true
+	}
 	switch {
 	case e.gateway.delegator == nil || e.session.origin != nil || e.team.Limited:
 		return statement.Reply{}, false
@@ -94,6 +97,9 @@
 // timeLeft returns the time until the reply must be ready.
 func (e *execution) timeLeft() time.Duration { return e.deadline.Sub(e.gateway.timer.Now()) }
 
+// waited returns the time since the statement arrived.
+func (e *execution) waited() time.Duration { return e.gateway.timer.Now().Sub(e.arrived) }
+
 // single reports whether the statement is an operation of its own.
 func (e *execution) single() bool { return e.session.transaction == nil }
 
@@ -102,7 +108,8 @@
 	if !e.single() || e.statement.Writes() {
 		return e.deadline
 	}
-	return e.arrived.Add(time.Duration(delegatedReadShare * float64(e.route.Timeout)))
+	now := e.gateway.timer.Now()
+	return now.Add(time.Duration(delegatedReadShare * float64(e.deadline.Sub(now))))
 }
 
 // openingRequest returns the request that begins the operation at a pooler.
@@ -114,9 +121,9 @@
 	if t := s.transaction; t != nil {
 		o.Begin = t.begin
 	}
-	r := delegation.Request{Opening: o, Statement: e.statement}
-	if !s.values.Empty() {
-		r.Values = &s.values
+	r := delegation.Request{Opening: o, Statement: e.statement, Waited: e.waited()}
+	if values := s.values; !values.Empty() {
+		r.Values = &values
 	}
 	return r
 }
@@ -178,13 +185,10 @@
 func (e *execution) continueDelegated() statement.Reply {
 	d := e.session.transaction.delegated
 	e.pooler = d.operation.Pooler()
-	r := delegation.Request{Statement: e.statement}
+	r := delegation.Request{Statement: e.statement, Waited: e.waited()}
 	if v := e.session.values; !v.Equal(d.values) {
 		r.Values, d.values = &v, v
 	}
-	if e.statement.Writes() {
-		e.session.transaction.wrote = true
-	}
 	answer, err := d.operation.Run(e.gateway.tasks.Context(), e.deadline, r)
 	if err != nil {
 		d.operation.GiveUp()
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -81,7 +81,7 @@
 	}
 	e.deadline = e.arrived.Add(e.route.Timeout - replyMargin)
 	if s.origin != nil {
-		s.origin.times(e)
+		s.origin.begin(e)
 	}
 	if reply, ok := e.runDelegated(); ok {
 		e.observe(reply)
@@ -143,7 +143,7 @@
 	need := e.need
 	need.Avoid = avoid
 	e.job = scheduler.Job{
-		Need: need, Team: e.team.Name, Priority: e.route.Priority, Arrived: e.arrived, Timeout: e.route.Timeout - replyMargin,
+		Need: need, Team: e.team.Name, Priority: e.route.Priority, Arrived: e.arrived, Timeout: e.deadline.Sub(e.arrived),
 		Target: e.route.Target, Run: e.runAssigned,
 	}
 	e.gateway.table.Submit(&e.job)
--- a/internal/model/delegation/delegation.go
+++ b/internal/model/delegation/delegation.go
@@ -32,8 +32,9 @@
 	Opening *Opening
 	// Statement is the statement. A prepared one is resolved.
 	Statement statement.Statement
-	// Left is the time that is left for the answer to be ready.
-	Left time.Duration
+	// Left is the time that is left for the answer to be ready, and Waited the time since the
+	// statement arrived from the client.
+	Left, Waited time.Duration
 	// Values are the values of the client's session; nil if they are those of the request
 	// before.
 	Values *statement.Values
--- a/internal/peer/sibling/delegation.go
+++ b/internal/peer/sibling/delegation.go
@@ -43,9 +43,8 @@
 // Delegation is the sending side of an open stream of operations. Several goroutines may
 // send; one receives.
 type Delegation struct {
-	connection *drpcconn.Conn
-	call       peer.DRPCPeer_DelegateClient
-	pace       *pace
+	call peer.DRPCPeer_DelegateClient
+	pace *pace
 	// long is held while the parts of a long message are sent, so that the other side has
 	// the parts of one message at a time. pace.mutex may be taken while it is held.
 	long sync.Mutex
@@ -70,7 +69,7 @@
 		_ = connection.Close()
 		return nil, errors.WithStack(err)
 	}
-	return &Delegation{connection: connection, call: call, pace: &pace{stream: raw}}, nil
+	return &Delegation{call: call, pace: &pace{stream: raw}}, nil
 }
 
 // Send sends a request of the operation with a number. After an error the other proxy does
@@ -110,8 +109,8 @@
 	}
 }
 
-// Close closes the stream and its connection.
-func (d *Delegation) Close() { _ = d.connection.Close() }
+// Close closes the connection of the stream, without waiting for those that use it.
+func (d *Delegation) Close() { _ = d.pace.stream.Close() }
 
 // DelegationStream is the receiving side of a stream of operations. Several goroutines may
 // send; one receives.
--- a/internal/peer/sibling/delegation_codec.go
+++ b/internal/peer/sibling/delegation_codec.go
@@ -47,7 +47,7 @@
 	if r.GivenUp {
 		return m
 	}
-	m.LeftMicros = uint64(max(r.Left.Microseconds(), 0))
+	m.LeftMicros, m.WaitedMicros = encodeTime(r.Left), encodeTime(r.Waited)
 	m.Statement = encodeStatement(r.Statement)
 	if o := r.Opening; o != nil {
 		m.Opening = &peer.DelegatedOpening{
@@ -66,6 +66,14 @@
 	return m
 }
 
+// encodeTime converts a time to microseconds, zero for a negative one.
+func encodeTime(t time.Duration) uint64 { return uint64(max(t.Microseconds(), 0)) }
+
+// decodeTime converts a time in microseconds, at most maxAge.
+func decodeTime(micros uint64) time.Duration {
+	return time.Duration(min(micros, uint64(maxAge.Microseconds()))) * time.Microsecond
+}
+
 // encodeStatement converts a statement to the generated type.
 func encodeStatement(s statement.Statement) *peer.DelegatedStatement {
 	return &peer.DelegatedStatement{
@@ -78,7 +86,7 @@
 func decodeRequest(m *peer.Delegated) delegation.Request {
 	r := delegation.Request{
 		GivenUp: m.GetGivenUp(), Statement: decodeStatement(m.GetStatement()),
-		Left: time.Duration(min(m.GetLeftMicros(), uint64(maxAge.Microseconds()))) * time.Microsecond,
+		Left: decodeTime(m.GetLeftMicros()), Waited: decodeTime(m.GetWaitedMicros()),
 	}
 	if o := m.GetOpening(); o != nil {
 		r.Opening = &delegation.Opening{
--- a/internal/table/delegations/delegations.go
+++ b/internal/table/delegations/delegations.go
@@ -82,6 +82,10 @@
 	return t
 }
 
+// maxOperations bounds the operations of all streams, and so their memory. Poolers have some
+// dozens of connections, and refuse statements that wait for a tenth of a second.
+const maxOperations = 4096
+
 // Verdict says what became of a request.
 type Verdict int
 
@@ -89,7 +93,7 @@
 const (
 	// Accepted means that a worker runs the statement.
 	Accepted Verdict = iota
-	// Draining means that the table takes no more operations.
+	// Draining means that the table takes no more operations, for good or because it is full.
 	Draining
 	// Unknown means that the operation is not open. It has ended, or was rolled back.
 	Unknown
@@ -103,7 +107,7 @@
 	switch {
 	case o == nil && r.Opening == nil:
 		return Unknown
-	case o == nil && t.draining:
+	case o == nil && (t.draining || t.count >= maxOperations):
 		return Draining
 	case o == nil:
 		o = &Operation{stream: s, number: number}
