--- a/internal/host/gateway/delegation_test.go
+++ b/internal/host/gateway/delegation_test.go
@@ -483,8 +483,10 @@
 		opening delegation.Opening
 		runs    bool
 	}{
-		{delegation.Opening{Database: "d", Version: 4}, true}, {delegation.Opening{Database: "d", Version: 3}, true},
-		{delegation.Opening{Database: "d", Version: 5}, false}, {delegation.Opening{Database: "gone", Version: 1}, false},
+		{delegation.Opening{Database: "d", Version: 4}, true},
+		{delegation.Opening{Database: "d", Version: 3}, true},
+		{delegation.Opening{Database: "d", Version: 5}, false},
+		{delegation.Opening{Database: "gone", Version: 1}, false},
 	} {
 		c.opening.Asker, c.opening.Team = "other", "bakery"
 		s, ok := b.gateway.OpenDelegated(c.opening)
--- a/internal/peer/sibling/delegation.go
+++ b/internal/peer/sibling/delegation.go
@@ -29,7 +29,7 @@
 	delegationBufferBytes = 4 * fragmentBytes
 	// sendTimeout bounds the sending of one part to a proxy that does not read. The deadline
 	// is set anew once less than sendTimeoutRest of it is left.
-	sendTimeout    = 300 * time.Millisecond
+	sendTimeout     = 300 * time.Millisecond
 	sendTimeoutRest = 200 * time.Millisecond
 )
 
