Open streams of operations only to proxies that answer

A statement was sent to a pooler whose host accepted the connection although the process was frozen or gone, or as it ended after a stop; its outcome was then unknown.

A pooler now says that it runs operations before any is sent, and a stopping one says that it takes no more on the stream, which then only serves the transactions that are open.

--- a/internal/host/delegation/client.go
+++ b/internal/host/delegation/client.go
@@ -171,8 +171,10 @@
 	mutex sync.Mutex
 	// address is where the pooler is reached.
 	address string
-	// stream is nil while none is open.
-	stream *stream
+	// stream is used for new operations; nil while none is open. streams are all open ones,
+	// those included that only have operations of before the pooler began to stop.
+	stream  *stream
+	streams []*stream
 	// operations is the number of operations under way.
 	operations int
 	// avoidUntil is when the pooler may be asked again, and idleSince when the last operation
@@ -195,18 +197,35 @@
 	l.operations++
 	if l.address != address {
 		l.address, l.avoidUntil = address, time.Time{}
-		if l.stream != nil {
-			l.closeStream(l.stream)
+		for _, s := range slices.Clone(l.streams) {
+			l.closeStream(s)
 		}
 	}
 }
 
-// end counts the end of an operation.
-func (l *link) end() {
+// end counts the end of an operation that used a stream; nil for none.
+func (l *link) end(s *stream) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.operations--
 	l.idleSince = l.client.timer.Now()
+	if s == nil {
+		return
+	}
+	s.operations--
+	if s != l.stream && s.operations == 0 {
+		l.closeStream(s)
+	}
+}
+
+// detach makes no further operations use a stream, whose pooler is stopping. It stays open
+// until its operations have ended.
+func (l *link) detach(s *stream) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.stream == s {
+		l.stream = nil
+	}
 }
 
 // avoid makes the pooler not be asked for a while.
@@ -222,6 +241,8 @@
 	Stream
 	// lastNumber is the number of the latest operation.
 	lastNumber uint64
+	// operations is the number of operations that use the stream.
+	operations int
 	// waiting holds the operations that wait for an answer, by number.
 	waiting map[uint64]*operation
 	// heard is when the last answer came.
@@ -230,9 +251,9 @@
 	failed bool
 }
 
-// acquire returns the open stream, and opens one if there is none.
+// acquire returns the open stream for one more operation, and opens one if there is none.
 func (l *link) acquire(ctx context.Context) (*stream, error) {
-	if s, _ := l.current(); s != nil {
+	if s, _ := l.use(); s != nil {
 		return s, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
@@ -243,7 +264,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	s, address := l.current()
+	s, address := l.use()
 	if s != nil {
 		return s, nil
 	}
@@ -251,7 +272,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &stream{Stream: opened, waiting: map[uint64]*operation{}}
+	s = &stream{Stream: opened, operations: 1, waiting: map[uint64]*operation{}}
 	if !l.adopt(s, address) {
 		opened.Close()
 		return nil, eelgrassladder.ErrNotDelegated
@@ -271,17 +292,28 @@
 	if l.address != address {
 		return false
 	}
-	l.stream, l.idleSince = s, l.client.timer.Now()
+	l.stream, l.streams, l.idleSince = s, append(l.streams, s), l.client.timer.Now()
 	return true
 }
 
-// current returns the open stream, nil if there is none, and the address of the pooler.
-func (l *link) current() (*stream, string) {
+// use returns the open stream for one more operation, nil if there is none, and the address of
+// the pooler.
+func (l *link) use() (*stream, string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.stream != nil {
+		l.stream.operations++
+	}
 	return l.stream, l.address
 }
 
+// hasFailed reports whether a stream cannot be used any more.
+func (l *link) hasFailed(s *stream) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return s.failed
+}
+
 // receive passes answers to the operations that wait for them until the stream ends.
 func (l *link) receive(s *stream) {
 	for {
@@ -317,6 +349,7 @@
 	if l.stream == s {
 		l.stream = nil
 	}
+	l.streams = slices.DeleteFunc(l.streams, func(other *stream) bool { return other == s })
 	for _, o := range s.waiting {
 		o.answers <- result{err: eelgrassladder.ErrAnswerLost}
 	}
@@ -331,10 +364,17 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	unused := l.operations == 0 && now.Sub(l.idleSince) > streamIdleTime
-	s := l.stream
-	if s == nil {
-		return unused
+	for _, s := range slices.Clone(l.streams) {
+		if l.sweepStream(s, now) || unused {
+			l.closeStream(s)
+		}
 	}
+	return unused
+}
+
+// sweepStream ends the waits of one stream, and reports whether the pooler has gone silent.
+// The caller holds the mutex.
+func (l *link) sweepStream(s *stream, now time.Time) bool {
 	silent := false
 	for number, o := range s.waiting {
 		if now.Add(sweepMargin).Before(o.deadline) {
@@ -345,10 +385,7 @@
 		l.avoidUntil = now.Add(avoidTime)
 		silent = silent || s.heard.Before(o.sent)
 	}
-	if silent || unused {
-		l.closeStream(s)
-	}
-	return unused
+	return silent
 }
 
 // result is an answer, or the reason why there is none.
@@ -385,6 +422,9 @@
 		o.count(Lost)
 	case answer.Moved:
 		o.link.avoid()
+		if answer.Draining {
+			o.link.detach(o.stream)
+		}
 		o.count(Moved)
 	case r.Opening != nil && answer.Reply.Code == statement.Busy:
 		o.count(Refused)
@@ -454,16 +494,13 @@
 }
 
 // End forgets the operation, which has ended at the pooler.
-func (o *operation) End() { o.link.end() }
+func (o *operation) End() { o.link.end(o.stream) }
 
 // GiveUp tells the pooler that the operation is given up.
 func (o *operation) GiveUp() {
-	defer o.link.end()
-	if o.number == 0 {
-		return
-	}
-	if s, _ := o.link.current(); s != o.stream {
-		return // the pooler has noticed the end of the stream
+	defer o.link.end(o.stream)
+	if o.number == 0 || o.link.hasFailed(o.stream) {
+		return // the pooler has nothing, or has noticed the end of the stream
 	}
 	if err := o.stream.Send(o.number, delegation.Request{GivenUp: true}); err != nil {
 		o.link.fail(o.stream)
--- a/internal/host/delegation/client_test.go
+++ b/internal/host/delegation/client_test.go
@@ -270,6 +270,39 @@
 	}
 }
 
+// TestAStoppingPoolerEndsWhatItHas guards against a transaction that ends because its pooler
+// begins to stop, and against operations that are lost when the process ends.
+func TestAStoppingPoolerEndsWhatItHas(t *testing.T) {
+	f := newClientFixture(t)
+	open := f.Delegate("g", nil)
+	var others []string
+	for _, name := range f.Poolers("g").All() {
+		if name != open.Pooler() {
+			others = append(others, name)
+		}
+	}
+	answer := func(done chan result, r numbered[delegation.Request], a delegation.Answer) {
+		f.stream(open.Pooler()).answers <- numbered[delegation.Answer]{r.number, a}
+		assert.NilError(t, (<-done).err)
+	}
+	done, r := f.start(t, open)
+	answer(done, r, delegation.Answer{})
+	before := f.stream(open.Pooler())
+	next := f.Delegate("g", others)
+	done, r = f.start(t, next)
+	answer(done, r, delegation.Answer{Moved: true, Draining: true})
+	next.End()
+	done, r = f.start(t, open)
+	answer(done, r, delegation.Answer{})
+	f.timer.Advance(avoidTime)
+	f.refused["address of "+open.Pooler()] = true
+	_, err := f.Delegate("g", others).Run(context.Background(), f.timer.Now().Add(time.Second), delegation.Request{})
+	assert.ErrorIs(t, err, eelgrassladder.ErrNotDelegated)
+	assert.Assert(t, !before.isClosed())
+	open.End()
+	assert.Assert(t, before.isClosed())
+}
+
 // TestALateAnswerDoesNotEndAWorkingStream guards against one slow statement that fails all others.
 func TestALateAnswerDoesNotEndAWorkingStream(t *testing.T) {
 	f := newClientFixture(t)
--- a/internal/host/delegation/server.go
+++ b/internal/host/delegation/server.go
@@ -61,6 +61,9 @@
 // Drain makes the server answer new operations as Moved.
 func (s *Server) Drain() { s.table.Drain() }
 
+// RunsDelegations reports whether the server takes further operations.
+func (s *Server) RunsDelegations() bool { return !s.table.Draining() }
+
 // RollBackIdle rolls back all transactions that wait for their next statement.
 func (s *Server) RollBackIdle() { s.table.Expire(s.timer.Now().Add(time.Second)) }
 
@@ -118,7 +121,7 @@
 		switch s.table.Add(stream, number, r, s.timer.Now().Add(r.Left)) {
 		case delegations.Draining:
 			s.observer.OperationDelegated(SidePooler, Moved)
-			err = stream.Send(number, delegation.Answer{Moved: true})
+			err = stream.Send(number, delegation.Answer{Moved: true, Draining: s.table.Draining()})
 		case delegations.Unknown:
 			err = stream.Send(number, rolledBack(r.Statement))
 		default:
--- a/internal/model/delegation/delegation.go
+++ b/internal/model/delegation/delegation.go
@@ -44,8 +44,9 @@
 
 // Answer is a pooler's answer to a request. It is immutable.
 type Answer struct {
-	// Moved is true if the pooler did not run the statement, and began no operation.
-	Moved bool
+	// Moved is true if the pooler did not run the statement, and began no operation. Draining
+	// is then true if it will begin none on the same stream.
+	Moved, Draining bool
 	// Reply is the reply for the client. If its state is not InTransaction, the operation has
 	// ended at the pooler.
 	Reply statement.Reply
--- a/internal/peer/sibling/delegation.go
+++ b/internal/peer/sibling/delegation.go
@@ -52,8 +52,9 @@
 	partial assembly
 }
 
-// OpenDelegation opens a stream to the proxy at an address. The stream lives until Close; ctx
-// bounds only the opening.
+// OpenDelegation opens a stream to the proxy at an address, and waits until the proxy says that
+// it runs operations: a host accepts connections also for a process that is frozen. The stream
+// lives until Close; ctx bounds only the opening.
 func OpenDelegation(ctx context.Context, address string) (*Delegation, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
@@ -69,7 +70,14 @@
 		_ = connection.Close()
 		return nil, errors.WithStack(err)
 	}
-	return &Delegation{call: call, pace: &pace{stream: raw}}, nil
+	d := &Delegation{call: call, pace: &pace{stream: raw}}
+	stop := context.AfterFunc(ctx, d.Close)
+	_, err = call.Recv()
+	if !stop() || err != nil {
+		d.Close()
+		return nil, errors.Wrap(err, "open a stream of operations")
+	}
+	return d, nil
 }
 
 // Send sends a request of the operation with a number. After an error the other proxy does
--- a/internal/peer/sibling/delegation_codec.go
+++ b/internal/peer/sibling/delegation_codec.go
@@ -117,7 +117,7 @@
 // encodeAnswer converts an answer to the generated type.
 func encodeAnswer(number uint64, a delegation.Answer) *peer.DelegatedAnswer {
 	if a.Moved {
-		return &peer.DelegatedAnswer{Number: number, Moved: true}
+		return &peer.DelegatedAnswer{Number: number, Moved: true, Draining: a.Draining}
 	}
 	m := &peer.DelegatedAnswer{
 		Number: number, Signature: []byte(a.Reply.Signature), Code: indexOf(codes, a.Reply.Code, statement.InDoubt), Detail: []byte(a.Reply.Detail),
@@ -135,7 +135,7 @@
 // know counts as InDoubt, which promises nothing.
 func decodeAnswer(m *peer.DelegatedAnswer) delegation.Answer {
 	a := delegation.Answer{
-		Moved: m.GetMoved(), Written: decodePosition(m.GetWritten()), RanOutside: m.GetRanOutside(),
+		Moved: m.GetMoved(), Draining: m.GetDraining(), Written: decodePosition(m.GetWritten()), RanOutside: m.GetRanOutside(),
 		Endpoint: string(m.GetEndpoint()), Primary: m.GetPrimary(), Attempts: int(m.GetAttempts()),
 		Reply: statement.Reply{
 			Signature: string(m.GetSignature()), Code: valueAt(codes, m.GetCode(), statement.InDoubt), Detail: string(m.GetDetail()),
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -35,6 +35,8 @@
 
 // DelegationHandler serves streams of operations.
 type DelegationHandler interface {
+	// RunsDelegations reports whether this proxy takes further operations.
+	RunsDelegations() bool
 	// ServeDelegations runs the operations of a stream until Receive fails. It then rolls
 	// back the open ones.
 	ServeDelegations(s *DelegationStream)
@@ -86,9 +88,12 @@
 // the stream, not the process.
 func (s *Server) Delegate(call peer.DRPCPeer_DelegateStream) (err error) {
 	defer recoverPanic("stream of operations", "", &err)
-	if s.delegations == nil {
+	if s.delegations == nil || !s.delegations.RunsDelegations() {
 		return errors.New("this proxy runs no operations of others")
 	}
+	if err := call.Send(&peer.DelegatedAnswer{}); err != nil {
+		return errors.WithStack(err)
+	}
 	s.delegations.ServeDelegations(newDelegationStream(call))
 	return nil
 }
--- a/internal/table/delegations/delegations.go
+++ b/internal/table/delegations/delegations.go
@@ -165,6 +165,13 @@
 	t.draining = true
 }
 
+// Draining reports whether Drain was called.
+func (t *Table) Draining() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.draining
+}
+
 // Count returns the number of operations.
 func (t *Table) Count() int {
 	t.mutex.Lock()
