Leave the probing of idle primaries to poolers

A proxy that delegates a group's operations hears nothing of the primary, and probed it every 5 s, as an idle one does. Each probe opens a connection, which occupies a slot for 12 ms: with 76 such proxies 15 a second at each primary, which also has few connections left for them (computed, not measured).

They now probe only after a statement of their own has failed; poolers notice a primary that does not answer. The test of the policy passes.

--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -267,7 +267,7 @@
 	}
 	health := ct.table.Health(known.Endpoint)
 	e.Failures = max(e.Failures, health.Failures)
-	e.Refused, e.Reset, e.Running = health.Refused, health.Reset, health.Running
+	e.Refused, e.Reset, e.Running, e.Pooled = health.Refused, health.Reset, health.Running, health.Pooled
 	lastAnswer := health.LastAnswer
 	if lastAnswer.Before(state.primarySince) {
 		lastAnswer = state.primarySince
--- a/internal/policy/failover/failover.go
+++ b/internal/policy/failover/failover.go
@@ -13,7 +13,8 @@
 	// failures pending is probed.
 	probeSilence = 200 * time.Millisecond
 	// idleProbeSilence is the silence after which an idle primary is probed. A
-	// statement sent to it detects a failure sooner.
+	// statement sent to it detects a failure sooner. Where connections are pooled, only
+	// poolers do: each of the others would open a connection that few are left for.
 	idleProbeSilence = 5 * time.Second
 	// downSilence is how long a primary must be silent while its host refuses
 	// connections, so that one broken connection does not count as a crash.
@@ -109,6 +110,9 @@
 	Leaving bool
 	// SilentFor is the time since the primary last answered.
 	SilentFor time.Duration
+	// Pooled is true if other proxies, which pool the connections to the primary, run the
+	// operations of this one. They notice if it does not answer.
+	Pooled bool
 	// Running is how many statements wait for the primary's answer.
 	Running int
 	// Failures counts failed attempts since the primary last answered.
@@ -159,7 +163,7 @@
 	if !e.HasPrimary || e.Closed {
 		return false
 	}
-	return e.SilentFor > idleProbeSilence || (e.Failures > 0 && (e.Refused || e.Reset)) ||
+	return (e.SilentFor > idleProbeSilence && !e.Pooled) || (e.Failures > 0 && (e.Refused || e.Reset)) ||
 		(e.SilentFor > probeSilence && (e.Failures > 0 || e.Running > 0))
 }
 
--- a/internal/policy/failover/failover_test.go
+++ b/internal/policy/failover/failover_test.go
@@ -121,6 +121,17 @@
 	assert.Assert(t, !failover.ShouldProbe(e))
 }
 
+// TestAnIdlePrimaryIsProbedByPoolers guards against probes of all proxies that fill an endpoint
+// with fewer connections than proxies, and against a failure that a pooler does not notice.
+func TestAnIdlePrimaryIsProbedByPoolers(t *testing.T) {
+	e := failover.Evidence{HasPrimary: true, Listed: true, Successors: 2, SilentFor: time.Minute}
+	assert.Assert(t, failover.ShouldProbe(e))
+	e.Pooled = true
+	assert.Assert(t, !failover.ShouldProbe(e))
+	e.Failures = 1
+	assert.Assert(t, failover.ShouldProbe(e), "a statement of this proxy has failed")
+}
+
 func TestAPrimaryThatResetAConnectionIsProbedAtOnce(t *testing.T) {
 	e := failover.Evidence{HasPrimary: true, Listed: true, Successors: 2, SilentFor: 5 * time.Millisecond, Failures: 1}
 	assert.Assert(t, !failover.ShouldProbe(e))
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -74,6 +74,9 @@
 	share int
 	// keepsUnused is true if this proxy may keep a connection open that it does not use.
 	keepsUnused bool
+	// pooled is true if other proxies pool the endpoint's connections, and run the
+	// operations of this one.
+	pooled bool
 	// limit is how many statements this proxy runs at the endpoint at a time. It
 	// falls when the endpoint is busy and grows up to share. At least one; the
 	// fraction is not used.
--- a/internal/table/scheduler/health.go
+++ b/internal/table/scheduler/health.go
@@ -23,6 +23,8 @@
 	// pending and were sent after the last answered write; zero if there is
 	// none.
 	OldestPendingWrite time.Time
+	// Pooled is true if other proxies run the operations of this one at the endpoint.
+	Pooled bool
 }
 
 // Health returns the health of an endpoint, or the zero value if the endpoint
@@ -36,6 +38,7 @@
 	}
 	return Health{
 		LastAnswer: e.lastAnswer, Running: e.running, Failures: e.failures, Refused: e.refused, Reset: e.reset, OldestPendingWrite: e.oldestPendingWrite(),
+		Pooled: e.pooled,
 	}
 }
 
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -287,8 +287,9 @@
 func (t *Table) divideConnections() {
 	for _, e := range t.endpoints {
 		limit := t.connectionLimit(e.listed.Group)
-		a := pooling.Choose(t.fleet, e.listed.Group, limit).Allot(t.fleet, e.listed.ID, limit)
-		e.keepsUnused = a.Keeps
+		p := pooling.Choose(t.fleet, e.listed.Group, limit)
+		a := p.Allot(t.fleet, e.listed.ID, limit)
+		e.keepsUnused, e.pooled = a.Keeps, p.Delegates()
 		if a.Max != e.share {
 			e.share, e.limit = a.Max, float64(a.Max)
 		}
