Bound what a pooler holds, and run nothing late

What a frozen pooler found in its socket when it resumed counted as new, and could run long after the client was answered.

Beyond 4,096 operations or 8 MiB of texts, operations are moved.

--- a/eelgrassladder.go
+++ b/eelgrassladder.go
@@ -14,6 +14,7 @@
 //	Timer       a service for periodic and one-time events         (host/timer)
 //	Clock       the time since boot                                (host/clock)
 //	Connector   opens connections to endpoints                     (platform/endpoint)
+//	Delegator   runs operations at other proxies                   (host/delegation)
 //	Promoter    promotes a member of a database group              (platform/promoter)
 //	KeyValue    a key-value store with transactions and leases     (platform/store)
 //
--- a/internal/host/delegation/server.go
+++ b/internal/host/delegation/server.go
@@ -39,6 +39,8 @@
 	table    *delegations.Table
 	// start starts the workers with the first stream. Most proxies never have one.
 	start sync.Once
+	// pauses tells how long messages may have waited for this process.
+	pauses pauses
 	// expireAfter is when idle transactions are looked for next. Only Sweep uses it.
 	expireAfter time.Time
 }
@@ -70,6 +72,7 @@
 // Sweep rolls back transactions that have been idle for too long.
 func (s *Server) Sweep() {
 	now := s.timer.Now()
+	s.pauses.sweep(now)
 	if now.Before(s.expireAfter) || s.table.Count() == 0 {
 		return
 	}
@@ -118,8 +121,9 @@
 			s.table.GiveUp(stream, number)
 			continue
 		}
-		switch s.table.Add(stream, number, r, s.timer.Now().Add(r.Left)) {
-		case delegations.Draining:
+		now := s.timer.Now()
+		switch s.table.Add(stream, number, r, now.Add(r.Left-s.pauses.delay(now))) {
+		case delegations.Full:
 			s.observer.OperationDelegated(SidePooler, Moved)
 			err = stream.Send(number, delegation.Answer{Moved: true, Draining: s.table.Draining()})
 		case delegations.Unknown:
--- a/internal/host/delegation/server_test.go
+++ b/internal/host/delegation/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -190,6 +191,28 @@
 	assert.Equal(t, len(f.ran), 2)
 }
 
+// TestLongOperationsDoNotFillThePooler guards against a pooler whose memory the messages of many
+// other proxies exhaust.
+func TestLongOperationsDoNotFillThePooler(t *testing.T) {
+	f := newServerFixture(t)
+	long := first
+	long.Statement.Text = strings.Repeat("x", 1<<20)
+	moved := 0
+	for number := range uint64(20) {
+		if a := f.do(t, number, long); a.Moved {
+			assert.Assert(t, !a.Draining)
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 12)
+	assert.Assert(t, !f.do(t, 30, single).Moved, "short operations are moved too")
+	for number := range uint64(8) {
+		f.do(t, number, end)
+	}
+	f.awaitClosed(t, 9)
+	assert.Assert(t, !f.do(t, 40, long).Moved)
+}
+
 // TestAnOperationIsRolledBack guards against transactions that stay open, and hold locks, after
 // the client or its proxy has gone.
 func TestAnOperationIsRolledBack(t *testing.T) {
--- /dev/null
+++ b/internal/host/node/pooling_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrassladder.example/eelgrassladder/internal/host/clock"
+	"eelgrassladder.example/eelgrassladder/internal/host/settings"
+	"eelgrassladder.example/eelgrassladder/internal/model/route"
+)
+
+// TestPoolersFollowTheProxiesAndTheRoutes guards against operations that are sent to proxies that
+// pooled the connections before a proxy joined or a limit changed.
+func TestPoolersFollowTheProxiesAndTheRoutes(t *testing.T) {
+	n := newTestNode(clock.Host{})
+	n.settings = settings.Node{Name: "proxy-0", DataCentre: "east"}
+	p := &pools{clusterState: n.state, fleet: n.fleet}
+	register := func(count int) {
+		addresses, dataCentres := map[string]string{}, map[string]string{}
+		for i := 1; i < count; i++ {
+			name := fmt.Sprintf("proxy-%d", i)
+			addresses[name], dataCentres[name] = fmt.Sprintf("10.0.0.%d:1", i), []string{"east", "west"}[i%2]
+		}
+		n.state.setDataCentres(dataCentres)
+		n.state.setProxies(addresses)
+	}
+	limit := func(version uint64, connections int) {
+		routes := route.NewTable(version).WithRoutes(route.Route{Database: "d", Group: testGroup}).
+			WithGroups(route.Group{Name: testGroup, Connections: connections})
+		n.state.routes.Store(&routes)
+	}
+	limit(1, 6)
+	register(8)
+	assert.Equal(t, len(p.Poolers(testGroup).All()), 0)
+	register(9)
+	assert.Equal(t, len(p.Poolers(testGroup).All()), 2)
+	limit(2, 7)
+	assert.Equal(t, len(p.Poolers(testGroup).All()), 0)
+	register(200)
+	assert.Equal(t, len(p.Poolers(testGroup).All()), 2)
+	limit(3, 64)
+	assert.Equal(t, len(p.Poolers(testGroup).All()), 8)
+	assert.Equal(t, len(p.Poolers("another").All()), 0)
+}
--- a/internal/host/node/registration_test.go
+++ b/internal/host/node/registration_test.go
@@ -10,6 +10,20 @@
 	r, err := parseRegistration([]byte(registration{address: "10.1.0.8:7440", lease: 17}.String()))
 	assert.NilError(t, err)
 	assert.Equal(t, r, registration{address: "10.1.0.8:7440", lease: 17})
+	r, err = parseRegistration([]byte(newRegistration("10.1.0.8:7440", 17, "north-1").String()))
+	assert.NilError(t, err)
+	assert.Equal(t, r, registration{address: "10.1.0.8:7440", lease: 17, dataCentre: "north-1"})
+	r, err = parseRegistration([]byte("10.1.0.8:7440 17 north-1 more"))
+	assert.NilError(t, err)
+	assert.Equal(t, r, registration{address: "10.1.0.8:7440", lease: 17, dataCentre: "north-1"})
+}
+
+// TestADataCentreThatIsNoFieldIsLeftOut guards against an entry that is read as that of another
+// data centre, or whose proxy never finds its own entry.
+func TestADataCentreThatIsNoFieldIsLeftOut(t *testing.T) {
+	for _, odd := range []string{"", "north 1", " north", "north\n"} {
+		assert.Equal(t, newRegistration("10.1.0.8:7440", 17, odd).String(), "10.1.0.8:7440 17", "%q", odd)
+	}
 }
 
 // TestAnOddRegistrationNamesNoProxy guards against entries of another writer that would
--- a/internal/model/delegation/delegation.go
+++ b/internal/model/delegation/delegation.go
@@ -42,6 +42,23 @@
 	GivenUp bool
 }
 
+// Size returns the length of the request's texts.
+func (r Request) Size() int {
+	size := sizeOf(r.Statement)
+	if r.Opening != nil {
+		size += sizeOf(r.Opening.Begin) + len(r.Opening.Database) + len(r.Opening.Team)
+	}
+	if r.Values != nil {
+		r.Values.Each(func(name, value string) { size += len(name) + len(value) })
+	}
+	return size
+}
+
+// sizeOf returns the length of a statement's texts.
+func sizeOf(s statement.Statement) int {
+	return len(s.ID) + len(s.Text) + len(s.Name) + len(s.Prepared.Text) + len(s.Arguments)
+}
+
 // Answer is a pooler's answer to a request. It is immutable.
 type Answer struct {
 	// Moved is true if the pooler did not run the statement, and began no operation. Draining
--- a/internal/table/delegations/delegations.go
+++ b/internal/table/delegations/delegations.go
@@ -36,6 +36,8 @@
 	busy bool
 	// givenUp is true once the operation is to be rolled back.
 	givenUp bool
+	// bytes is the length of the texts of all its requests.
+	bytes int
 	// idleSince is when the last statement ended.
 	idleSince time.Time
 }
@@ -69,8 +71,8 @@
 	ready []Work
 	// operations holds the operations by stream and number.
 	operations map[Stream]map[uint64]*Operation
-	// count is the number of operations.
-	count int
+	// count is the number of operations, and bytes the length of their texts.
+	count, bytes int
 	// draining is true once the table takes no more operations.
 	draining bool
 }
@@ -82,9 +84,14 @@
 	return t
 }
 
-// maxOperations bounds the operations of all streams, and so their memory. Poolers have some
-// dozens of connections, and refuse statements that wait for a tenth of a second.
-const maxOperations = 4096
+const (
+	// maxOperations bounds the operations of all streams. Poolers have some dozens of
+	// connections, and refuse statements that wait for a tenth of a second.
+	maxOperations = 4096
+	// maxBytes bounds the texts of all operations, above which no more begin. The smallest
+	// processes have 184 MB, and a text is held up to three times.
+	maxBytes = 8 << 20
+)
 
 // Verdict says what became of a request.
 type Verdict int
@@ -93,8 +100,8 @@
 const (
 	// Accepted means that a worker runs the statement.
 	Accepted Verdict = iota
-	// Draining means that the table takes no more operations, for good or because it is full.
-	Draining
+	// Full means that the table takes no more operations, for good or for the moment.
+	Full
 	// Unknown means that the operation is not open. It has ended, or was rolled back.
 	Unknown
 )
@@ -103,12 +110,12 @@
 func (t *Table) Add(s Stream, number uint64, r delegation.Request, deadline time.Time) Verdict {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	o := t.operations[s][number]
+	o, size := t.operations[s][number], r.Size()
 	switch {
 	case o == nil && r.Opening == nil:
 		return Unknown
-	case o == nil && (t.draining || t.count >= maxOperations):
-		return Draining
+	case o == nil && (t.draining || t.count >= maxOperations || t.bytes+size > maxBytes && t.count > 0):
+		return Full
 	case o == nil:
 		o = &Operation{stream: s, number: number}
 		if t.operations[s] == nil {
@@ -120,6 +127,8 @@
 		return Unknown
 	}
 	o.busy = true
+	o.bytes += size
+	t.bytes += size
 	t.enqueue(Work{Operation: o, Request: r, Deadline: deadline})
 	return Accepted
 }
@@ -195,6 +204,7 @@
 	if operations := t.operations[o.stream]; operations[o.number] == o {
 		delete(operations, o.number)
 		t.count--
+		t.bytes -= o.bytes
 		if len(operations) == 0 {
 			delete(t.operations, o.stream)
 		}
