Test the proxy that is asked, and the one that stops

The last two rows of the table of failures: a proxy that is asked serves, whatever poolers it knows, and a proxy with a client that stops promises nothing about a statement at a pooler.

--- a/internal/host/gateway/delegation_test.go
+++ b/internal/host/gateway/delegation_test.go
@@ -199,6 +199,7 @@
 // bench is a gateway whose group has one endpoint, which is the primary.
 type bench struct {
 	gateway   *gateway.Gateway
+	tasks     *task.Group
 	delegator *delegator
 	direct    *directRuns
 	last      gateway.Answered
@@ -214,6 +215,7 @@
 		b.delegator.poolers[name] = p
 	}
 	tasks, service, c := task.New(context.Background()), timer.New(), clock.Host{}
+	b.tasks = tasks
 	tasks.Go("timer", service.Run)
 	table := scheduler.New(service, c, "here")
 	table.SetEndpoints(topology.New(topology.Endpoint{ID: "p", Group: "g", Address: "1", DataCentre: "here", Slots: 2, Primary: true}))
@@ -503,6 +505,38 @@
 	}
 }
 
+// TestAProxyThatIsAskedServes guards against operations that are passed on from proxy to proxy,
+// because they know different poolers.
+func TestAProxyThatIsAskedServes(t *testing.T) {
+	b := newBench(t, serves)
+	s, ok := b.gateway.OpenDelegated(delegation.Opening{Database: "d", Asker: "other", Begin: begin})
+	assert.Assert(t, ok)
+	for _, st := range []statement.Statement{write, commit} {
+		a := s.Do(time.Now().Add(time.Second), delegation.Request{Statement: st, Left: time.Second})
+		assert.Equal(t, a.Reply.Code, statement.OK)
+		assert.DeepEqual(t, a.Reply.Rows, []string{"direct"})
+	}
+	s.Close()
+	assert.Equal(t, len(b.delegator.asked), 0)
+}
+
+// TestAStopLeavesADelegatedStatementInDoubt guards against a promise about a statement that runs
+// at a pooler while the proxy with the client stops.
+func TestAStopLeavesADelegatedStatementInDoubt(t *testing.T) {
+	for _, st := range []statement.Statement{read, write} {
+		var b *bench
+		b = newBench(t, func(r delegation.Request) (delegation.Answer, error) {
+			b.tasks.Stop()
+			return lost(r)
+		})
+		s := b.open(t)
+		assert.Equal(t, s.Do(st).Code, statement.InDoubt)
+		assert.Equal(t, s.Do(st).Code, statement.Busy)
+		s.Close()
+		assert.Equal(t, b.direct.count(), 0)
+	}
+}
+
 // TestLimitedTeamsAreNotDelegated guards against operations that run after the team's right to
 // run them has ended.
 func TestLimitedTeamsAreNotDelegated(t *testing.T) {
