--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"eelgrassladder.example/eelgrassladder"
@@ -33,6 +34,17 @@
 	handler Handler
 	// budget limits what other proxies hold.
 	budget eelgrassladder.Budget
+	// delegations serves the operations of other proxies; nil if this proxy runs none.
+	delegations DelegationHandler
+}
+
+// DelegationHandler serves streams of operations.
+type DelegationHandler interface {
+	// RunsDelegations reports whether this proxy takes further operations.
+	RunsDelegations() bool
+	// ServeDelegations runs the operations of a stream until Receive fails. It then rolls
+	// back the open ones.
+	ServeDelegations(s *DelegationStream)
 }
 
 // Option configures a Server.
@@ -42,6 +54,9 @@
 // amount.
 func WithBudget(b eelgrassladder.Budget) Option { return func(s *Server) { s.budget = b } }
 
+// WithDelegations makes the server serve operations of other proxies.
+func WithDelegations(h DelegationHandler) Option { return func(s *Server) { s.delegations = h } }
+
 // NewServer returns a Server that answers each call with the result of the handler.
 func NewServer(h Handler, options ...Option) *Server {
 	s := &Server{handler: h, budget: eelgrassladder.UnlimitedMemory{}}
@@ -57,7 +72,10 @@
 	if err := peer.DRPCRegisterPeer(mux, s); err != nil {
 		return errors.WithStack(err)
 	}
-	options := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}}
+	options := drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+		Stream: drpcstream.Options{MaximumBufferSize: delegationBufferBytes},
+	}}
 	bounded := listener.NewBounded(l, maxConnections, func(address string) {
 		klog.InfoS("Connection of another proxy closed for a new one", "Client", address, "Limit", maxConnections)
 	})
@@ -86,6 +104,20 @@
 	return encodeReport(report), nil
 }
 
+// Delegate serves one stream of operations; it implements the generated service. A panic ends
+// the stream, not the process.
+func (s *Server) Delegate(call peer.DRPCPeer_DelegateStream) (err error) {
+	defer recoverPanic("stream of operations", "", &err)
+	if s.delegations == nil || !s.delegations.RunsDelegations() {
+		return errors.New("this proxy runs no operations of others")
+	}
+	if err := call.Send(&peer.DelegatedAnswer{}); err != nil {
+		return errors.WithStack(err)
+	}
+	s.delegations.ServeDelegations(newDelegationStream(call))
+	return nil
+}
+
 // recoverPanic turns a panic of a call into its error.
 func recoverPanic(call, subject string, err *error) {
 	if r := recover(); r != nil {
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/policy/pooling"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 	"eelgrassladder.example/eelgrassladder/internal/policy/shedding"
 	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
@@ -284,9 +285,16 @@
 // divideConnections sets the shares of all endpoints. Connections that the
 // division leaves over remain free for control requests.
 func (t *Table) divideConnections() {
+	poolers := map[string]pooling.Poolers{}
 	for _, e := range t.endpoints {
-		a := t.fleet.Allot(e.listed.ID, t.connectionLimit(e.listed.Group))
-		e.keepsUnused = a.Keeps
+		limit := t.connectionLimit(e.listed.Group)
+		p, ok := poolers[e.listed.Group]
+		if !ok {
+			p = pooling.Choose(t.fleet, e.listed.Group, limit)
+			poolers[e.listed.Group] = p
+		}
+		a := p.Allot(t.fleet, e.listed.ID, limit)
+		e.keepsUnused, e.pooled = a.Keeps, p.Delegates()
 		if a.Max != e.share {
 			e.share, e.limit = a.Max, float64(a.Max)
 		}
