--- a/internal/lab/crowd/callers_test.go
+++ b/internal/lab/crowd/callers_test.go
@@ -35,11 +35,11 @@
 		}
 		defer c.Close()
 		if answer, err := c.Do("SET large " + value); err != nil || !answer.OK() {
-			return fmt.Errorf("SET: answered %q: %w", answer.Code, err)
+			return fmt.Errorf("SET was answered %q, error %v", answer.Code, err)
 		}
 		answer, err := c.Do("READ large")
 		if err != nil || !answer.OK() || len(answer.Rows) != 1 || answer.Rows[0] != value {
-			return fmt.Errorf("READ: answered %q with %d rows: %w", answer.Code, len(answer.Rows), err)
+			return fmt.Errorf("READ was answered %q with %d rows, error %v", answer.Code, len(answer.Rows), err)
 		}
 		return nil
 	})
--- a/internal/lab/crowd/serve_test.go
+++ b/internal/lab/crowd/serve_test.go
@@ -277,9 +277,13 @@
 	p.play(p.listen.Postgres, 100, func(v *visitor) {
 		sent := v.logIn()
 		v.discard()
-		for i := 0; sent && i < 1000; i++ {
-			text := fmt.Sprintf("SELECT pet FROM ordinary WHERE pet = '%d-%d%s'", v.index, i, strings.Repeat("a", 2000))
-			sent = v.send(encode(&pgproto3.Parse{Name: fmt.Sprintf("name-%d", i), Query: text}, &pgproto3.Sync{}))
+		for i := 0; sent && i < 300; i += 50 {
+			var batch []byte
+			for j := range 50 {
+				text := fmt.Sprintf("SELECT pet FROM ordinary WHERE pet = '%d-%d%s'", v.index, i+j, strings.Repeat("a", 6000))
+				batch = append(batch, encode(&pgproto3.Parse{Name: fmt.Sprintf("name-%d", i+j), Query: text})...)
+			}
+			sent = v.send(append(batch, encode(&pgproto3.Sync{})...))
 		}
 	})
 	p.verify(t)
