Check that the version in force at a proxy never decreases

The soak with teams allowed each version that may be in force, also an earlier one than the proxy had used before. It now keeps, for each process, the lowest version that it may still use, and prints the error codes that teams get in calm.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -61,6 +61,7 @@
 			c.backOff(ctx)
 			continue
 		}
+		s.team = c.team
 		// A session of kind own must see at least its own writes; one of kind primary
 		// must see every write that was acknowledged before the read.
 		minimum := 0
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// startCount returns how often the process was started.
+func (p *process) startCount() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.starts
+}
+
 // calmSince reports whether the process has run from a time until now, without a signal.
 func (p *process) calmSince(t time.Time) bool {
 	p.mutex.Lock()
--- a/internal/lab/soak/session.go
+++ b/internal/lab/soak/session.go
@@ -19,6 +19,8 @@
 	shape  string
 	// key is what the session has identified itself with, and proxy the name of its proxy.
 	key, proxy string
+	// team is the number of the client's team.
+	team int
 	// operation is the number of the newest operation, which began at a time. It goes on while
 	// a transaction is open.
 	operation     uint64
@@ -53,6 +55,9 @@
 	if err == nil && a.Code == unauthorized {
 		s.checkUnauthorized(a)
 	}
+	if err == nil && !a.OK() {
+		s.run.pacing.noteError(s.team, a.Code)
+	}
 	s.inTransaction = err == nil && a.State != "I"
 	return a, err
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -113,10 +113,11 @@
 	store   disruptions
 	// spans records all disturbances that delay the spread of a version of the configuration.
 	spans spans
-	// versions holds the versions of the teams, and operations what members ran for each.
-	// operationCount numbers the operations, and unauthorized counts refusals.
+	// versions holds the versions of the teams, operations what members ran for each, and
+	// floors the lowest versions of the proxies. operationCount numbers the operations, and unauthorized counts refusals.
 	versions       versions
 	operations     operations
+	floors         floors
 	operationCount atomic.Uint64
 	unauthorized   atomic.Int64
 	// pacing says how fast the clients of teams are.
--- a/internal/lab/soak/team.go
+++ b/internal/lab/soak/team.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -84,11 +85,35 @@
 		r.recordViolation("%s %s ran %s %q for %q, sent to %s with key %s at %s; versions: %s", now.Format(logTime),
 			run.Member, run.ID, run.Text, run.Caller, sent.proxy, sent.key, sent.began.Format(logTime), r.describeKey(sent.key))
 	}
+	r.checkFloor(run, sent, held)
 	if first := r.operations.note(sent.operation, run.Caller, now); first != run.Caller {
 		r.recordViolation("%s %s ran %s for %q in an operation of %q", now.Format(logTime), run.Member, run.ID, run.Caller, first)
 	}
 }
 
+// checkFloor checks that the version in force at a proxy has not decreased. It passes over
+// statements that a former process of the proxy may have sent.
+func (r *runner) checkFloor(run member.Run, sent sentStatement, held func(version) bool) {
+	p := r.process(sent.proxy)
+	if p == nil {
+		return
+	}
+	starts := p.startCount()
+	var possible []int
+	for i, v := range r.versions.all() {
+		if held(v) {
+			possible = append(possible, i)
+		}
+	}
+	if len(possible) == 0 || !p.calmSince(sent.began) {
+		return
+	}
+	if now := time.Now(); !r.floors.note(sent.proxy, starts, sent.began, now, possible) {
+		r.recordViolation("%s %s ran %s for %q, by a version before one that %s had used; versions: %s",
+			now.Format(logTime), run.Member, run.ID, run.Caller, sent.proxy, r.describeKey(sent.key))
+	}
+}
+
 // learnedBy returns until when a proxy may use a version.
 func (r *runner) learnedBy(proxy string) learner {
 	var proxies []string
@@ -152,6 +177,31 @@
 	hot map[int]int
 	// calm is true while service in calm is measured.
 	calm bool
+	// errors counts the error codes that each team got in calm.
+	errors map[int]map[string]int
+}
+
+// noteError counts an error code that a team got, if service in calm is measured.
+func (p *pacing) noteError(team int, code string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.calm {
+		return
+	}
+	if p.errors == nil {
+		p.errors = map[int]map[string]int{}
+	}
+	if p.errors[team] == nil {
+		p.errors[team] = map[string]int{}
+	}
+	p.errors[team][code]++
+}
+
+// codes returns the error codes that a team got in calm, with their counts.
+func (p *pacing) codes(team int) map[string]int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return maps.Clone(p.errors[team])
 }
 
 // heat adds to the count of a team.
@@ -250,10 +300,14 @@
 	r.pacing.heat(hot, 1)
 	r.pacing.setCalm(true)
 	var servedAfter, failedAfter map[int]int
+	codes := map[int]map[string]int{}
 	r.runClients(ctx, func() {
 		pause(ctx, calmTime)
 		r.pacing.heat(hot, -1)
 		servedAfter, failedAfter = r.countByTeam()
+		for team := range r.plan.Teams {
+			codes[team] = r.pacing.codes(team)
+		}
 		refuse := r.refuseFault(random)
 		refuse.begin()
 		r.configureTeams(r.swappedTeams())
@@ -262,7 +316,7 @@
 	})
 	for team := range r.plan.Teams {
 		s, f := servedAfter[team]-served[team], failedAfter[team]-failed[team]
-		r.printf("calm: %s hot=%v served=%d failed=%d\n", teamName(team), team == hot, s, f)
+		r.printf("calm: %s hot=%v served=%d failed=%d %v\n", teamName(team), team == hot, s, f, codes[team])
 		if team != hot && float64(s) < calmShare*float64(s+f) || s == 0 {
 			r.recordViolation("%s was not served in calm: %d operations of %d", teamName(team), s, s+f)
 		}
--- a/internal/lab/soak/version.go
+++ b/internal/lab/soak/version.go
@@ -109,3 +109,45 @@
 	}
 	return false
 }
+
+// floors holds the lowest version that each proxy may still use, by what members ran for it. The
+// version in force at a proxy never decreases.
+type floors struct {
+	// mutex guards the field below. No other lock is taken while it is held.
+	mutex   sync.Mutex
+	byProxy map[string]floor
+}
+
+// floor is the lowest version of one proxy. It is immutable.
+type floor struct {
+	// starts is the number of the process's start, and index that of the version.
+	starts, index int
+	// raised is when the floor became known. It holds for operations that begin later.
+	raised time.Time
+}
+
+// note notes that a proxy used one of some versions, given by their indices in their order, for
+// an operation that began at a time. It reports false if all of them are lower than one that
+// the proxy used for an earlier operation since its process started.
+func (f *floors) note(proxy string, starts int, began, now time.Time, possible []int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.byProxy == nil {
+		f.byProxy = map[string]floor{}
+	}
+	known := f.byProxy[proxy]
+	if known.starts != starts {
+		known = floor{starts: starts}
+	}
+	if began.After(known.raised) {
+		possible = slices.DeleteFunc(slices.Clone(possible), func(i int) bool { return i < known.index })
+	}
+	if len(possible) == 0 {
+		return false
+	}
+	if possible[0] > known.index {
+		known.index, known.raised = possible[0], now
+	}
+	f.byProxy[proxy] = known
+	return true
+}
--- a/internal/lab/soak/version_test.go
+++ b/internal/lab/soak/version_test.go
@@ -96,6 +96,29 @@
 	assert.Equal(t, s.learnedByAll(atSecond(100)), atSecond(125))
 }
 
+// TestAVersionThatDecreasesIsFound guards against a proxy that returns to an earlier version.
+func TestAVersionThatDecreasesIsFound(t *testing.T) {
+	t.Parallel()
+	var f floors
+	for i, c := range []struct {
+		starts          int
+		began, ran      float64
+		possible        []int
+		notedAsDecrease bool
+	}{
+		{1, 1, 2, []int{0, 1}, false},
+		{1, 3, 4, []int{1, 2}, false}, // at least version 1, known at 4 s
+		{1, 3, 5, []int{0}, false},    // began before that was known
+		{1, 5, 6, []int{0, 3}, false}, // version 3
+		{1, 7, 8, []int{0, 1, 2}, true},
+		{1, 7, 8, []int{3}, false},
+		{2, 9, 10, []int{2}, false}, // another process
+		{2, 11, 12, []int{1}, true},
+	} {
+		assert.Equal(t, !f.note("proxy-0", c.starts, atSecond(c.began), atSecond(c.ran), c.possible), c.notedAsDecrease, "%d", i)
+	}
+}
+
 // TestAnOperationRunsForOneTeam guards against a transaction whose later statements run for the
 // team of a newer version.
 func TestAnOperationRunsForOneTeam(t *testing.T) {
