Let delegated sessions hold memory by the bounds of their table

The merge of pooling and of the limits for clients left the sessions of delegated operations without an account, and the fakes of their tests without two methods.

--- a/internal/host/gateway/delegated.go
+++ b/internal/host/gateway/delegated.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/delegation"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
@@ -38,6 +39,8 @@
 	s := &Session{
 		gateway: g, database: o.Database, prepared: map[string]statement.Prepared{}, written: o.Written,
 		origin: &origin{asker: o.Asker, team: o.Team},
+		// The table of delegated operations bounds what they hold.
+		account: eelgrassladder.UnlimitedMemory{},
 	}
 	if o.Begin.Kind != statement.Unknown {
 		if reply := s.Do(o.Begin); reply.Code != statement.OK {
--- a/internal/host/gateway/delegation_test.go
+++ b/internal/host/gateway/delegation_test.go
@@ -144,6 +144,10 @@
 
 func (c *directRuns) Team() string { return "" }
 
+func (c *directRuns) Charge(eelgrassladder.Account) {}
+
+func (c *directRuns) Retained() int { return 0 }
+
 func (c *directRuns) ApplySession(time.Time, statement.Values, statement.Statement) (statement.Reply, error) {
 	return statement.Reply{}, nil
 }
