Bound the times in messages between proxies

A time of 2^63/1000 us or more overflowed: a request seemed to arrive in the future, or a refusal to have a negative RetryAfter.

--- a/internal/peer/proxy/codec.go
+++ b/internal/peer/proxy/codec.go
@@ -38,7 +38,7 @@
 		Key: m.GetKey(), SessionName: m.GetSessionName(), Required: decodePosition(m.GetRequired()),
 		ReadOnly: m.GetReadOnly(), OpensTransaction: m.GetOpens(), DescribeOnly: m.GetDescribes(), Pin: m.GetPin(), Payload: m.GetPayload(),
 		Fingerprint: m.GetFingerprint(),
-		Arrived:     now.Add(-time.Duration(m.GetBudgetMicros()) * time.Microsecond),
+		Arrived:     now.Add(-decodeDuration(m.GetBudgetMicros())),
 	}
 	for _, p := range m.GetPrepared() {
 		r.Prepared = append(r.Prepared, request.Prepared{Name: p.GetName(), Parse: p.GetParse()})
@@ -65,7 +65,7 @@
 		Moved: m.GetMoved(), Replica: m.GetReplica(),
 		Refusal: request.Refusal{
 			Code: m.GetCode(), Message: m.GetMessage(), Hint: m.GetHint(),
-			RetryAfter: time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
+			RetryAfter: decodeDuration(m.GetRetryAfterMicros()),
 		},
 	}
 	if m.GetPin() != 0 {
@@ -148,3 +148,12 @@
 	}
 	return h
 }
+
+// maxDuration is the longest time in a message. A longer one would not fit a Duration, and
+// could come out as a negative one.
+const maxDuration = 1000 * time.Hour
+
+// decodeDuration converts a time in microseconds, at least zero and at most maxDuration.
+func decodeDuration(micros int64) time.Duration {
+	return time.Duration(min(max(micros, 0), maxDuration.Microseconds())) * time.Microsecond
+}
