Charge callers for the answers that are read for them

Cause: an answer of the own interfaces was charged when it was sent. 150 callers that do not read answers of 900,000 bytes took 156 of 96 MB, and 100 over HTTP 132 MB.

Change: the context of a request names the account that is charged while an endpoint's answer is read, and until it is written. A request whose answer may not be held has an unknown outcome, because it has run.

--- a/internal/host/owner/execute.go
+++ b/internal/host/owner/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/request"
@@ -55,6 +56,11 @@
 	result, sent, err := c.Exchange(ctx, j.Item.Request, withPosition)
 	if err != nil {
 		pool.Release(c)
+		if eelgrassladder.IsMemoryRefusal(err) {
+			o.queue.Done(j, false)
+			o.queue.Settle(j.Item, request.OutcomeUnknown("the answer was dropped: "+err.Error()))
+			return
+		}
 		o.handleLostConnection(j, active, sent)
 		return
 	}
--- a/internal/host/service/web.go
+++ b/internal/host/service/web.go
@@ -41,7 +41,7 @@
 	callerMux := goahttp.NewMuxer()
 	callerMethods := work.NewEndpoints(caller.NewHTTPFrontend(s.frontend))
 	workserver.Mount(callerMux, workserver.New(callerMethods, callerMux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil))
-	s.serveHTTP("callers over HTTP", s.listeners.http, callerMux)
+	s.serveHTTP("callers over HTTP", s.listeners.http, s.frontend.ChargeRequests(callerMux))
 
 	apiMux := goahttp.NewMuxer()
 	service := operator.New(s.keys.OperatorToken, s.settings.DataCentre, s.platform, s.timer, s.configurations, s.fleet, s.observedGroups, s.burn)
--- a/internal/peer/caller/connection.go
+++ b/internal/peer/caller/connection.go
@@ -281,7 +281,7 @@
 // dispatch runs a request, applies its answer to the connection and sends it to the
 // caller. A new session token is sent ahead of the answer.
 func (c *connection) dispatch(ctx context.Context, r request.Request, flushed bool) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(eelgrassladder.ContextWithAccount(ctx, c.account))
 	defer cancel()
 	c.mutex.Lock()
 	c.stop = cancel
--- a/internal/peer/caller/frontend.go
+++ b/internal/peer/caller/frontend.go
@@ -151,8 +151,8 @@
 		f.refusals.Refused(eelgrassladder.TooManyClients, stream.RemoteAddr().String())
 		return
 	}
-	c.account = account
-	defer account.Close()
+	c.account = &sharedAccount{answerCopies: answerCopies, account: account}
+	defer c.account.Close()
 	if !c.startUp(ctx) {
 		return
 	}
--- a/internal/peer/endpoint/connection.go
+++ b/internal/peer/endpoint/connection.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/socket"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/request"
@@ -72,6 +73,9 @@
 	// raw is the socket of stream.
 	raw    syscall.RawConn
 	reader *wire.Reader
+	// account is charged for the answer that is read, of which answerBytes have been received.
+	account     eelgrassladder.Account
+	answerBytes int
 	// process and secret identify the connection in a cancel request.
 	process uint32
 	secret  []byte
@@ -104,7 +108,8 @@
 		_ = hijacked.Conn.Close()
 		return nil, errors.Errorf("open connection: error %v, %d unread bytes", err, hijacked.Frontend.ReadBufferLen())
 	}
-	return &Connection{
+	made := &Connection{
+		account:  eelgrassladder.UnlimitedMemory{},
 		stream:   hijacked.Conn,
 		raw:      raw,
 		reader:   wire.NewReader(hijacked.Conn, MaxAnswerBytes),
@@ -112,7 +117,15 @@
 		secret:   hijacked.SecretKey,
 		prepared: map[string]bool{},
 		status:   request.Idle,
-	}, nil
+	}
+	made.reader.OnMessage(made.hold)
+	return made, nil
+}
+
+// hold charges the account of the request for another message of its answer.
+func (c *Connection) hold(bytes int) error {
+	c.answerBytes += bytes
+	return errors.WithStack(c.account.Hold(eelgrassladder.AnswerMemory, c.answerBytes))
 }
 
 // rawSocket returns the socket of a TCP connection.
@@ -174,7 +187,9 @@
 		c.broken = true
 		return Result{}, n > 0, errors.WithStack(err)
 	}
+	c.account, c.answerBytes = eelgrassladder.AccountOf(ctx), 0
 	result, err = c.readAnswer(expected)
+	c.account = eelgrassladder.UnlimitedMemory{}
 	if err == nil && withPosition {
 		result.Position, err = c.readPosition()
 	}
--- a/memory.go
+++ b/memory.go
@@ -1,6 +1,10 @@
 package eelgrassladder
 
-import "github.com/pkg/errors"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
 
 // Budget limits the memory that clients hold in this process, over all front ends.
 type Budget interface {
@@ -46,6 +50,23 @@
 // ErrSessionTooLarge is returned when one session would hold more than it may.
 const ErrSessionTooLarge = constantError("the session would hold more than one session may")
 
+// accountKey is the context key of an account.
+type accountKey struct{}
+
+// ContextWithAccount returns a context that names the account which is charged for answers to
+// requests of the context. Several goroutines may then use the account.
+func ContextWithAccount(ctx context.Context, a Account) context.Context {
+	return context.WithValue(ctx, accountKey{}, a)
+}
+
+// AccountOf returns the account that a context names, or one without limits.
+func AccountOf(ctx context.Context) Account {
+	if a, ok := ctx.Value(accountKey{}).(Account); ok {
+		return a
+	}
+	return UnlimitedMemory{}
+}
+
 // IsMemoryRefusal reports whether an error says that a client may not hold what it needs.
 func IsMemoryRefusal(err error) bool {
 	return errors.Is(err, ErrMemoryShort) || errors.Is(err, ErrDisplaced) || errors.Is(err, ErrSessionTooLarge)
