Let one operation at a time try a pooler that has failed

All operations of a proxy waited for a pooler again, up to 0.1 s each, whenever the second was over for which it is avoided. A pooler with a fifth of a core may be kept from running for 80 ms at a time, so that 0.1 s was also short for the two steps of opening a stream.

One operation tries, for at most 0.2 s, and the others ask elsewhere until it is answered.

--- a/internal/host/delegation/client.go
+++ b/internal/host/delegation/client.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// openTimeout bounds the opening of a stream. A statement has a few hundred milliseconds,
-	// and may have to ask another pooler.
-	openTimeout = 100 * time.Millisecond
+	// openTimeout bounds the opening of a stream. A pooler that has a fifth of a core may be
+	// kept from running for 80 ms at a time, and answers in two steps.
+	openTimeout = 200 * time.Millisecond
 	// avoidTime is how long a pooler is not asked that could not be reached, gave no answer or
 	// takes no operations.
 	avoidTime = time.Second
@@ -180,6 +180,9 @@
 	// avoidUntil is when the pooler may be asked again, and idleSince when the last operation
 	// ended.
 	avoidUntil, idleSince time.Time
+	// failing is true from when the pooler is avoided until it has run an operation. One
+	// operation at a time tries then; trying is true while one does.
+	failing, trying bool
 }
 
 // load returns the number of operations under way at the pooler, or false if it may not be
@@ -187,7 +190,7 @@
 func (l *link) load(address string, now time.Time) (int, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.operations, l.address != address || !now.Before(l.avoidUntil)
+	return l.operations, l.address != address || !now.Before(l.avoidUntil) && !l.trying
 }
 
 // begin counts an operation at the pooler, which is reached at an address.
@@ -195,8 +198,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.operations++
+	l.trying = l.failing
 	if l.address != address {
 		l.address, l.avoidUntil = address, time.Time{}
+		l.failing, l.trying = false, false
 		for _, s := range slices.Clone(l.streams) {
 			l.closeStream(s)
 		}
@@ -209,6 +214,7 @@
 	defer l.mutex.Unlock()
 	l.operations--
 	l.idleSince = l.client.timer.Now()
+	l.trying = l.trying && l.operations > 0
 	if s == nil {
 		return
 	}
@@ -232,7 +238,12 @@
 func (l *link) avoid() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.avoidUntil = l.client.timer.Now().Add(avoidTime)
+	l.avoidFrom(l.client.timer.Now())
+}
+
+// avoidFrom is avoid while the caller holds the mutex.
+func (l *link) avoidFrom(now time.Time) {
+	l.avoidUntil, l.failing, l.trying = now.Add(avoidTime), true, false
 }
 
 // stream is an open stream with the operations that use it. The mutex of its link guards its
@@ -326,6 +337,9 @@
 		o := s.waiting[number]
 		delete(s.waiting, number)
 		s.heard = l.client.timer.Now()
+		if !answer.Moved {
+			l.failing, l.trying = false, false
+		}
 		l.mutex.Unlock()
 		if o != nil {
 			o.answers <- result{answer: answer}
@@ -345,7 +359,7 @@
 	if s.failed {
 		return
 	}
-	s.failed = true
+	s.failed, l.trying = true, false
 	if l.stream == s {
 		l.stream = nil
 	}
@@ -382,7 +396,7 @@
 		}
 		delete(s.waiting, number)
 		o.answers <- result{err: eelgrassladder.ErrAnswerLate}
-		l.avoidUntil = now.Add(avoidTime)
+		l.avoidFrom(now)
 		silent = silent || s.heard.Before(o.sent)
 	}
 	return silent
--- a/internal/host/delegation/client_test.go
+++ b/internal/host/delegation/client_test.go
@@ -267,6 +267,34 @@
 		assert.Equal(t, f.get(SideAsker, c.result), 1, name)
 		f.timer.Advance(avoidTime)
 		assert.Equal(t, f.Delegate("g", nil).Pooler(), o.Pooler(), name)
+		assert.Assert(t, f.Delegate("g", nil).Pooler() != o.Pooler(), "%s: more than one operation tries at a time", name)
+	}
+}
+
+// TestAPoolerThatRunsAgainIsUsed guards against a pooler that is not used any more, or by one
+// operation at a time, after it has failed once.
+func TestAPoolerThatRunsAgainIsUsed(t *testing.T) {
+	f := newClientFixture(t)
+	o := f.Delegate("g", nil)
+	done, r := f.start(t, o)
+	f.stream(o.Pooler()).answers <- numbered[delegation.Answer]{r.number, delegation.Answer{Moved: true}}
+	<-done
+	o.End()
+	var others []string
+	for _, name := range f.Poolers("g").All() {
+		if name != o.Pooler() {
+			others = append(others, name)
+		}
+	}
+	assert.Assert(t, f.Delegate("g", others) == nil)
+	f.timer.Advance(avoidTime)
+	trying := f.Delegate("g", others)
+	assert.Assert(t, trying != nil && f.Delegate("g", others) == nil)
+	done, r = f.start(t, trying)
+	f.stream(o.Pooler()).answers <- numbered[delegation.Answer]{r.number, delegation.Answer{}}
+	<-done
+	for range 3 {
+		assert.Assert(t, f.Delegate("g", others) != nil)
 	}
 }
 
