--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/model/fleetrecord"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
@@ -54,8 +55,8 @@
 	if !slices.ContainsFunc(items, func(i eelgrassladder.Item) bool { return i.Key == leadership.PromotionLockKey }) {
 		f.node.state.LearnPromotionLock(leadership.RemovedPromotionLock(revision))
 	}
-	if !f.node.storeRead.Swap(true) && f.node.state.WasRegistered() {
-		// The entry of an earlier process with this name counts for this one.
+	if !f.node.storeRead.Swap(true) && (f.node.state.WasRegistered() || f.node.state.inFleetRecord()) {
+		// The other proxies count this one since an earlier process with its name.
 		f.node.produceFrom(f.node.dependencies.Clock.SinceBoot())
 	}
 }
@@ -108,6 +109,12 @@
 	switch {
 	case i.Key == configurationKey && !i.Gone:
 		n.state.setRoutes(i, "store", n.dependencies.Clock.SinceBoot()+passOnDelay)
+	case i.Key == fleetrecord.Key && !i.Gone:
+		r, err := fleetrecord.Parse(i.Value, i.Revision)
+		f.noteDecoded(i, err)
+		if err == nil {
+			n.state.learnFleet(r)
+		}
 	case strings.HasPrefix(i.Key, proxyPrefix):
 		f.applyProxy(i)
 	case strings.HasPrefix(i.Key, endpointPrefix):
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -243,6 +243,9 @@
 	n.tasks.Go("proofs", n.prober.KeepAlive)
 	n.tasks.Go("health checks", n.checker.Run)
 	n.tasks.Go("registration", n.register)
+	if n.dependencies.Quotas != nil {
+		n.tasks.Go("fleet record", n.recordFleet)
+	}
 	n.tasks.Go("clients", func(ctx context.Context) error { return n.frontend.Serve(ctx, n.listeners.callers) })
 	n.tasks.Go("readiness", func(ctx context.Context) error {
 		return serve(ctx, n.listeners.readiness, n.dependencies.Readiness(n.Ready))
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -92,7 +92,7 @@
 	}
 	n.registrationLeaseID.Store(r.lease)
 	n.registered.Store(true)
-	if !n.state.wasRegistered.Swap(true) && n.storeRead.Load() {
+	if !n.state.wasRegistered.Swap(true) && n.storeRead.Load() && n.producesFrom.Load() == 0 {
 		n.produceFrom(n.dependencies.Clock.SinceBoot() + announceTime)
 	}
 }
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -9,6 +9,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/proof"
+	"eelgrassladder.example/eelgrassladder/internal/model/fleetrecord"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
@@ -74,6 +75,8 @@
 	configuration eelgrassladder.Item
 	passOnFrom    time.Duration
 	promotionLock leadership.PromotionLock
+	// fleetRecord is the record of the proxies that share the limits of teams.
+	fleetRecord fleetrecord.Record
 	// onRecord is called with the name of each group whose record has changed, without
 	// the mutex and by several goroutines at a time. It has to read the record itself.
 	onRecord func(group string)
@@ -212,9 +215,9 @@
 	return names, s.proxiesSince > 0 && now-s.proxiesSince >= proxyRetention
 }
 
-// Lenders returns the addresses, by name, of the other proxies that are registered, or whose
-// registrations have ended less than lenderRetention ago.
-func (s *clusterState) Lenders() map[string]string {
+// presentLenders returns the addresses, by name, of the other proxies that are registered, or
+// whose registrations have ended less than lenderRetention ago.
+func (s *clusterState) presentLenders() map[string]string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock.SinceBoot()
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -20,6 +20,15 @@
 // are asked.
 const tokensPerHolder = 4
 
+// What a window allows is divided between what the buckets hold and what they produce. The more
+// they hold, the less a team that uses its whole limit for long gets of it, and the less there is
+// for processes that start with empty buckets. minCapacity covers the operations that come at
+// once at several proxies in an ordinary second of a small team.
+const (
+	capacityShare = 0.08
+	minCapacity   = 16
+)
+
 // Bounds says how far the operations of a team may exceed its rate and burst: in any Window
 // at most (rate x Window + burst) x (1 + Overrun) + Slack operations may run. It is immutable.
 type Bounds struct {
@@ -65,7 +74,7 @@
 func (b Bounds) Limit(t team.Team) Limit {
 	span := (b.Window + eelgrassladder.QuotaValidity).Seconds()
 	operations := (t.Rate*b.Window.Seconds()+t.Burst)*(1+b.Overrun) + b.Slack
-	capacity := math.Min(t.Burst*(1+b.Overrun)+b.Slack, operations-span*t.Rate)
+	capacity := math.Min(math.Max(capacityShare*operations, minCapacity), operations-span*t.Rate)
 	// A bucket that holds less than one token never gives any.
 	capacity = math.Min(math.Max(capacity, 1), operations)
 	return Limit{Operations: operations, Capacity: capacity, Rate: (operations - capacity) / span}
