--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -64,7 +64,7 @@
 		return o, statement.Reply{}
 	}
 	o.admitted = g.clock.SinceBoot()
-	if g.quotas.Take(g.tasks.Context(), o.team) {
+	if g.quotas.Take(g.tasks.Context(), o.team, o.route.Priority) {
 		return o, statement.Reply{}
 	}
 	return o, statement.ErrorReply(statement.Busy, fmt.Sprintf("found no token for an operation of team %s, whose limit is %g a second", o.team.Name, o.team.Rate))
--- a/internal/host/quota/limiter.go
+++ b/internal/host/quota/limiter.go
@@ -84,12 +84,12 @@
 func (l *Limiter) Refresh() { l.table.Refresh(l.clock.SinceBoot(), l.view) }
 
 // Take takes a token of a team: from this proxy's own bucket, or else from other proxies.
-func (l *Limiter) Take(ctx context.Context, t team.Team) bool {
-	w, v := l.table.Admit(t.Name, l.clock.SinceBoot())
+func (l *Limiter) Take(ctx context.Context, t team.Team, priority int) bool {
+	w, v := l.table.Admit(t.Name, priority, l.clock.SinceBoot())
 	if v.Unlimited {
 		// The version of the configuration that names the team may have come just now.
 		l.Refresh()
-		w, v = l.table.Admit(t.Name, l.clock.SinceBoot())
+		w, v = l.table.Admit(t.Name, priority, l.clock.SinceBoot())
 	}
 	if w != nil {
 		v = l.await(ctx, w)
@@ -128,9 +128,10 @@
 	}
 }
 
-// Lend takes up to a number of tokens of a team for another proxy, and returns how many.
-func (l *Limiter) Lend(teamName string, tokens int) int {
-	n := l.table.Lend(teamName, tokens, l.clock.SinceBoot())
+// Lend takes up to a number of tokens of a team for another proxy, and returns how many. It
+// keeps a reserve of them.
+func (l *Limiter) Lend(teamName string, tokens, reserve int) int {
+	n := l.table.Lend(teamName, tokens, reserve, l.clock.SinceBoot())
 	l.observer.LoanCounted(Holder, grantResult(n, tokens))
 	return n
 }
@@ -151,7 +152,7 @@
 func (l *Limiter) ask(ctx context.Context, ask table.Ask) (int, table.Answer) {
 	ctx, cancel := context.WithTimeout(ctx, policy.AnswerTimeout)
 	defer cancel()
-	granted, err := l.lenders.Borrow(ctx, ask.Address, ask.Team, ask.Tokens)
+	granted, err := l.lenders.Borrow(ctx, ask.Address, ask.Team, ask.Tokens, ask.Reserve)
 	took := l.clock.SinceBoot() - ask.At
 	switch {
 	case err != nil:
--- a/internal/host/quota/unlimited.go
+++ b/internal/host/quota/unlimited.go
@@ -13,13 +13,13 @@
 type Unlimited struct{}
 
 // Take reports true.
-func (Unlimited) Take(context.Context, team.Team) bool { return true }
+func (Unlimited) Take(context.Context, team.Team, int) bool { return true }
 
 // GiveBack does nothing.
 func (Unlimited) GiveBack(team.Team, time.Duration) {}
 
 // Lend lends nothing.
-func (Unlimited) Lend(string, int) int { return 0 }
+func (Unlimited) Lend(string, int, int) int { return 0 }
 
 // Refresh does nothing.
 func (Unlimited) Refresh() {}
--- a/internal/peer/sibling/codec_test.go
+++ b/internal/peer/sibling/codec_test.go
@@ -32,7 +32,7 @@
 	panic("unexpected")
 }
 
-func (panicking) Lend(string, int) int { panic("unexpected") }
+func (panicking) Lend(string, int, int) int { panic("unexpected") }
 
 // TestAPanicEndsOneCall guards against a call of another proxy that ends the process.
 func TestAPanicEndsOneCall(t *testing.T) {
--- a/internal/peer/sibling/loans.go
+++ b/internal/peer/sibling/loans.go
@@ -44,7 +44,7 @@
 
 // Borrow asks the proxy at an address for tokens of a team, and returns how many it gave. Only
 // ctx bounds the call, apart from dialTimeout.
-func (l *Loans) Borrow(ctx context.Context, address, team string, tokens int) (int, error) {
+func (l *Loans) Borrow(ctx context.Context, address, team string, tokens, reserve int) (int, error) {
 	c := l.takeIdle(address)
 	if c == nil {
 		opened, err := dial(ctx, address)
@@ -53,7 +53,7 @@
 		}
 		c = opened
 	}
-	answer, err := peer.NewDRPCPeerClient(c).Lend(ctx, &peer.LoanRequest{Team: team, Tokens: uint32(tokens)})
+	answer, err := peer.NewDRPCPeerClient(c).Lend(ctx, &peer.LoanRequest{Team: team, Tokens: uint32(tokens), Reserve: uint32(reserve)})
 	if err != nil {
 		_ = c.Close()
 		return 0, errors.WithStack(err)
--- a/internal/peer/sibling/server.go
+++ b/internal/peer/sibling/server.go
@@ -32,7 +32,7 @@
 // Lender lends tokens of teams to other proxies.
 type Lender interface {
 	// Lend takes up to a number of tokens of a team for another proxy, and returns how many.
-	Lend(team string, tokens int) int
+	Lend(team string, tokens, reserve int) int
 }
 
 // Server answers the calls of other proxies. Use NewServer to make one.
@@ -116,7 +116,7 @@
 // call, not the process.
 func (s *Server) Lend(_ context.Context, m *peer.LoanRequest) (answer *peer.Loan, err error) {
 	defer recoverPanic("loan request", m.GetTeam(), &err)
-	return &peer.Loan{Tokens: uint32(s.lender.Lend(m.GetTeam(), decodeTokens(m.GetTokens())))}, nil
+	return &peer.Loan{Tokens: uint32(s.lender.Lend(m.GetTeam(), decodeTokens(m.GetTokens()), decodeTokens(m.GetReserve())))}, nil
 }
 
 // Delegate serves one stream of operations; it implements the generated service. A panic ends
--- a/internal/policy/quota/bucket.go
+++ b/internal/policy/quota/bucket.go
@@ -40,10 +40,11 @@
 	return b
 }
 
-// WithTaken returns the bucket without up to n whole tokens, and how many it had of them.
-func (b Bucket) WithTaken(n int, now time.Duration) (Bucket, int) {
+// WithTaken returns the bucket without up to n whole tokens, and how many it had of them. It
+// leaves a reserve in the bucket.
+func (b Bucket) WithTaken(n, reserve int, now time.Duration) (Bucket, int) {
 	b = b.advanced(now)
-	n = max(min(n, int(b.tokens)), 0)
+	n = max(min(n, int(b.tokens)-reserve), 0)
 	b.tokens -= float64(n)
 	b.recent += n
 	return b, n
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -29,6 +29,13 @@
 	minCapacity   = 16
 )
 
+// MaxReserve is the highest Reserve. A holder's bucket has room for more tokens.
+const MaxReserve = 2
+
+// Reserve returns how many tokens of a team each holder keeps from operations of a priority, for
+// more urgent ones. A team that is over its limit then runs its most urgent operations first.
+func Reserve(priority int) int { return min(max(priority, 0), MaxReserve) }
+
 // Bounds says how far the operations of a team may exceed its rate and burst: in any Window
 // at most (rate x Window + burst) x (1 + Overrun) + Slack operations may run. It is immutable.
 type Bounds struct {
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -127,9 +127,9 @@
 	assert.Equal(t, b.Tokens(seconds(100)), 0.0)
 	assert.Equal(t, b.Tokens(seconds(101)), 5.0)
 	assert.Equal(t, b.Tokens(seconds(9999)), 10.0)
-	b, n := b.WithTaken(64, seconds(9999))
+	b, n := b.WithTaken(64, 0, seconds(9999))
 	assert.Equal(t, n, 10)
-	b, n = b.WithTaken(1, seconds(9999.1))
+	b, n = b.WithTaken(1, 0, seconds(9999.1))
 	assert.Equal(t, n, 0, "half a token was taken")
 	b = b.WithShare(quota.Share{Capacity: 2, Rate: 1}, seconds(10100))
 	assert.Equal(t, b.Tokens(seconds(10100)), 2.0, "a lower limit did not reduce the bucket")
@@ -146,17 +146,17 @@
 func TestTokensThatAreGivenBackDoNotAddToProducedOnes(t *testing.T) {
 	share := quota.Share{Capacity: 10, Rate: 25}
 	full := quota.NewBucket(0).WithShare(share, 0).WithShare(share, seconds(10))
-	b, _ := full.WithTaken(10, seconds(10))
-	b, used := b.WithTaken(10, seconds(10.4))
+	b, _ := full.WithTaken(10, 0, seconds(10))
+	b, used := b.WithTaken(10, 0, seconds(10.4))
 	for range 10 {
 		n := 0
 		b, n = b.WithReturned(1, seconds(10), seconds(10.4))
-		b, n = b.WithTaken(n, seconds(10.4))
+		b, n = b.WithTaken(n, 0, seconds(10.4))
 		used += n
 	}
 	assert.Equal(t, used, 10, "operations at one time with a bucket of 10 tokens")
 	// Tokens are accepted as far as nothing was produced in their place.
-	b, _ = full.WithTaken(10, seconds(10))
+	b, _ = full.WithTaken(10, 0, seconds(10))
 	_, n := b.WithReturned(10, seconds(10), seconds(10.05))
 	assert.Equal(t, n, 8)
 	_, n = b.WithReturned(10, seconds(10), seconds(10.5))
@@ -179,7 +179,7 @@
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
 			if n := rapid.IntRange(0, 12).Draw(t, "take"); n > 0 {
 				got := 0
-				b, got = b.WithTaken(n, now)
+				b, got = b.WithTaken(n, 0, now)
 				for range got {
 					taken = append(taken, now)
 				}
--- a/internal/table/quota/quota.go
+++ b/internal/table/quota/quota.go
@@ -41,7 +41,8 @@
 	team   team.Team
 	plan   policy.Plan
 	bucket policy.Bucket
-	// waiting are the operations that wait for a token, the first first.
+	// waiting are the operations that wait for a token, the most urgent first, and of equal
+	// ones the first first.
 	waiting []*Waiter
 	// borrowing is true while the account is due or a worker borrows for it. order is the
 	// order in which it asks.
@@ -53,9 +54,9 @@
 	emptyUntil map[string]time.Duration
 	// asked is who was asked since the order was begun, with the answers.
 	asked []string
-	// refusedUntil is until when operations are refused without asking, and refusal what
-	// was found then.
-	refusedUntil time.Duration
+	// refusedUntil is until when operations are refused without asking, by the reserve that
+	// they have to leave, and refusal is what was found then.
+	refusedUntil [policy.MaxReserve + 1]time.Duration
 	refusal      Refusal
 	// refused counts the refused operations.
 	refused uint64
@@ -64,6 +65,8 @@
 // Waiter is an operation that waits for a token.
 type Waiter struct {
 	account *account
+	// reserve is how many tokens the operation has to leave in a bucket.
+	reserve int
 	joined  time.Duration
 	// verdict receives the result once. It has room for it, so that the table does not
 	// block.
@@ -104,9 +107,9 @@
 
 // Ask is one request to another proxy. It is immutable.
 type Ask struct {
-	// Team is the name of the team, and Tokens how many are wanted.
-	Team   string
-	Tokens int
+	// Team is the name of the team, and Tokens how many are wanted. The lender keeps Reserve.
+	Team            string
+	Tokens, Reserve int
 	// Lender is the name of the proxy to ask, and Address where it is reached.
 	Lender, Address string
 	// At is when the request was made.
@@ -135,23 +138,24 @@
 	return t
 }
 
-// Admit takes a token of a team for an operation. It returns a Waiter if this proxy has none
+// Admit takes a token of a team for an operation of a priority. It returns a Waiter if this proxy has none
 // and others are to be asked, and the result otherwise.
-func (t *Table) Admit(name string, now time.Duration) (*Waiter, Verdict) {
+func (t *Table) Admit(name string, priority int, now time.Duration) (*Waiter, Verdict) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	a, ok := t.accounts[name]
 	if !ok {
 		return nil, Verdict{Unlimited: true}
 	}
-	if a.take(now) {
+	reserve := policy.Reserve(priority)
+	if a.take(reserve, now) {
 		return nil, Verdict{Granted: true, Own: true}
 	}
-	if now < a.refusedUntil {
+	if now < a.refusedUntil[reserve] {
 		return nil, Verdict{Refusal: a.refuse(now)}
 	}
-	w := &Waiter{account: a, joined: now, verdict: make(chan Verdict, 1)}
-	a.waiting = append(a.waiting, w)
+	w := &Waiter{account: a, reserve: reserve, joined: now, verdict: make(chan Verdict, 1)}
+	a.enqueue(w)
 	if !a.borrowing {
 		a.borrowing = true
 		t.due = append(t.due, a)
@@ -185,8 +189,8 @@
 	return ok && a.giveBack(1, asked, now) == 1
 }
 
-// Lend takes tokens of a team for another proxy, and returns how many.
-func (t *Table) Lend(name string, tokens int, now time.Duration) int {
+// Lend takes tokens of a team for another proxy, and returns how many. It leaves a reserve.
+func (t *Table) Lend(name string, tokens, reserve int, now time.Duration) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	a, ok := t.accounts[name]
@@ -194,7 +198,7 @@
 		return 0
 	}
 	n := 0
-	a.bucket, n = a.bucket.WithTaken(min(tokens, policy.MaxLoan), now)
+	a.bucket, n = a.bucket.WithTaken(min(tokens, policy.MaxLoan), reserve, now)
 	return n
 }
 
@@ -232,8 +236,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	a := j.account
-	for len(a.waiting) > 0 && a.take(now) {
-		a.grant(1, true)
+	for len(a.waiting) > 0 && a.take(a.waiting[0].reserve, now) {
+		a.grant(1, true, now)
 	}
 	if len(a.waiting) == 0 {
 		a.endBorrowing()
@@ -250,9 +254,10 @@
 		a.endBorrowing()
 		return Ask{}, false
 	}
-	n := min(len(a.waiting), policy.MaxLoan)
+	reserve := a.waiting[0].reserve
+	n := min(a.countUrgent(reserve), policy.MaxLoan)
 	a.bucket = a.bucket.WithAsked(n, now)
-	return Ask{Team: a.team.Name, Tokens: n, Lender: lender, Address: t.view.Lenders[lender], At: now}, true
+	return Ask{Team: a.team.Name, Tokens: n, Reserve: reserve, Lender: lender, Address: t.view.Lenders[lender], At: now}, true
 }
 
 // standing returns what is known of a lender.
@@ -293,13 +298,7 @@
 	}
 	// Only operations that waited when the tokens were asked for count their validity from
 	// before the lender subtracted them.
-	entitled := 0
-	for entitled < len(a.waiting) && a.waiting[entitled].joined <= ask.At {
-		entitled++
-	}
-	used := min(granted, entitled)
-	a.grant(used, false)
-	if granted > used {
+	if used := a.grant(granted, false, ask.At); granted > used {
 		a.giveBack(granted-used, ask.At, now)
 	}
 }
@@ -325,26 +324,50 @@
 	return counts
 }
 
-// take takes one token from the bucket.
-func (a *account) take(now time.Duration) bool {
+// take takes one token from the bucket, if it holds more than a reserve.
+func (a *account) take(reserve int, now time.Duration) bool {
 	n := 0
-	a.bucket, n = a.bucket.WithTaken(1, now)
+	a.bucket, n = a.bucket.WithTaken(1, reserve, now)
 	return n == 1
 }
 
+// enqueue adds an operation behind those that are as urgent or more.
+func (a *account) enqueue(w *Waiter) {
+	i := len(a.waiting)
+	for i > 0 && a.waiting[i-1].reserve > w.reserve {
+		i--
+	}
+	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+// countUrgent returns how many waiting operations leave the reserve or less.
+func (a *account) countUrgent(reserve int) int {
+	n := 0
+	for n < len(a.waiting) && a.waiting[n].reserve <= reserve {
+		n++
+	}
+	return n
+}
+
 // giveBack returns tokens to the bucket, and returns how many there was room for.
 func (a *account) giveBack(n int, taken, now time.Duration) int {
 	a.bucket, n = a.bucket.WithReturned(n, taken, now)
 	return n
 }
 
-// grant lets the first n waiting operations run. Own is true if their tokens are from the
-// bucket.
-func (a *account) grant(n int, own bool) {
-	for _, w := range a.waiting[:n] {
+// grant lets up to n operations run that have waited since a time or longer, the most urgent
+// first, and returns how many. Own is true if their tokens are from the bucket.
+func (a *account) grant(n int, own bool, since time.Duration) int {
+	granted := 0
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *Waiter) bool {
+		if granted == n || w.joined > since {
+			return false
+		}
+		granted++
 		w.verdict <- Verdict{Granted: true, Own: own}
-	}
-	a.waiting = slices.Delete(a.waiting, 0, n)
+		return true
+	})
+	return granted
 }
 
 // release lets all waiting operations run because the team is not limited any more.
@@ -368,10 +391,13 @@
 	a.refusal = Refusal{Team: a.team, Limit: a.plan.Limit, Share: a.plan.Share, Asked: slices.Clone(a.asked), At: now}
 }
 
-// refuseAll refuses all waiting operations, and for policy.RefusalTime those that come later.
+// refuseAll refuses all waiting operations, and for policy.RefusalTime those that come later and
+// are no more urgent.
 func (a *account) refuseAll(now time.Duration) {
 	a.note(now)
-	a.refusedUntil = now + policy.RefusalTime
+	for reserve := a.waiting[0].reserve; reserve <= policy.MaxReserve; reserve++ {
+		a.refusedUntil[reserve] = now + policy.RefusalTime
+	}
 	for _, w := range a.waiting {
 		w.verdict <- Verdict{Refusal: a.refuse(now)}
 	}
