--- a/internal/peer/sibling/delegation_test.go
+++ b/internal/peer/sibling/delegation_test.go
@@ -152,7 +152,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	g := task.New(context.Background())
-	g.Go("siblings", func(ctx context.Context) error { return NewServer(panicking{}).Serve(ctx, l) })
+	g.Go("siblings", func(ctx context.Context) error { return NewServer(panicking{}, panicking{}).Serve(ctx, l) })
 	defer func() {
 		g.Stop()
 		_ = g.Wait()
