Show that no window has more operations than the limit

A schedule now lets the buckets fill, holds operations for as long as their tokens are valid, and then overloads the proxies.

--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -4,7 +4,6 @@
 package quota
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -98,7 +97,7 @@
 // proxies with the highest rendezvous hashes for the team's name.
 func NewPlan(l Limit, teamName, self string, fleet sharing.Fleet) Plan {
 	holders := fleet.Highest(l.Holders(fleet.Size()), teamName)
-	p := Plan{Limit: l}
+	p := Plan{Limit: l, Lenders: make([]string, 0, len(holders))}
 	for _, name := range holders {
 		if name == self {
 			p.Share = Share{Capacity: l.Capacity / float64(len(holders)), Rate: l.Rate / float64(len(holders))}
@@ -106,12 +105,11 @@
 		}
 		p.Lenders = append(p.Lenders, name)
 	}
-	// Each proxy asks in another order, so that those that begin at the same time do not follow
-	// one another from lender to lender.
-	order := make(map[string]uint64, len(p.Lenders))
-	for _, name := range p.Lenders {
-		order[name] = xxhash.Sum64String(self + "\x00" + name)
+	if len(p.Lenders) > 0 {
+		// Each proxy begins elsewhere, so that those that begin at the same time do not follow
+		// one another from lender to lender.
+		first := int(xxhash.Sum64String(self+"\x00"+teamName) % uint64(len(p.Lenders)))
+		p.Lenders = slices.Concat(p.Lenders[first:], p.Lenders[:first])
 	}
-	slices.SortFunc(p.Lenders, func(a, b string) int { return cmp.Compare(order[a], order[b]) })
 	return p
 }
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -163,6 +163,18 @@
 	assert.Equal(t, n, 0)
 }
 
+// TestATokenIsNotGivenBackAfterItsValidity guards against a team that opens many transactions, and
+// rolls them back much later, when its bucket is used up.
+func TestATokenIsNotGivenBackAfterItsValidity(t *testing.T) {
+	share := quota.Share{Capacity: 10, Rate: 1}
+	b, _ := quota.NewBucket(0).WithShare(share, 0).WithTaken(10, seconds(10))
+	b, n := b.WithTaken(10, seconds(20))
+	assert.Equal(t, n, 10)
+	b, _ = b.WithTaken(1, seconds(20.6))
+	_, n = b.WithReturned(8, seconds(10), seconds(21.7))
+	assert.Equal(t, n, 0)
+}
+
 // TestABucketWithReturnedTokensKeepsTheLimit is the same for any sequence: between two times,
 // no more tokens are used than the bucket's capacity and what it produces in that time and the
 // validity of a token before it.
--- a/internal/policy/sharing/sharing_test.go
+++ b/internal/policy/sharing/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -82,3 +83,17 @@
 		assert.Assert(t, counts[name] >= 3 && counts[name] <= groups-1, "%s keeps %d of %d", name, counts[name], groups)
 	}
 }
+
+// TestAllProxiesAgreeOnTheHighest guards against proxies that each choose other holders, and
+// against a holder that is not Among the highest.
+func TestAllProxiesAgreeOnTheHighest(t *testing.T) {
+	proxies := names(0, 35)
+	want := sharing.NewFleet(proxies[0], proxies...).Highest(6, "bakery")
+	assert.Equal(t, len(want), 6)
+	for _, self := range proxies {
+		f := sharing.NewFleet(self, proxies...)
+		assert.DeepEqual(t, f.Highest(6, "bakery"), want)
+		assert.Equal(t, f.Among(6, "bakery"), slices.Contains(want, self))
+	}
+	assert.Equal(t, len(sharing.NewFleet("a", "b").Highest(6, "bakery")), 2)
+}
--- a/internal/table/quota/model_test.go
+++ b/internal/table/quota/model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,6 +76,12 @@
 	// lost and duplicated are the shares of messages that are; slow is the share that takes
 	// up to 0.4 s.
 	lost, duplicated, slow float64
+	// held is true while operations run as late as their tokens allow. Released together with
+	// others, they make the busiest windows.
+	held bool
+	// abandoned is the share of operations of which nothing is sent, and whose tokens are given
+	// back.
+	abandoned float64
 	// runs holds the times at which operations ran at endpoints, by team.
 	runs                            map[string][]time.Duration
 	asked, refused, borrowed, calls int
@@ -425,14 +432,14 @@
 	if !v.Own {
 		w.borrowed++
 	}
-	d := w.between(0, 4*time.Millisecond)
-	switch w.random.IntN(10) {
-	case 0:
-		d = w.between(0, 700*time.Millisecond)
-	case 1:
+	if w.random.Float64() < w.abandoned {
 		p.onProcess(w.between(0, 700*time.Millisecond), func() { p.table.GiveBack(teamName, admitted, w.now) })
 		return
 	}
+	d := w.between(0, 4*time.Millisecond)
+	if w.held {
+		d = max(admitted+eelgrassladder.QuotaValidity-w.now, 0)
+	}
 	p.onProcess(d, func() {
 		if w.now-admitted <= eelgrassladder.QuotaValidity {
 			w.runs[teamName] = append(w.runs[teamName], w.now)
@@ -443,6 +450,7 @@
 // excess returns by how many operations, at most, a window had more than the limits allow, and
 // what the window's limit was.
 func (w *world) excess() (excess, limit float64) {
+	excess = math.Inf(-1)
 	for name, runs := range w.runs {
 		slices.Sort(runs)
 		last := 0
