--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -55,7 +55,7 @@
 	if g.quotas.Take(g.tasks.Context(), o.team) {
 		return o, statement.Reply{}
 	}
-	return o, statement.ErrorReply(statement.Busy, fmt.Sprintf("team %s is over its limit of %g operations a second", o.team.Name, o.team.Rate))
+	return o, statement.ErrorReply(statement.Busy, fmt.Sprintf("found no token for an operation of team %s, whose limit is %g a second", o.team.Name, o.team.Rate))
 }
 
 // recharge is charge for an operation that is about to be sent to an endpoint, if it was
--- a/internal/host/metrics/node_test.go
+++ b/internal/host/metrics/node_test.go
@@ -12,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/failover"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
 	"eelgrassladder.example/eelgrassladder/internal/host/metrics"
+	"eelgrassladder.example/eelgrassladder/internal/host/quota"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -55,3 +56,23 @@
 		assert.Assert(t, strings.Contains(answer.Body.String(), line+"\n"), line)
 	}
 }
+
+func TestOperationsAndLoansAreCounted(t *testing.T) {
+	n := metrics.NewNode()
+	n.OperationCounted(quota.Own)
+	n.OperationCounted(quota.Refused)
+	n.LoanCounted(quota.Borrower, quota.LoanEmpty)
+	n.LoanCounted(quota.Holder, quota.LoanPartial)
+	n.RegisterRefusals(func() map[string]uint64 { return map[string]uint64{"bakery": 4} })
+	answer := httptest.NewRecorder()
+	n.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`eelgrassladder_quota_operations_total{Result="Own"} 1`,
+		`eelgrassladder_quota_operations_total{Result="Refused"} 1`,
+		`eelgrassladder_quota_loans_total{Result="Empty",Side="Borrower"} 1`,
+		`eelgrassladder_quota_loans_total{Result="Partial",Side="Holder"} 1`,
+		`eelgrassladder_quota_refused_total{Team="bakery"} 4`,
+	} {
+		assert.Assert(t, strings.Contains(answer.Body.String(), line+"\n"), line)
+	}
+}
--- a/internal/peer/sibling/loans.go
+++ b/internal/peer/sibling/loans.go
@@ -17,7 +17,7 @@
 	loanIdleTime = 10 * time.Second
 	// maxIdleLoans is how many unused connections for loans to one proxy are kept. More are
 	// only needed while that proxy does not answer.
-	maxIdleLoans = 4
+	maxIdleLoans = 2
 )
 
 // Loans borrows tokens from other proxies; it implements eelgrassladder.Lenders. A connection
