--- a/internal/host/settings/node.go
+++ b/internal/host/settings/node.go
@@ -48,9 +48,9 @@
 	// QuotaWindowSeconds, QuotaOverrun and QuotaSlack are the bounds of teams' operations; nil
 	// for those of quota.DefaultBounds. In any window of that many seconds, above zero, a team
 	// may run (rate x window + burst) x (1 + overrun) + slack operations.
-	QuotaWindowSeconds *float64
-	QuotaOverrun       *float64
-	QuotaSlack         *float64
+	QuotaWindowSeconds *float64 `json:",omitempty"`
+	QuotaOverrun       *float64 `json:",omitempty"`
+	QuotaSlack         *float64 `json:",omitempty"`
 	// LogLevel is the log's level, from 0 for what operators need to 4 for the
 	// most detail.
 	LogLevel int
