--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -80,7 +80,7 @@
 	binary, err := soak.Build(t.TempDir())
 	assert.NilError(t, err)
 	plan := soak.DefaultPlan(7201)
-	plan.Length, plan.Teams, plan.Binary, plan.Folder = 4*time.Second, 4, binary, t.TempDir()
+	plan.Length, plan.Teams, plan.CheckQuotas, plan.Binary, plan.Folder = 4*time.Second, 4, true, binary, t.TempDir()
 	plan.Faults, plan.FaultPause = soak.TeamFaults(), 500*time.Millisecond
 	result, err := soak.Run(context.Background(), plan)
 	assert.NilError(t, err)
