Pool the connections of teams

A connection serves one team. A team's operations at a group now run at one pooler of each data centre, also where a proxy has up to two and a half connections of its own. The proxy with the client takes the team's right to run the operation, and tells how long ago; a pooler that would send the first statement too late takes another.

--- a/delegation.go
+++ b/delegation.go
@@ -10,10 +10,10 @@
 // Delegator runs operations of this proxy's clients at poolers: proxies that keep connections
 // to endpoints open for others.
 type Delegator interface {
-	// Delegate returns a new operation at a pooler of the group, other than those with the
-	// names in tried. It returns nil if this proxy runs the group's operations itself, or if
+	// Delegate returns a new operation of a team, which is empty for none, at a pooler of the
+	// group, other than those with the names in tried. It returns nil if this proxy runs the group's operations itself, or if
 	// no other pooler can be asked now.
-	Delegate(group string, tried []string) DelegatedOperation
+	Delegate(group, team string, tried []string) DelegatedOperation
 	// Sweep ends the waits for answers whose deadline has come, and closes streams that are
 	// not used. Call it at the interval that the Delegator was made for.
 	Sweep()
--- a/internal/host/delegation/client.go
+++ b/internal/host/delegation/client.go
@@ -115,8 +115,8 @@
 	return &Client{timer: t, tasks: tasks, directory: d, open: open, observer: o, links: map[string]*link{}}
 }
 
-// Delegate returns a new operation at a pooler of the group, or nil.
-func (c *Client) Delegate(group string, tried []string) eelgrassladder.DelegatedOperation {
+// Delegate returns a new operation of a team at a pooler of the group, or nil.
+func (c *Client) Delegate(group, team string, tried []string) eelgrassladder.DelegatedOperation {
 	poolers := c.directory.Poolers(group)
 	if !poolers.Delegates() {
 		return nil
@@ -124,7 +124,7 @@
 	addresses, now := c.directory.Proxies(), c.timer.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	name, ok := poolers.Ask(func(pooler string) (int, bool) {
+	name, ok := poolers.Ask(team, func(pooler string) (int, bool) {
 		address := addresses[pooler]
 		if address == "" || slices.Contains(tried, pooler) {
 			return 0, false
--- a/internal/host/delegation/client_test.go
+++ b/internal/host/delegation/client_test.go
@@ -190,7 +190,7 @@
 	var operations []eelgrassladder.DelegatedOperation
 	asked := map[string]int{}
 	for range 20 {
-		o := f.Delegate("g", nil)
+		o := f.Delegate("g", "", nil)
 		operations = append(operations, o)
 		asked[o.Pooler()]++
 	}
@@ -256,18 +256,18 @@
 		}, Late, nil},
 	} {
 		f := newClientFixture(t)
-		o := f.Delegate("g", nil)
+		o := f.Delegate("g", "", nil)
 		c.fail(f, o)
 		o.GiveUp()
 		for range 3 {
-			other := f.Delegate("g", nil)
+			other := f.Delegate("g", "", nil)
 			assert.Assert(t, other.Pooler() != o.Pooler(), name)
-			assert.Assert(t, f.Delegate("g", []string{other.Pooler()}) == nil, name)
+			assert.Assert(t, f.Delegate("g", "", []string{other.Pooler()}) == nil, name)
 		}
 		assert.Equal(t, f.get(SideAsker, c.result), 1, name)
 		f.timer.Advance(avoidTime)
-		assert.Equal(t, f.Delegate("g", nil).Pooler(), o.Pooler(), name)
-		assert.Assert(t, f.Delegate("g", nil).Pooler() != o.Pooler(), "%s: more than one operation tries at a time", name)
+		assert.Equal(t, f.Delegate("g", "", nil).Pooler(), o.Pooler(), name)
+		assert.Assert(t, f.Delegate("g", "", nil).Pooler() != o.Pooler(), "%s: more than one operation tries at a time", name)
 	}
 }
 
@@ -275,7 +275,7 @@
 // operation at a time, after it has failed once.
 func TestAPoolerThatRunsAgainIsUsed(t *testing.T) {
 	f := newClientFixture(t)
-	o := f.Delegate("g", nil)
+	o := f.Delegate("g", "", nil)
 	done, r := f.start(t, o)
 	f.stream(o.Pooler()).answers <- numbered[delegation.Answer]{r.number, delegation.Answer{Moved: true}}
 	<-done
@@ -286,15 +286,15 @@
 			others = append(others, name)
 		}
 	}
-	assert.Assert(t, f.Delegate("g", others) == nil)
+	assert.Assert(t, f.Delegate("g", "", others) == nil)
 	f.timer.Advance(avoidTime)
-	trying := f.Delegate("g", others)
-	assert.Assert(t, trying != nil && f.Delegate("g", others) == nil)
+	trying := f.Delegate("g", "", others)
+	assert.Assert(t, trying != nil && f.Delegate("g", "", others) == nil)
 	done, r = f.start(t, trying)
 	f.stream(o.Pooler()).answers <- numbered[delegation.Answer]{r.number, delegation.Answer{}}
 	<-done
 	for range 3 {
-		assert.Assert(t, f.Delegate("g", others) != nil)
+		assert.Assert(t, f.Delegate("g", "", others) != nil)
 	}
 }
 
@@ -302,7 +302,7 @@
 // begins to stop, and against operations that are lost when the process ends.
 func TestAStoppingPoolerEndsWhatItHas(t *testing.T) {
 	f := newClientFixture(t)
-	open := f.Delegate("g", nil)
+	open := f.Delegate("g", "", nil)
 	var others []string
 	for _, name := range f.Poolers("g").All() {
 		if name != open.Pooler() {
@@ -316,7 +316,7 @@
 	done, r := f.start(t, open)
 	answer(done, r, delegation.Answer{})
 	before := f.stream(open.Pooler())
-	next := f.Delegate("g", others)
+	next := f.Delegate("g", "", others)
 	done, r = f.start(t, next)
 	answer(done, r, delegation.Answer{Moved: true, Draining: true})
 	next.End()
@@ -324,7 +324,7 @@
 	answer(done, r, delegation.Answer{})
 	f.timer.Advance(avoidTime)
 	f.refused["address of "+open.Pooler()] = true
-	_, err := f.Delegate("g", others).Run(context.Background(), f.timer.Now().Add(time.Second), delegation.Request{})
+	_, err := f.Delegate("g", "", others).Run(context.Background(), f.timer.Now().Add(time.Second), delegation.Request{})
 	assert.ErrorIs(t, err, eelgrassladder.ErrNotDelegated)
 	assert.Assert(t, !before.isClosed())
 	open.End()
@@ -334,7 +334,7 @@
 // TestALateAnswerDoesNotEndAWorkingStream guards against one slow statement that fails all others.
 func TestALateAnswerDoesNotEndAWorkingStream(t *testing.T) {
 	f := newClientFixture(t)
-	slow := f.Delegate("g", nil)
+	slow := f.Delegate("g", "", nil)
 	tried := []string{}
 	for _, name := range f.Poolers("g").All() {
 		if name != slow.Pooler() {
@@ -342,7 +342,7 @@
 		}
 	}
 	done, r := f.start(t, slow)
-	fast := f.Delegate("g", tried)
+	fast := f.Delegate("g", "", tried)
 	answered, q := f.start(t, fast)
 	f.timer.Advance(time.Millisecond)
 	s := f.stream(slow.Pooler())
@@ -361,7 +361,7 @@
 // TestABrokenStreamEndsAllWaits guards against statements that wait for a pooler that has ended.
 func TestABrokenStreamEndsAllWaits(t *testing.T) {
 	f := newClientFixture(t)
-	o := f.Delegate("g", nil)
+	o := f.Delegate("g", "", nil)
 	done, _ := f.start(t, o)
 	f.stream(o.Pooler()).Close()
 	assert.ErrorIs(t, (<-done).err, eelgrassladder.ErrAnswerLost)
@@ -376,7 +376,7 @@
 // TestAStreamWithoutOperationsIsClosed guards against connections to former poolers that stay.
 func TestAStreamWithoutOperationsIsClosed(t *testing.T) {
 	f := newClientFixture(t)
-	o := f.Delegate("g", nil)
+	o := f.Delegate("g", "", nil)
 	done, r := f.start(t, o)
 	s := f.stream(o.Pooler())
 	s.answers <- numbered[delegation.Answer]{r.number, delegation.Answer{}}
@@ -397,12 +397,12 @@
 // its old address, after it was started again.
 func TestAPoolerThatStartsElsewhereIsReached(t *testing.T) {
 	f := newClientFixture(t)
-	o := f.Delegate("g", nil)
+	o := f.Delegate("g", "", nil)
 	done, _ := f.start(t, o)
 	before := f.stream(o.Pooler())
 	f.addresses[o.Pooler()] = "another address"
 	for {
-		if again := f.Delegate("g", nil); again.Pooler() == o.Pooler() {
+		if again := f.Delegate("g", "", nil); again.Pooler() == o.Pooler() {
 			break
 		}
 	}
@@ -419,5 +419,5 @@
 		names, dataCentres[name] = append(names, name), "here"
 	}
 	f.fleet = sharing.NewFleet(f.Poolers("g").All()[0], names...).WithDataCentres(dataCentres)
-	assert.Assert(t, f.Delegate("g", nil) == nil)
+	assert.Assert(t, f.Delegate("g", "", nil) == nil)
 }
--- a/internal/host/gateway/delegated.go
+++ b/internal/host/gateway/delegated.go
@@ -15,8 +15,10 @@
 type origin struct {
 	// asker is the name of the proxy.
 	asker string
-	// team is the name of the client's team, which the asker has identified.
-	team string
+	// team is the name of the client's team, which the asker has identified. admitted is the
+	// boot time at which the asker took the team's right to run the operation.
+	team     string
+	admitted time.Duration
 	// arrived is when the current statement arrived at the asker, and deadline when its reply
 	// must be ready.
 	arrived, deadline time.Time
@@ -38,7 +40,7 @@
 	}
 	s := &Session{
 		gateway: g, database: o.Database, prepared: map[string]statement.Prepared{}, written: o.Written,
-		origin: &origin{asker: o.Asker, team: o.Team},
+		origin: &origin{asker: o.Asker, team: o.Team, admitted: g.clock.SinceBoot() - o.AdmittedAge},
 		// The table of delegated operations bounds what they hold.
 		account: eelgrassladder.UnlimitedMemory{},
 	}
@@ -54,6 +56,12 @@
 func (d delegatedSession) Do(deadline time.Time, r delegation.Request) delegation.Answer {
 	s := d.session
 	s.origin.arrived, s.origin.deadline, s.origin.last = deadline.Add(-r.Left-r.Waited), deadline, nil
+	if r.Opening != nil {
+		s.origin.admitted -= s.gateway.timer.Now().Sub(deadline.Add(-r.Left)) // since the request arrived
+		if s.transaction != nil {
+			s.transaction.admitted = s.origin.admitted
+		}
+	}
 	if r.Values != nil {
 		s.values = *r.Values
 	}
@@ -76,12 +84,15 @@
 func (d delegatedSession) Close() { d.session.Close() }
 
 // identify is the function identify for an operation whose client another proxy has
-// identified. That proxy applies the limits of teams.
+// identified.
 func (o *origin) identify(routes route.Table, database string) (route.Route, team.Team, statement.Reply) {
 	r, ok := routes.Route(database)
 	if !ok {
 		return r, team.Team{}, statement.ErrorReply(statement.Busy, "no route leads to database "+database+" any more")
 	}
+	if t, ok := routes.Team(o.team); ok {
+		return r, t, statement.Reply{}
+	}
 	return r, team.Team{Name: o.team}, statement.Reply{}
 }
 
--- a/internal/host/gateway/delegation.go
+++ b/internal/host/gateway/delegation.go
@@ -43,7 +43,7 @@
 		t.wrote = true
 	}
 	switch {
-	case e.gateway.delegator == nil || e.session.origin != nil || e.team.Limited:
+	case e.gateway.delegator == nil || e.session.origin != nil:
 		return statement.Reply{}, false
 	case t == nil:
 		return e.delegate()
@@ -62,7 +62,7 @@
 	var tried []string
 	var refusal statement.Reply
 	for len(tried) < maxPoolers && e.timeLeft() > minDelegationTime {
-		o := e.gateway.delegator.Delegate(e.route.Group, tried)
+		o := e.gateway.delegator.Delegate(e.route.Group, e.team.Name, tried)
 		if o == nil {
 			break
 		}
@@ -118,6 +118,9 @@
 	o := &delegation.Opening{
 		Asker: e.gateway.name, Database: s.database, Team: e.team.Name, Version: e.routesVersion, Written: s.written,
 	}
+	if e.team.Limited {
+		o.AdmittedAge = e.gateway.clock.SinceBoot() - e.admitted
+	}
 	if t := s.transaction; t != nil {
 		o.Begin = t.begin
 	}
--- a/internal/host/gateway/delegation_test.go
+++ b/internal/host/gateway/delegation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 	open, givenUp int
 }
 
-func (d *delegator) Delegate(_ string, tried []string) eelgrassladder.DelegatedOperation {
+func (d *delegator) Delegate(_, _ string, tried []string) eelgrassladder.DelegatedOperation {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, name := range d.names {
@@ -200,19 +201,30 @@
 
 func (observer) AttemptFailed(gateway.FailedAttempt) {}
 
+// countedQuotas grants all rights and counts them.
+type countedQuotas struct{ taken, givenBack atomic.Int32 }
+
+func (q *countedQuotas) Take(context.Context, team.Team, int) bool {
+	q.taken.Add(1)
+	return true
+}
+
+func (q *countedQuotas) GiveBack(team.Team, time.Duration) { q.givenBack.Add(1) }
+
 // bench is a gateway whose group has one endpoint, which is the primary.
 type bench struct {
 	gateway   *gateway.Gateway
 	tasks     *task.Group
 	delegator *delegator
 	direct    *directRuns
+	quotas    *countedQuotas
 	last      gateway.Answered
 }
 
 // newBench returns a bench whose poolers have the names a, b and so on.
 func newBench(t *testing.T, poolers ...pooler) *bench {
 	t.Helper()
-	b := &bench{delegator: &delegator{poolers: map[string]pooler{}}, direct: &directRuns{}}
+	b := &bench{delegator: &delegator{poolers: map[string]pooler{}}, direct: &directRuns{}, quotas: &countedQuotas{}}
 	for i, p := range poolers {
 		name := string(rune('a' + i))
 		b.delegator.names = append(b.delegator.names, name)
@@ -235,7 +247,7 @@
 		team.Entry{Team: team.Team{Name: "bakery"}.WithLimit(5, 5), Keys: []string{"limited"}},
 		team.Entry{Team: team.Team{Name: "hotel"}, Keys: []string{"free"}},
 	))}
-	b.gateway = gateway.New(service, c, table, b.direct, r, r, observer{&b.last}, tasks, gateway.WithDelegator("self", b.delegator))
+	b.gateway = gateway.New(service, c, table, b.direct, r, r, observer{&b.last}, tasks, gateway.WithDelegator("self", b.delegator), gateway.WithQuotas(b.quotas))
 	b.gateway.Start()
 	t.Cleanup(func() {
 		tasks.Stop()
@@ -541,14 +553,42 @@
 	}
 }
 
-// TestLimitedTeamsAreNotDelegated guards against operations that run after the team's right to
-// run them has ended.
-func TestLimitedTeamsAreNotDelegated(t *testing.T) {
+// TestAnOperationOfALimitedTeamTakesOneRight guards against operations that are charged both by
+// the proxy with the client and by the pooler, or that run after the right to run them has ended.
+func TestAnOperationOfALimitedTeamTakesOneRight(t *testing.T) {
 	b := newBench(t, serves)
-	for key, want := range map[string]string{"limited": "direct", "free": "pooled"} {
-		s, reply := b.gateway.Open("teams", key)
-		assert.Assert(t, s != nil, "%v", reply)
-		assert.DeepEqual(t, s.Do(write).Rows, []string{want})
+	s, reply := b.gateway.Open("teams", "limited")
+	assert.Assert(t, s != nil, "%v", reply)
+	assert.DeepEqual(t, s.Do(write).Rows, []string{"pooled"})
+	opening := b.delegator.requests[0].Opening
+	assert.Equal(t, opening.Team, "bakery")
+	assert.Assert(t, opening.AdmittedAge >= 0 && opening.AdmittedAge < eelgrassladder.QuotaValidity, "%v", opening.AdmittedAge)
+	assert.Equal(t, b.quotas.taken.Load(), int32(1))
+
+	for _, c := range []struct {
+		age, queued time.Duration
+		taken       int32
+	}{{age: time.Millisecond}, {age: 2 * eelgrassladder.QuotaValidity, taken: 1}, {age: eelgrassladder.QuotaValidity - 100*time.Millisecond, queued: 200 * time.Millisecond, taken: 1}} {
+		for _, opens := range []statement.Statement{{}, begin} {
+			b.quotas.taken.Store(0)
+			d, ok := b.gateway.OpenDelegated(delegation.Opening{Database: "teams", Team: "bakery", Asker: "other", Begin: opens, AdmittedAge: c.age})
+			assert.Assert(t, ok)
+			a := d.Do(time.Now().Add(time.Second-c.queued), delegation.Request{Opening: &delegation.Opening{}, Statement: write, Left: time.Second})
+			assert.DeepEqual(t, a.Reply.Rows, []string{"direct"})
+			d.Close()
+			assert.Equal(t, b.quotas.taken.Load(), c.taken, "%+v, %v", c, opens.Kind)
+			assert.Equal(t, b.quotas.givenBack.Load(), int32(0), "a pooler gave back what it has not taken")
+		}
 	}
-	assert.Equal(t, b.delegator.requests[0].Opening.Team, "hotel")
+}
+
+// TestARightThatAPoolerDidNotUseIsGivenBack guards against teams that lose rights for operations
+// which a pooler has refused.
+func TestARightThatAPoolerDidNotUseIsGivenBack(t *testing.T) {
+	b := newBench(t, busy)
+	s, reply := b.gateway.Open("teams", "limited")
+	assert.Assert(t, s != nil, "%v", reply)
+	assert.Equal(t, s.Do(write).Code, statement.Busy)
+	assert.Equal(t, b.quotas.taken.Load(), int32(1))
+	assert.Equal(t, b.quotas.givenBack.Load(), int32(1))
 }
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -84,6 +84,9 @@
 		s.origin.begin(e)
 	}
 	if reply, ok := e.runDelegated(); ok {
+		if s.transaction == nil && e.attempts == 0 && (reply.Code == statement.Busy || reply.Code == statement.Lagging) {
+			s.giveBack(e.operation) // the pooler has sent nothing to an endpoint
+		}
 		e.observe(reply)
 		return reply
 	}
--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -37,7 +37,11 @@
 	} else {
 		o.route, o.team, reply = identify(routes, s.database, s.key)
 	}
-	if reply.Code == statement.OK {
+	switch {
+	case reply.Code != statement.OK:
+	case s.origin != nil:
+		o.admitted = s.origin.admitted // the other proxy has taken the right
+	default:
 		o, reply = g.charge(o)
 	}
 	if reply.Code != statement.OK {
@@ -93,9 +97,10 @@
 	return r, caller, statement.Reply{}
 }
 
-// giveBack gives back the right to an operation of which nothing was sent to an endpoint.
+// giveBack gives back the right to an operation of which nothing was sent to an endpoint. That of
+// another proxy's client is given back there.
 func (s *Session) giveBack(o operation) {
-	if o.team.Limited {
+	if o.team.Limited && s.origin == nil {
 		s.gateway.quotas.GiveBack(o.team, o.admitted)
 	}
 }
--- a/internal/model/delegation/delegation.go
+++ b/internal/model/delegation/delegation.go
@@ -24,6 +24,9 @@
 	// Begin is the statement that opened the transaction; its kind is Unknown for a single
 	// statement.
 	Begin statement.Statement
+	// AdmittedAge is how long before the request was sent the team's right to run the
+	// operation was taken. It means nothing for a team without a limit.
+	AdmittedAge time.Duration
 }
 
 // Request asks a pooler to run a statement of an operation. It is immutable.
--- a/internal/model/route/route.go
+++ b/internal/model/route/route.go
@@ -119,6 +119,17 @@
 	return t
 }
 
+// HasTeams reports whether clients identify themselves with the keys of teams.
+func (t Table) HasTeams() bool { return t.teams != nil }
+
+// Team returns a team by its name.
+func (t Table) Team(name string) (team.Team, bool) {
+	if t.teams == nil {
+		return team.Team{}, false
+	}
+	return t.teams.Team(name)
+}
+
 // Teams returns the teams that may call, ordered by name.
 func (t Table) Teams() []team.Team {
 	if t.teams == nil {
--- a/internal/peer/sibling/delegation_codec.go
+++ b/internal/peer/sibling/delegation_codec.go
@@ -52,6 +52,7 @@
 	if o := r.Opening; o != nil {
 		m.Opening = &peer.DelegatedOpening{
 			Asker: []byte(o.Asker), Database: []byte(o.Database), Team: []byte(o.Team), Version: o.Version, Written: encodePosition(o.Written),
+			AdmittedMicros: encodeTime(o.AdmittedAge),
 		}
 		if o.Begin.Kind != statement.Unknown {
 			m.Opening.Begin = encodeStatement(o.Begin)
@@ -92,6 +93,7 @@
 		r.Opening = &delegation.Opening{
 			Asker: string(o.GetAsker()), Database: string(o.GetDatabase()), Team: string(o.GetTeam()), Version: o.GetVersion(),
 			Written: decodePosition(o.GetWritten()), Begin: decodeStatement(o.GetBegin()),
+			AdmittedAge: decodeTime(o.GetAdmittedMicros()),
 		}
 	}
 	if m.GetNewValues() {
--- a/internal/peer/sibling/delegation_test.go
+++ b/internal/peer/sibling/delegation_test.go
@@ -25,7 +25,7 @@
 	values := statement.Values{}.With("a"+odd, odd).With("b", "")
 	return delegation.Request{
 		Opening: &delegation.Opening{
-			Asker: "proxy-1", Database: "d" + odd, Team: "t" + odd, Version: 7, Written: position.Position{Term: 2, Log: 9},
+			Asker: "proxy-1", Database: "d" + odd, Team: "t" + odd, Version: 7, Written: position.Position{Term: 2, Log: 9}, AdmittedAge: 7 * time.Millisecond,
 			Begin: statement.Statement{ID: "q1" + odd, Kind: statement.BeginRead, Text: "BEGIN READ" + odd},
 		},
 		Statement: statement.Statement{
--- a/internal/policy/pooling/pooling.go
+++ b/internal/policy/pooling/pooling.go
@@ -15,6 +15,9 @@
 	// their own. Below it, connections that are opened on demand occupied the slots of
 	// primaries for 12 ms each, and more attempts than not met a full endpoint.
 	sufficientShare = 0.75
+	// sufficientShareForTeams is the same where a connection serves one team. With 86 teams and
+	// two connections for each proxy, three of four operations opened one.
+	sufficientShareForTeams = 2.5
 	// connectionsPerPooler is how many connections of an endpoint one pooler should have.
 	connectionsPerPooler = 8
 	// pooledShare is the part of an endpoint's connections that poolers may hold. The rest is
@@ -35,7 +38,11 @@
 
 // Choose returns the poolers of a group whose endpoints accept limit connections each.
 func Choose(f sharing.Fleet, group string, limit int) Poolers {
-	if float64(limit) >= sufficientShare*float64(f.Size()) {
+	sufficient := sufficientShare
+	if f.ServesTeams() {
+		sufficient = sufficientShareForTeams
+	}
+	if float64(limit) >= sufficient*float64(f.Size()) {
 		return Poolers{}
 	}
 	ranked := f.Ranked(group)
@@ -77,11 +84,13 @@
 	}
 }
 
-// Ask returns the pooler to ask: of those that may be asked in the proxy's own data centre, or
-// else in another, the one with the fewest operations of this proxy under way. Of several, the
-// one with the highest hash of itself and this proxy is asked, so that proxies spread.
-// operations returns the number of operations, or false if the pooler may not be asked.
-func (p Poolers) Ask(operations func(pooler string) (int, bool)) (string, bool) {
+// Ask returns the pooler to ask, of those that may be asked in the proxy's own data centre, or
+// else in another. For the operation of a team it is the one with the highest hash of itself and
+// the team, so that a team's operations use the same connections. Otherwise it is the one with
+// the fewest operations of this proxy under way, and of several the one with the highest hash of
+// itself and this proxy, so that proxies spread. operations returns the number of operations, or
+// false if the pooler may not be asked.
+func (p Poolers) Ask(team string, operations func(pooler string) (int, bool)) (string, bool) {
 	for _, names := range [][]string{p.local, p.remote} {
 		best, fewest := "", 0
 		for _, name := range names {
@@ -89,7 +98,10 @@
 			if !ok {
 				continue
 			}
-			if best == "" || n < fewest || (n == fewest && p.preferred(name, best)) {
+			if team != "" {
+				n = 0
+			}
+			if best == "" || n < fewest || (n == fewest && p.preferred(name, best, team)) {
 				best, fewest = name, n
 			}
 		}
@@ -100,8 +112,12 @@
 	return "", false
 }
 
-// preferred reports whether this proxy asks a before b if both have as many operations.
-func (p Poolers) preferred(a, b string) bool {
+// preferred reports whether this proxy asks a before b for a team, which is empty for none, if
+// both have as many operations.
+func (p Poolers) preferred(a, b, team string) bool {
 	key := p.group + "\x00" + p.self
+	if team != "" {
+		key = p.group + "\x00" + team
+	}
 	return sharing.Hash(a, key) > sharing.Hash(b, key)
 }
--- a/internal/policy/pooling/pooling_test.go
+++ b/internal/policy/pooling/pooling_test.go
@@ -101,7 +101,7 @@
 	all := p.All()
 	assert.Equal(t, len(all), 6)
 	for i, name := range all[:3] {
-		got, ok := p.Ask(func(pooler string) (int, bool) {
+		got, ok := p.Ask("", func(pooler string) (int, bool) {
 			if pooler == name {
 				return 1, true
 			}
@@ -113,11 +113,11 @@
 		}
 		assert.Assert(t, ok && got == name, "%s was asked, not %s", got, name)
 	}
-	got, ok := p.Ask(func(pooler string) (int, bool) { return 100, slices.Index(all, pooler) >= 2 })
+	got, ok := p.Ask("", func(pooler string) (int, bool) { return 100, slices.Index(all, pooler) >= 2 })
 	assert.Assert(t, ok && got == all[2], "%s was asked although %s is in the same data centre", got, all[2])
-	got, ok = p.Ask(func(pooler string) (int, bool) { return 0, pooler == all[4] })
+	got, ok = p.Ask("", func(pooler string) (int, bool) { return 0, pooler == all[4] })
 	assert.Assert(t, ok && got == all[4])
-	_, ok = p.Ask(func(string) (int, bool) { return 0, false })
+	_, ok = p.Ask("", func(string) (int, bool) { return 0, false })
 	assert.Assert(t, !ok)
 }
 
@@ -126,7 +126,7 @@
 	asked := map[string]int{}
 	for i := range 82 {
 		p := pooling.Choose(fleet(i, 82, 2), "group-0", 46)
-		if name, ok := p.Ask(func(string) (int, bool) { return 0, true }); ok && p.Delegates() {
+		if name, ok := p.Ask("", func(string) (int, bool) { return 0, true }); ok && p.Delegates() {
 			asked[name]++
 		}
 	}
@@ -135,3 +135,29 @@
 		assert.Assert(t, n >= 5 && n <= 25, "%s is asked by %d of 76", name, n)
 	}
 }
+
+// TestTheOperationsOfATeamUseTheSamePooler replays proxies with two connections each and more teams
+// than connections. It guards against connections that are opened for most operations, because
+// the pooler has one of another team.
+func TestTheOperationsOfATeamUseTheSamePooler(t *testing.T) {
+	const proxies, limit = 35, 70
+	assert.Assert(t, len(pooling.Choose(fleet(0, proxies, 3), "group-0", limit).All()) == 0)
+	used := map[string]int{}
+	for team := range 86 {
+		asked := map[string]bool{}
+		for i := range proxies {
+			f := fleet(i, proxies, 3).WithTeams()
+			p := pooling.Choose(f, "group-0", limit)
+			if !p.Delegates() {
+				continue
+			}
+			busy := 0
+			name, ok := p.Ask(fmt.Sprint("team-", team), func(string) (int, bool) { busy++; return busy, true })
+			assert.Assert(t, ok)
+			asked[name] = true
+			used[name]++
+		}
+		assert.Assert(t, len(asked) <= 3, "a team uses %d poolers, in 3 data centres", len(asked))
+	}
+	assert.Equal(t, len(used), 9, "a pooler is not used: %v", used)
+}
--- a/internal/policy/sharing/sharing.go
+++ b/internal/policy/sharing/sharing.go
@@ -33,6 +33,8 @@
 	// dataCentres holds the data centres of proxies by name, as far as they are known. It is
 	// never modified.
 	dataCentres map[string]string
+	// teams is true if each connection to an endpoint serves one team.
+	teams bool
 }
 
 // NewFleet returns the fleet of the proxy self and the others.
@@ -80,6 +82,16 @@
 	return ranked
 }
 
+// WithTeams returns the fleet of a system in which each connection to an endpoint serves one
+// team.
+func (f Fleet) WithTeams() Fleet {
+	f.teams = true
+	return f
+}
+
+// ServesTeams reports whether each connection to an endpoint serves one team.
+func (f Fleet) ServesTeams() bool { return f.teams }
+
 // Size returns the number of proxies, at least one.
 func (f Fleet) Size() int { return max(len(f.proxies), 1) }
 
