Pool connections wherever there are fewer than proxies

Below one connection for each proxy some proxies have none, and take them from each other. The tests that held for three quarters of a connection hold the new figure.

--- a/internal/policy/pooling/pooling.go
+++ b/internal/policy/pooling/pooling.go
@@ -12,9 +12,9 @@
 
 const (
 	// sufficientShare is the number of connections for each proxy from which on proxies use
-	// their own. Below it, connections that are opened on demand occupied the slots of
-	// primaries for 12 ms each, and more attempts than not met a full endpoint.
-	sufficientShare = 0.75
+	// their own. Below it some would have none: connections that are opened on demand occupied
+	// the slots of primaries for 12 ms each, and more attempts than not met a full endpoint.
+	sufficientShare = 1
 	// sufficientShareForTeams is the same where a connection serves one team. With 86 teams and
 	// two connections for each proxy, three of four operations opened one.
 	sufficientShareForTeams = 2.5
@@ -38,7 +38,7 @@
 
 // Choose returns the poolers of a group whose endpoints accept limit connections each.
 func Choose(f sharing.Fleet, group string, limit int) Poolers {
-	sufficient := sufficientShare
+	sufficient := float64(sufficientShare)
 	if f.ServesTeams() {
 		sufficient = sufficientShareForTeams
 	}
