--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -71,8 +71,9 @@
 		gateway: g, session: s, statement: st, arrived: g.timer.Now(),
 		done: make(chan statement.Reply, 1),
 	}
-	if t := s.transaction; t != nil {
-		e.operation = t.operation
+	single := s.transaction == nil
+	if !single {
+		e.operation = s.transaction.operation
 	} else {
 		var refusal statement.Reply
 		if e.operation, refusal = s.admit(st); refusal.Code != statement.OK {
@@ -84,7 +85,7 @@
 		s.origin.begin(e)
 	}
 	if reply, ok := e.runDelegated(); ok {
-		if s.transaction == nil && e.attempts == 0 && (reply.Code == statement.Busy || reply.Code == statement.Lagging) {
+		if single && e.attempts == 0 && (reply.Code == statement.Busy || reply.Code == statement.Lagging) {
 			s.giveBack(e.operation) // the pooler has sent nothing to an endpoint
 		}
 		e.observe(reply)
@@ -106,7 +107,7 @@
 		})
 		return reply
 	}
-	if s.transaction == nil && e.attempts == 0 && reply.Code != statement.OK {
+	if single && e.attempts == 0 && reply.Code != statement.OK {
 		s.giveBack(e.operation)
 	}
 	e.observe(reply)
