--- a/internal/lab/member/address_test.go
+++ b/internal/lab/member/address_test.go
@@ -12,7 +12,7 @@
 
 // TestTheAddressOfAMemberThatIsDownStaysItsOwn guards against a port that the kernel gives
 // to another socket while its member is down. Proxies that still ask that member then reach
-// a stranger, and take a crashed primary for one that lives.
+// an unknown caller, and take a crashed primary for one that lives.
 func TestTheAddressOfAMemberThatIsDownStaysItsOwn(t *testing.T) {
 	_, members, _ := start(t, 2)
 	m := members[1]
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -95,8 +95,8 @@
 	lostCommits  int
 	// closeDelay is how long a connection that closes still counts.
 	closeDelay time.Duration
-	// strangers describes the statements that ran for a caller that is not known.
-	strangers []string
+	// unknownCallers describes the statements that ran for a caller that is not known.
+	unknownCallers []string
 	// tokens holds the highest fencing token so far, of all groups of the platform.
 	tokens *tokens
 	// loweredTokens describes the orders with a lower fencing token than an earlier one.
@@ -146,11 +146,11 @@
 	return g.lostCommits, len(g.loweredTokens)
 }
 
-// Strangers describes the statements that ran for a caller that KnownCaller denied.
-func (g *Group) Strangers() []string {
+// UnknownCallers describes the statements that ran for a caller that KnownCaller denied.
+func (g *Group) UnknownCallers() []string {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return slices.Clone(g.strangers)
+	return slices.Clone(g.unknownCallers)
 }
 
 // DelayCloses makes each connection that closes from now on count for a time longer, as
--- a/internal/lab/member/refusal_test.go
+++ b/internal/lab/member/refusal_test.go
@@ -172,5 +172,5 @@
 		_, err = c.DoAs("q1", "READ x")
 		assert.NilError(t, err)
 	}
-	assert.DeepEqual(t, group.Strangers(), []string{`m ran q1 "READ x" for "k1"`})
+	assert.DeepEqual(t, group.UnknownCallers(), []string{`m ran q1 "READ x" for "k1"`})
 }
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -402,7 +402,7 @@
 	g := s.member.group
 	if g.KnownCaller != nil && !g.KnownCaller(s.caller) {
 		g.mutex.Lock()
-		g.strangers = append(g.strangers, fmt.Sprintf("%s ran %s %q for %q", s.member.ID, r.ID, r.Text, s.caller))
+		g.unknownCallers = append(g.unknownCallers, fmt.Sprintf("%s ran %s %q for %q", s.member.ID, r.ID, r.Text, s.caller))
 		g.mutex.Unlock()
 	}
 	if onRun := g.OnRun; onRun != nil {
--- a/internal/policy/budget/budget.go
+++ b/internal/policy/budget/budget.go
@@ -22,11 +22,11 @@
 	// minSession is the least that one session may hold: one value of the longest message,
 	// counted twice.
 	minSession = 2<<20 + 64<<10
-	// grace is how long a client may hold memory before it can be closed for others. A
+	// minHoldTime is how long a client may hold memory before it can be closed for others. A
 	// message of 1 MiB needs less at 10 Mbit/s.
-	grace = time.Second
-	// patience is how long a request for memory waits at most.
-	patience = 3 * time.Second
+	minHoldTime = time.Second
+	// maxWait is how long a request for memory waits at most.
+	maxWait = 3 * time.Second
 )
 
 // Limits are the limits that follow from the memory of a process. They are immutable.
@@ -109,7 +109,7 @@
 	switch {
 	case used-r.Charged+r.Wanted <= available:
 		return Grant
-	case r.Wanted > available || r.Waited >= patience || waiting >= l.Waiting:
+	case r.Wanted > available || r.Waited >= maxWait || waiting >= l.Waiting:
 		return Refuse
 	default:
 		return Wait
@@ -139,7 +139,7 @@
 	for i, h := range holders {
 		if h.Displaced {
 			missing -= h.Charged
-		} else if h.Unchanged >= grace {
+		} else if h.Unchanged >= minHoldTime {
 			candidates = append(candidates, i)
 		}
 	}
--- a/internal/policy/quota/borrowing.go
+++ b/internal/policy/quota/borrowing.go
@@ -43,21 +43,21 @@
 // turn, so that the requests are spread over all. Those that were empty come last, and those
 // that are unresponsive are left out.
 func NewBorrowing(lenders []string, turn int, standing func(lender string) Standing) Borrowing {
-	var hopeful, empty []string
+	var candidates, empty []string
 	for i := range lenders {
 		lender := lenders[(turn+i)%len(lenders)]
 		switch standing(lender) {
 		case Unknown:
-			hopeful = append(hopeful, lender)
+			candidates = append(candidates, lender)
 		case Empty:
 			empty = append(empty, lender)
 		case Unresponsive:
 		}
-		if len(hopeful) == maxEmptyLenders {
+		if len(candidates) == maxEmptyLenders {
 			break
 		}
 	}
-	order := append(hopeful, empty...)
+	order := append(candidates, empty...)
 	return Borrowing{lenders: order[:min(len(order), maxEmptyLenders)]}
 }
 
