Log and count the openings of connections, and what refused statements lacked

Cause: neither logs nor metrics told how much of an endpoint's slots openings hold, what became of them, which capacity a refused statement lacked, or when a proxy changed between poolers and connections of its own.

Simulated members can refuse what exceeds their queue. No decision changes.

--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -169,7 +169,7 @@
 // endpoint to the statement, or has refused it.
 func (e *execution) assigned(a scheduler.Assignment) {
 	if a.Refused {
-		e.refuse(a.Reason)
+		e.refuse(a)
 		return
 	}
 	e.attempts++
@@ -227,12 +227,15 @@
 
 // refuse finishes the execution of a statement for which the table found no endpoint.
 // The reply says that nothing was run.
-func (e *execution) refuse(r scheduler.Reason) {
-	code := statement.Busy
-	if r == scheduler.NoProof && !e.statement.Writes() {
+func (e *execution) refuse(a scheduler.Assignment) {
+	code, reason := statement.Busy, a.Reason.String()
+	if a.Reason == scheduler.NoProof && !e.statement.Writes() {
 		code = statement.Lagging
 	}
-	e.finish(e.session.fail(code, "waited for an endpoint: "+r.String()))
+	if a.Shortage != scheduler.NoShortage {
+		reason += ", " + a.Shortage.String()
+	}
+	e.finish(e.session.fail(code, "waited for an endpoint: "+reason))
 }
 
 // finish passes the reply to await. Only the first call has an effect.
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -11,6 +11,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/delegation"
 	"eelgrassladder.example/eelgrassladder/internal/host/failover"
 	"eelgrassladder.example/eelgrassladder/internal/host/gateway"
+	"eelgrassladder.example/eelgrassladder/internal/host/opening"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -51,6 +52,9 @@
 	quotaOperations, quotaLoans *prometheus.CounterVec
 	// delegated counts, by Side and Result, operations that one proxy has another run.
 	delegated *prometheus.CounterVec
+	// openings counts, by Endpoint and Result, attempts to open a connection, and
+	// openingSeconds sums up, by Endpoint, how long they took.
+	openings, openingSeconds *prometheus.CounterVec
 }
 
 // NewNode returns the metrics of a proxy, registered in Registry.
@@ -95,8 +99,14 @@
 		delegated: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_delegated_operations_total", Help: "Operations that one proxy has another run.",
 		}, []string{"Side", "Result"}),
+		openings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_node_openings_total", Help: "Attempts to open a connection to an endpoint.",
+		}, []string{"Endpoint", "Result"}),
+		openingSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassladder_node_opening_seconds_total", Help: "Time that the attempts to open a connection took.",
+		}, []string{"Endpoint"}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords, n.refused, n.delegated, n.quotaOperations, n.quotaLoans)
+	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords, n.refused, n.delegated, n.quotaOperations, n.quotaLoans, n.openings, n.openingSeconds)
 	return n
 }
 
@@ -163,6 +173,12 @@
 	n.delegated.WithLabelValues(string(s), string(r)).Inc()
 }
 
+// ConnectionAttempted records an attempt to open a connection to an endpoint.
+func (n *Node) ConnectionAttempted(a opening.Attempt) {
+	n.openings.WithLabelValues(a.Endpoint, string(a.Result)).Inc()
+	n.openingSeconds.WithLabelValues(a.Endpoint).Add(a.Took.Seconds())
+}
+
 // OlderRecordApplied records that a record was applied after a newer one of its group.
 func (n *Node) OlderRecordApplied() { n.olderRecords.Inc() }
 
--- a/internal/lab/member/group.go
+++ b/internal/lab/member/group.go
@@ -78,6 +78,10 @@
 	// ConnectTime is how long a new connection holds a slot of its member before the member
 	// answers its CONNECT. It must be set before the group is used.
 	ConnectTime time.Duration
+	// Queue is how many statements and new connections wait for a slot of a member at one time;
+	// zero for any number. A member refuses others with BUSY. It must be set before the group is
+	// used.
+	Queue int
 	// OnLost is called with a description and the values by item of each commit, whenever
 	// acknowledged commits are lost; it may be nil. It must be set before the group is
 	// used, and must not call the group, whose mutex is held.
--- a/internal/lab/member/member.go
+++ b/internal/lab/member/member.go
@@ -57,6 +57,8 @@
 	group *Group
 	tasks *task.Group
 	slots chan struct{}
+	// waiting counts what holds a slot or waits for one.
+	waiting atomic.Int64
 	// startedAt is when the process last started, in Unix milliseconds.
 	startedAt atomic.Int64
 
--- a/internal/lab/member/session.go
+++ b/internal/lab/member/session.go
@@ -100,10 +100,9 @@
 		return
 	}
 	s.caller = fields[2]
-	if g.ConnectTime > 0 {
-		m.slots <- struct{}{}
-		time.Sleep(g.ConnectTime)
-		<-m.slots
+	if g.ConnectTime > 0 && !m.holdSlot(g.ConnectTime, func() {}) {
+		s.send("ERROR BUSY too many wait for a slot")
+		return
 	}
 	s.send("READY I " + s.visiblePosition())
 	for {
@@ -333,7 +332,9 @@
 	if (isWrite && (!primary || (s.inTransaction && s.readOnly))) || (s.inTransaction && !s.readOnly && (!primary || term != s.term)) {
 		return s.fail("READONLY", s.member.ID)
 	}
-	s.occupySlot(r)
+	if !s.occupySlot(r) {
+		return s.fail("BUSY", "too many wait for a slot")
+	}
 	if !isWrite {
 		g := s.member.group
 		g.mutex.Lock()
@@ -375,7 +376,10 @@
 		s.send("ERROR ABORTED failed", s.readyMessage())
 		return true
 	}
-	s.occupySlot(Run{ID: id, Text: text})
+	if !s.occupySlot(Run{ID: id, Text: text}) {
+		s.send("ERROR ABORTED too many wait for a slot", s.readyMessage())
+		return true
+	}
 	if len(writes) > 0 {
 		if _, err := s.member.commit(maps.Clone(writes)); err != nil {
 			s.send("ERROR "+commitErrorCode(err)+" "+err.Error(), s.readyMessage())
@@ -385,15 +389,32 @@
 	return s.answer(id, text)
 }
 
-// occupySlot waits for a slot, holds it for StatementTime, and counts the statement.
-func (s *session) occupySlot(r Run) {
-	s.member.slots <- struct{}{}
-	s.noteRun(r)
-	time.Sleep(s.member.StatementTime)
-	<-s.member.slots
+// occupySlot waits for a slot, holds it for StatementTime, and counts the statement. It returns
+// false if the member's queue is full.
+func (s *session) occupySlot(r Run) bool {
+	if !s.member.holdSlot(s.member.StatementTime, func() { s.noteRun(r) }) {
+		return false
+	}
 	s.member.group.mutex.Lock()
 	s.member.statementsRun++
 	s.member.group.mutex.Unlock()
+	return true
+}
+
+// holdSlot waits for a slot, calls begun, and holds the slot for a time. It returns false if the
+// member's queue is full.
+func (m *Member) holdSlot(d time.Duration, begun func()) bool {
+	waiting := m.waiting.Add(1)
+	if m.group.Queue > 0 && int(waiting) > m.group.Queue+m.Slots {
+		m.waiting.Add(-1)
+		return false
+	}
+	defer m.waiting.Add(-1)
+	m.slots <- struct{}{}
+	begun()
+	time.Sleep(d)
+	<-m.slots
+	return true
 }
 
 // noteRun records the statement if its caller is not known, and calls OnRun with the
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -47,6 +47,9 @@
 	// ConnectTime is how long a new connection holds a slot of a member. If it is zero, and
 	// there are teams, it is TeamConnectTime.
 	ConnectTime time.Duration
+	// Queue is how many statements and new connections wait for a slot of a member at one time;
+	// zero for any number.
+	Queue int
 	// AdvertisedAddress returns the address that the platform's store shows for the member
 	// with an ID and a listen address. If it is nil, the store shows the listen address.
 	AdvertisedAddress func(id, address string) (string, error)
@@ -127,7 +130,7 @@
 // a zone of its own.
 func (t *Testbed) addGroup(index int) error {
 	g := member.NewGroup(fmt.Sprintf("group-%d", index), 1, t.plan.PromoteTime)
-	g.ConnectTime = t.plan.ConnectTime
+	g.ConnectTime, g.Queue = t.plan.ConnectTime, t.plan.Queue
 	if len(t.plan.Teams) > 0 {
 		g.KnownCaller = t.isCaller
 	}
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -138,6 +138,22 @@
 	return s
 }
 
+// shortage returns what a statement of a team lacks at the endpoint.
+func (e *endpoint) shortage(now time.Time, team string) Shortage {
+	switch s := e.snapshot(now, "", team); {
+	case s.Available && s.Usable:
+		return NoShortage
+	case !s.Usable:
+		return EndpointUnusable
+	case s.Running >= int(e.limit):
+		return StatementsLimited
+	case e.open >= e.share:
+		return ConnectionInUse
+	default:
+		return ConnectionNotOpened
+	}
+}
+
 // usable reports whether statements may be sent to the endpoint. After one
 // failure a single statement is tried at a time; after minFailures the
 // endpoint has to answer a probe first.
--- a/internal/table/scheduler/job.go
+++ b/internal/table/scheduler/job.go
@@ -48,10 +48,12 @@
 // is immutable.
 type Assignment struct {
 	// Refused is true if the job must not wait longer. Of the other fields
-	// only Reason is then set.
+	// only Reason and Shortage are then set.
 	Refused bool
 	// Reason says why a refused job was waiting.
 	Reason Reason
+	// Shortage says what a job lacked that was refused for NoCapacity.
+	Shortage Shortage
 	// Endpoint is the endpoint that runs the job.
 	Endpoint topology.Endpoint
 	// After is the position that the endpoint's log must hold.
@@ -95,3 +97,25 @@
 func (r Reason) String() string {
 	return [...]string{"NoCapacity", "NoPrimary", "NoProof", "NoEndpoint", "NoReplica"}[r]
 }
+
+// Shortage says what a statement lacks for which no endpoint has capacity.
+type Shortage int
+
+// The shortages.
+const (
+	// NoShortage means that the statement lacks none of the others.
+	NoShortage Shortage = iota
+	// EndpointUnusable means that no endpoint that could run the statement may be used now.
+	EndpointUnusable
+	// ConnectionInUse means that this proxy uses all connections that it may have.
+	ConnectionInUse
+	// ConnectionNotOpened means that no connection is free and none may be opened yet.
+	ConnectionNotOpened
+	// StatementsLimited means that this proxy runs as many statements as the endpoint takes.
+	StatementsLimited
+)
+
+// String returns the shortage's text in logs and messages.
+func (s Shortage) String() string {
+	return [...]string{"NoShortage", "EndpointUnusable", "ConnectionInUse", "ConnectionNotOpened", "StatementsLimited"}[s]
+}
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -161,7 +161,28 @@
 	if r == NoCapacity && j.replicaEligible() {
 		g.reads.countRefused(now)
 	}
-	t.enqueue(Assignment{Refused: true, Reason: r, run: j.Run})
+	a := Assignment{Refused: true, Reason: r, run: j.Run}
+	if r == NoCapacity {
+		a.Shortage = t.shortage(g, j, now)
+	}
+	t.enqueue(a)
+}
+
+// shortage returns what a job lacks at the endpoints that could run it. If it lacks different
+// things at several, the one that is declared last counts.
+func (t *Table) shortage(g *group, j *Job, now time.Time) Shortage {
+	s := NoShortage
+	for _, e := range g.endpoints {
+		if g.eligible(e, j) {
+			s = max(s, e.shortage(now, j.Team))
+		}
+	}
+	return s
+}
+
+// eligible reports whether an endpoint can run a job if it has capacity.
+func (g *group) eligible(e *endpoint, j *Job) bool {
+	return e.listed.ID == g.leader.Endpoint || j.replicaEligible()
 }
 
 // mustRefuse reports whether a job must be refused now instead of waiting.
