Bound the slot time that openings of connections take

Cause: a proxy opened a connection whenever a statement found none, and tried again 200 ms after a refusal. An opening holds a slot for 12 ms. A second equal refusal on a connection is unclear and closes it, and a connection with a refusal carries no write, so most refusals cost an opening, and the openings caused further refusals: a metastable overload.

Change: policy/opening paces the openings of each proxy at each endpoint, so that those of all proxies take a quarter of its slot time, with bursts of 100 ms; poolers have two thirds of that. Refused and unanswered attempts halve the rate, opened connections raise it again. The time for which an opening holds a slot is measured. A statement that would wait longer than it may is refused at once, and an idle connection is kept until another may be opened. Control requests wait only for the pause after a refusal.

Why it works: what waits no longer decides how many openings there are.

--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -117,6 +117,7 @@
 func (c *Connection) connect(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := c.dialer.timer.Now()
 	conn, reply, err := c.dialer.connector.Connect(ctx, c.endpoint, "")
 	if err == nil && conn == nil {
 		err = errors.Errorf("endpoint %s refused the connection: %v %s", c.endpoint.ID, reply.Code, reply.Detail)
@@ -128,6 +129,7 @@
 		return err
 	}
 	c.Connection = conn
+	c.dialer.table.Opened(c.endpoint.ID, c.dialer.timer.Now().Sub(began))
 	return nil
 }
 
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -355,7 +355,12 @@
 func (g *Gateway) connect(a scheduler.Assignment, team string, deadline time.Time) (eelgrassladder.Connection, statement.Reply, error) {
 	ctx, cancel := context.WithDeadline(g.tasks.Context(), deadline)
 	defer cancel()
-	return g.connector.Connect(ctx, a.Endpoint, team)
+	began := g.clock.SinceBoot()
+	c, reply, err := g.connector.Connect(ctx, a.Endpoint, team)
+	if c != nil {
+		g.table.Opened(a.Endpoint.ID, g.clock.SinceBoot()-began)
+	}
+	return c, reply, err
 }
 
 // awaitLate waits in the background for an answer that did not come in time, so that
--- a/internal/policy/pooling/pooling.go
+++ b/internal/policy/pooling/pooling.go
@@ -23,6 +23,9 @@
 	// pooledShare is the part of an endpoint's connections that poolers may hold. The rest is
 	// for control requests, and for proxies that reach no pooler.
 	pooledShare = 0.85
+	// poolersOpeningShare is the part of the openings of all proxies that poolers may make. The
+	// rest is for proxies that reach no pooler.
+	poolersOpeningShare = 2.0 / 3
 )
 
 // Poolers are the proxies that pool the connections to the endpoints of a group, as one proxy
@@ -84,6 +87,20 @@
 	}
 }
 
+// Openers returns the number of proxies that would share the openings of an endpoint's connections
+// evenly if each could make as many as this one.
+func (p Poolers) Openers(f sharing.Fleet) float64 {
+	poolers := len(p.local) + len(p.remote)
+	switch {
+	case p.connections == 0:
+		return float64(f.Size())
+	case p.Delegates():
+		return float64(f.Size()-poolers) / (1 - poolersOpeningShare)
+	default:
+		return float64(poolers) / poolersOpeningShare
+	}
+}
+
 // Ask returns the pooler to ask, of those that may be asked in the proxy's own data centre, or
 // else in another. For the operation of a team it is the one with the highest hash of itself and
 // the team, so that a team's operations use the same connections. Otherwise it is the one with
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -91,6 +91,9 @@
 		return
 	}
 	e.running--
+	if c == nil && !o.Answered && !o.ConnectionsFull {
+		e.pace = e.pace.WithFailed()
+	}
 	t.observe(e, o)
 	t.closeConnection(e, c)
 	t.assignWaiting(t.group(e.listed.Group))
@@ -103,7 +106,7 @@
 	switch {
 	case o.Unused:
 	case o.ConnectionsFull:
-		e.connectAfter = now.Add(connectBackoff)
+		e.pace = e.pace.WithRefused(now, e.spread())
 	case o.Answered:
 		e.recordAnswer(now)
 	default:
@@ -155,6 +158,9 @@
 			keep = 1
 		}
 		expired := 0
+		if e.keepsUnused && now.Before(e.pace.Next()) {
+			continue // another connection could not be opened yet
+		}
 		for expired < len(e.idle)-keep && now.Sub(e.idle[expired].since) > timeout {
 			expired++
 		}
@@ -181,11 +187,20 @@
 	defer t.mutex.Unlock()
 	e, ok := t.endpoints[id]
 	now := t.timer.Now()
-	if !ok || e.occupied(now) >= int(e.limit) || (len(e.idle) == 0 && !e.mayConnect(now)) {
+	if !ok || e.occupied(now) >= int(e.limit) || (len(e.idle) == 0 && !e.mayConnectUrgently(now)) {
 		return nil, false
 	}
 	e.running++
-	return e.takeAnyConnection(), true
+	return e.takeAnyConnection(now), true
+}
+
+// Opened records that a connection to an endpoint was opened, and how long that took.
+func (t *Table) Opened(id string, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if e, ok := t.endpoints[id]; ok {
+		e.recordOpened(took)
+	}
 }
 
 // Observe records the outcome of using an endpoint over a connection that does
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -2,12 +2,15 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
+	"eelgrassladder.example/eelgrassladder/internal/policy/opening"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
+	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 )
 
 const (
@@ -54,9 +57,12 @@
 	// no further writes. A commit takes a few milliseconds, or a few hundred
 	// if all slots are occupied.
 	stallTimeout = 300 * time.Millisecond
-	// connectBackoff is how long no connection is opened after the endpoint
-	// refused one because it has too many.
-	connectBackoff = 200 * time.Millisecond
+	// initialOpeningTime is the forecast of how long opening a connection takes, until some
+	// were opened.
+	initialOpeningTime = 12 * time.Millisecond
+	// openingTimeGrowthDivisor lets openingTime grow by 1/openingTimeGrowthDivisor with each
+	// opening that takes longer.
+	openingTimeGrowthDivisor = 50
 )
 
 // endpoint is the state of one endpoint. The table's mutex guards it.
@@ -70,6 +76,8 @@
 	idle []idleConnection
 	// open counts the connections that are idle, in use or being opened.
 	open int
+	// proxy is the name of this proxy.
+	proxy string
 	// share is how many connections this proxy may hold; at least one.
 	share int
 	// keepsUnused is true if this proxy may keep a connection open that it does not use.
@@ -102,8 +110,15 @@
 	// retryAt is when the endpoint may be used or probed again after a
 	// failure.
 	retryAt time.Time
-	// connectAfter is when the next connection may be opened.
-	connectAfter time.Time
+	// pace tells when the next connection may be opened.
+	pace opening.Pace
+	// openers is the number of proxies that open connections to the endpoint; see
+	// pooling.Poolers.Openers.
+	openers float64
+	// openingTime is the recent minimum of how long opening a connection took.
+	openingTime time.Duration
+	// attempts counts the attempts to open a connection.
+	attempts int
 	// lastAnswer is when the endpoint last answered; zero for never.
 	lastAnswer time.Time
 	// pendingWrites holds the send times of writes that have no answer yet.
@@ -176,7 +191,45 @@
 // mayConnect reports whether a connection may be opened now, in place of an idle one of
 // another team if this proxy has its whole share.
 func (e *endpoint) mayConnect(now time.Time) bool {
-	return !now.Before(e.connectAfter) && (e.open < e.share || len(e.idle) > 0)
+	return !now.Before(e.pace.Next()) && (e.open < e.share || len(e.idle) > 0)
+}
+
+// mayConnectUrgently is mayConnect for a request that may not wait for its turn.
+func (e *endpoint) mayConnectUrgently(now time.Time) bool {
+	return !now.Before(e.pace.PausedUntil()) && (e.open < e.share || len(e.idle) > 0)
+}
+
+// connectionWait returns how long it takes at least until a connection is free or may be opened.
+func (e *endpoint) connectionWait(now time.Time) time.Duration {
+	if e.open > 0 {
+		return 0 // a statement may give one back at any time
+	}
+	return max(e.pace.Next().Sub(now), 0)
+}
+
+// beginOpening counts a connection as open that the caller has to open.
+func (e *endpoint) beginOpening(now time.Time) {
+	e.open++
+	e.attempts++
+	e.pace = e.pace.WithAttempt(now, e.spread())
+}
+
+// spread returns a number from 0 to 1 that differs between proxies, endpoints and attempts.
+func (e *endpoint) spread() float64 {
+	const steps = 1 << 16
+	return float64(sharing.Hash(e.proxy, e.listed.ID+"\x00"+strconv.Itoa(e.attempts))%steps) / steps
+}
+
+// recordOpened adds the time that opening a connection took.
+func (e *endpoint) recordOpened(took time.Duration) {
+	e.openingTime = min(e.openingTime+e.openingTime/openingTimeGrowthDivisor, max(took, time.Microsecond))
+	e.pace = e.pace.WithOpened()
+	e.limitOpenings()
+}
+
+// limitOpenings sets how often connections may be opened.
+func (e *endpoint) limitOpenings() {
+	e.pace = e.pace.WithLimit(opening.NewLimit(e.listed.Slots, e.openers, e.openingTime))
 }
 
 // idleIndex returns the index of the team's idle connection that was used last, or -1 if
@@ -193,7 +246,7 @@
 // takeConnection returns the team's idle connection that was used last. If there is none it
 // returns nil and counts a new one as open; it closes the connection that has been idle
 // longest if this proxy has its whole share.
-func (e *endpoint) takeConnection(team string) eelgrassladder.Connection {
+func (e *endpoint) takeConnection(now time.Time, team string) eelgrassladder.Connection {
 	if i := e.idleIndex(team); i >= 0 {
 		return e.takeIdle(i)
 	}
@@ -201,16 +254,16 @@
 		e.takeIdle(0).Close()
 		e.open--
 	}
-	e.open++
+	e.beginOpening(now)
 	return nil
 }
 
 // takeAnyConnection is takeConnection for a use that belongs to no team.
-func (e *endpoint) takeAnyConnection() eelgrassladder.Connection {
+func (e *endpoint) takeAnyConnection(now time.Time) eelgrassladder.Connection {
 	if len(e.idle) > 0 {
 		return e.takeIdle(len(e.idle) - 1)
 	}
-	e.open++
+	e.beginOpening(now)
 	return nil
 }
 
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -195,7 +195,7 @@
 		}
 		return shedding.ForUnknownWait(w)
 	case NoCapacity:
-		return shedding.ForCapacity(w, t.forecastWait(g, j))
+		return shedding.ForCapacity(w, max(t.forecastWait(g, j), t.connectionWait(g, j, now)))
 	case NoProof:
 		return shedding.ForProof(w, t.clock.SinceBoot()-g.leader.Since)
 	case NoReplica:
@@ -224,6 +224,18 @@
 	return time.Duration(ahead) * serviceTime / time.Duration(max(slots, 1))
 }
 
+// connectionWait returns how long it takes at least until one of the endpoints that can run a job
+// has a connection for it.
+func (t *Table) connectionWait(g *group, j *Job, now time.Time) time.Duration {
+	wait, found := time.Duration(0), false
+	for _, e := range g.endpoints {
+		if w := e.connectionWait(now); g.eligible(e, j) && (!found || w < wait) {
+			wait, found = w, true
+		}
+	}
+	return wait
+}
+
 // Leader returns what is known of a group's primary.
 func (t *Table) Leader(name string) leader.State {
 	t.mutex.Lock()
@@ -278,7 +290,7 @@
 	for _, listed := range snapshot.All() {
 		e, ok := t.endpoints[listed.ID]
 		if !ok {
-			e = &endpoint{serviceTime: initialServiceTime, baseServiceTime: initialServiceTime, share: 1, limit: 1}
+			e = &endpoint{serviceTime: initialServiceTime, baseServiceTime: initialServiceTime, openingTime: initialOpeningTime, share: 1, limit: 1}
 			t.endpoints[listed.ID] = e
 		}
 		if e.listed.StartedAt != listed.StartedAt {
@@ -316,6 +328,8 @@
 		}
 		a := p.Allot(t.fleet, e.listed.ID, limit)
 		e.keepsUnused, e.pooled = a.Keeps, p.Delegates()
+		e.proxy, e.openers = t.fleet.Self(), p.Openers(t.fleet)
+		e.limitOpenings()
 		if a.Max != e.share {
 			e.share, e.limit = a.Max, float64(a.Max)
 		}
@@ -343,7 +357,7 @@
 		g.reads.countSent(now, primary)
 	}
 	t.enqueue(Assignment{
-		Endpoint: e.listed, After: choice.After, Connection: e.takeConnection(j.Team), run: j.Run,
+		Endpoint: e.listed, After: choice.After, Connection: e.takeConnection(now, j.Team), run: j.Run,
 		Primary: primary, Term: g.leader.Term, Chosen: sinceBoot,
 	})
 	return true
