Pool connections below two for each proxy, and through short absences

Cause: poolers were chosen only while an endpoint accepts fewer connections than there are registered proxies. At 102 proxies before 108 connections each proxy had one of its own. An open transaction holds it, each proxy runs at least one statement at a time, so that more wait than an endpoint queues, and at 0.5 statements a second for each connection most were closed unused. When registrations ended, all proxies closed what they had and opened others within two seconds, and back when the proxies returned.

Change: poolers are chosen below two connections for each proxy. Proxies whose registrations ended less than 60 s ago count, so a fleet whose size changes to and fro keeps its poolers. Both users of the fleet count the same proxies.

Why it works: the number of proxies that run statements at an endpoint stays near its slots and queue, and a change of size changes no connections but those of the poolers that are away.

TestAFleetThatShrinksForAShortTimeKeepsItsPoolers and the cases of TestOnlyDeploymentsWithTooFewConnectionsHavePoolers failed before. The latter's cases of 34 connections for 34 proxies, 43 for 30 and 118 for 118 expected no poolers; they expect some now, and others with at least two connections for each proxy expect none.

--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -170,6 +170,7 @@
 // and how many connections each endpoint accepts. The proxy counts itself even while it
 // is not registered.
 func (f *follower) divideConnections() {
+	f.node.state.forgetDeparted()
 	routes := f.node.state.Routes
 	f.node.table.SetShares(f.node.fleet(), func(group string) int { return connectionLimit(routes(), group) })
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -209,7 +209,8 @@
 func (n *Node) fleet() sharing.Fleet {
 	dataCentres := maps.Clone(*n.state.dataCentres.Load())
 	dataCentres[n.settings.Name] = n.settings.DataCentre
-	f := sharing.NewFleet(n.settings.Name, slices.Collect(maps.Keys(n.state.Proxies()))...).WithDataCentres(dataCentres)
+	f := sharing.NewFleet(n.settings.Name, slices.Collect(maps.Keys(n.state.Proxies()))...).
+		WithDataCentres(dataCentres).WithDeparted(n.state.RecentlyDeparted())
 	if n.state.Routes().HasTeams() {
 		return f.WithTeams()
 	}
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -70,6 +70,9 @@
 	// zero for never.
 	departed     map[string]departedProxy
 	proxiesSince time.Duration
+	// recentlyDeparted is the number of names in departed of proxies that are not registered. It
+	// changes only together with proxyGeneration, so that all parts count the same proxies.
+	recentlyDeparted int
 	// configuration is the item from which the current routes were decoded. It is
 	// passed on to other proxies from the boot time passOnFrom.
 	configuration eelgrassladder.Item
@@ -197,6 +200,43 @@
 		}
 	}
 	s.proxies, s.departed = proxies, departed
+	s.countDeparted()
+}
+
+// forgetDeparted forgets the proxies whose registrations have ended lenderRetention ago.
+func (s *clusterState) forgetDeparted() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now, kept := s.clock.SinceBoot(), map[string]departedProxy{}
+	for address, d := range s.departed {
+		if now-d.at < lenderRetention {
+			kept[address] = d
+		}
+	}
+	if len(kept) == len(s.departed) {
+		return
+	}
+	s.departed = kept
+	s.countDeparted()
+	s.proxyGeneration.Add(1)
+}
+
+// countDeparted sets recentlyDeparted. The caller holds the mutex.
+func (s *clusterState) countDeparted() {
+	names := map[string]bool{}
+	for _, d := range s.departed {
+		if _, ok := s.proxies[d.name]; !ok && d.name != s.name {
+			names[d.name] = true
+		}
+	}
+	s.recentlyDeparted = len(names)
+}
+
+// RecentlyDeparted returns how many other proxies have left less than lenderRetention ago.
+func (s *clusterState) RecentlyDeparted() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.recentlyDeparted
 }
 
 // DepartedProxies returns the names of the proxies, by address, whose registrations have
--- a/internal/policy/pooling/pooling.go
+++ b/internal/policy/pooling/pooling.go
@@ -12,9 +12,9 @@
 
 const (
 	// sufficientShare is the number of connections for each proxy from which on proxies use
-	// their own. Below it some would have none: connections that are opened on demand occupied
-	// the slots of primaries for 12 ms each, and more attempts than not met a full endpoint.
-	sufficientShare = 1
+	// their own. With fewer than two, an open transaction keeps the proxy's other statements
+	// waiting, and with fewer than one some proxies open a connection for each statement.
+	sufficientShare = 2
 	// sufficientShareForTeams is the same where a connection serves one team. With 86 teams and
 	// two connections for each proxy, three of four operations opened one.
 	sufficientShareForTeams = 2.5
@@ -39,13 +39,15 @@
 	local, remote []string
 }
 
-// Choose returns the poolers of a group whose endpoints accept limit connections each.
+// Choose returns the poolers of a group whose endpoints accept limit connections each. Proxies
+// that have left a short while ago count, so that a fleet whose size changes to and fro keeps its
+// poolers: a change opens and closes most connections.
 func Choose(f sharing.Fleet, group string, limit int) Poolers {
 	sufficient := float64(sufficientShare)
 	if f.ServesTeams() {
 		sufficient = sufficientShareForTeams
 	}
-	if float64(limit) >= sufficient*float64(f.Size()) {
+	if float64(limit) >= sufficient*float64(f.RecentSize()) {
 		return Poolers{}
 	}
 	ranked := f.Ranked(group)
--- a/internal/policy/sharing/sharing.go
+++ b/internal/policy/sharing/sharing.go
@@ -33,6 +33,8 @@
 	// dataCentres holds the data centres of proxies by name, as far as they are known. It is
 	// never modified.
 	dataCentres map[string]string
+	// departed is the number of other proxies that have left a short while ago.
+	departed int
 	// teams is true if each connection to an endpoint serves one team.
 	teams bool
 }
@@ -55,6 +57,13 @@
 	return f
 }
 
+// WithDeparted returns the fleet with the number of other proxies that have left a short while
+// ago, and may come back.
+func (f Fleet) WithDeparted(n int) Fleet {
+	f.departed = n
+	return f
+}
+
 // Self returns the name of the proxy that decides.
 func (f Fleet) Self() string { return f.self }
 
@@ -95,6 +104,9 @@
 // Size returns the number of proxies, at least one.
 func (f Fleet) Size() int { return max(len(f.proxies), 1) }
 
+// RecentSize returns the number of proxies, those included that have left a short while ago.
+func (f Fleet) RecentSize() int { return f.Size() + f.departed }
+
 // Allotment is what one proxy may hold of an endpoint's connections. It is immutable.
 type Allotment struct {
 	// Max is the highest number of connections; at least one.
