--- a/internal/host/control/control.go
+++ b/internal/host/control/control.go
@@ -240,6 +240,12 @@
 // or it lives and has closed only this connection, as at its limit of connections.
 func Reset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
 
+// TimedOut reports whether an error says that a deadline has passed.
+func TimedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // NotConnected returns the outcome of an attempt to open a connection that failed with an
 // error, or that the endpoint refused with a reply.
 func NotConnected(r statement.Reply, err error) scheduler.Outcome {
--- a/internal/host/gateway/execution.go
+++ b/internal/host/gateway/execution.go
@@ -280,7 +280,7 @@
 	g := e.gateway
 	sentSinceBoot, sentAt := g.clock.SinceBoot(), g.timer.Now()
 	reply, err := e.send(c, a.Endpoint.ID, e.attemptDeadline(sentAt), a.After, e.statement.Writes())
-	if timedOut(err) && !e.statement.Writes() && !g.budget.Spend(g.timer.Now()) {
+	if control.TimedOut(err) && !e.statement.Writes() && !g.budget.Spend(g.timer.Now()) {
 		c.Charge(e.session.account)
 		reply, err = c.Await(e.deadline)
 		c.Charge(eelgrassladder.UnlimitedMemory{})
--- a/internal/host/gateway/operation.go
+++ b/internal/host/gateway/operation.go
@@ -34,14 +34,8 @@
 	var reply statement.Reply
 	if s.origin != nil {
 		o.route, o.team, reply = s.origin.identify(routes, s.database)
-	} else {
-		o.route, o.team, reply = identify(routes, s.database, s.key)
-	}
-	switch {
-	case reply.Code != statement.OK:
-	case s.origin != nil:
 		o.admitted = s.origin.admitted // the other proxy has taken the right
-	default:
+	} else if o.route, o.team, reply = identify(routes, s.database, s.key); reply.Code == statement.OK {
 		o, reply = g.charge(o)
 	}
 	if reply.Code != statement.OK {
--- a/internal/host/gateway/outcome.go
+++ b/internal/host/gateway/outcome.go
@@ -39,7 +39,7 @@
 // outcome of a write is unknown. Took is the time of the attempt.
 func (e *execution) handleError(a scheduler.Assignment, c eelgrassladder.Connection, reply statement.Reply, err error, took time.Duration) {
 	g := e.gateway
-	if timedOut(err) {
+	if control.TimedOut(err) {
 		e.awaitLate(a, c)
 	} else {
 		g.table.Discard(a.Endpoint.ID, c, outcomeOf(a, reply, err))
@@ -97,7 +97,7 @@
 // unknown. Took is the time of the attempt.
 func (e *execution) finishUnknown(a scheduler.Assignment, err error, took time.Duration) {
 	code := statement.InDoubt
-	if timedOut(err) {
+	if control.TimedOut(err) {
 		code = statement.TimedOut
 	}
 	e.gateway.observer.AttemptFailed(FailedAttempt{
@@ -143,12 +143,6 @@
 	return o
 }
 
-// timedOut reports whether an error says that a deadline has passed.
-func timedOut(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // failureText returns the text of the error, or the code of the reply if there is no
 // error.
 func failureText(r statement.Reply, err error) string {
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -65,14 +65,11 @@
 	// replaced, never modified.
 	proxies map[string]string
 	// departed holds the other proxies whose registrations have ended less than
-	// lenderRetention ago, by address, and
-	// proxiesSince the boot time since which this process has had the list of proxies;
-	// zero for never.
+	// lenderRetention ago, by address, and proxiesSince the boot time since which this process
+	// has had the list of proxies; zero for never. departed changes only together with proxyGeneration, so that all parts
+	// count the same proxies.
 	departed     map[string]departedProxy
 	proxiesSince time.Duration
-	// recentlyDeparted is the number of names in departed of proxies that are not registered. It
-	// changes only together with proxyGeneration, so that all parts count the same proxies.
-	recentlyDeparted int
 	// configuration is the item from which the current routes were decoded. It is
 	// passed on to other proxies from the boot time passOnFrom.
 	configuration eelgrassladder.Item
@@ -160,7 +157,8 @@
 const proxyRetention = proof.MaxRecordAge
 
 // lenderRetention is how long a proxy whose registration has ended still counts as one of those
-// that share the limits of teams. Cut off from the store, it goes on producing its share.
+// that share the limits of teams, and of those for which connections have to suffice. Cut off from
+// the store, it goes on producing its share.
 const lenderRetention = 60 * time.Second
 
 // setDataCentres replaces the data centres of the proxies.
@@ -184,15 +182,10 @@
 	if s.proxiesSince == 0 {
 		s.proxiesSince = now
 	}
-	registered := map[string]bool{}
+	departed, registered := s.retained(now), map[string]bool{}
 	for _, address := range proxies {
 		registered[address] = true
-	}
-	departed := map[string]departedProxy{}
-	for address, d := range s.departed {
-		if !registered[address] && now-d.at < lenderRetention {
-			departed[address] = d
-		}
+		delete(departed, address)
 	}
 	for name, address := range s.proxies {
 		if !registered[address] {
@@ -200,43 +193,44 @@
 		}
 	}
 	s.proxies, s.departed = proxies, departed
-	s.countDeparted()
 }
 
 // forgetDeparted forgets the proxies whose registrations have ended lenderRetention ago.
 func (s *clusterState) forgetDeparted() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now, kept := s.clock.SinceBoot(), map[string]departedProxy{}
-	for address, d := range s.departed {
-		if now-d.at < lenderRetention {
-			kept[address] = d
-		}
-	}
+	kept := s.retained(s.clock.SinceBoot())
 	if len(kept) == len(s.departed) {
 		return
 	}
 	s.departed = kept
-	s.countDeparted()
 	s.proxyGeneration.Add(1)
 }
 
-// countDeparted sets recentlyDeparted. The caller holds the mutex.
-func (s *clusterState) countDeparted() {
-	names := map[string]bool{}
-	for _, d := range s.departed {
-		if _, ok := s.proxies[d.name]; !ok && d.name != s.name {
-			names[d.name] = true
+// retained returns a copy of departed without the proxies whose registrations ended
+// lenderRetention before a boot time. The caller holds the mutex.
+func (s *clusterState) retained(now time.Duration) map[string]departedProxy {
+	kept := map[string]departedProxy{}
+	for address, d := range s.departed {
+		if now-d.at < lenderRetention {
+			kept[address] = d
 		}
 	}
-	s.recentlyDeparted = len(names)
+	return kept
 }
 
-// RecentlyDeparted returns how many other proxies have left less than lenderRetention ago.
+// RecentlyDeparted returns how many other proxies, by name, have left less than lenderRetention ago
+// and not come back.
 func (s *clusterState) RecentlyDeparted() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.recentlyDeparted
+	names := map[string]bool{}
+	for _, d := range s.departed {
+		if _, ok := s.proxies[d.name]; !ok && d.name != s.name {
+			names[d.name] = true
+		}
+	}
+	return len(names)
 }
 
 // DepartedProxies returns the names of the proxies, by address, whose registrations have
--- a/internal/host/opening/connector.go
+++ b/internal/host/opening/connector.go
@@ -6,9 +6,8 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
@@ -71,9 +70,8 @@
 
 // resultOf returns the result of an attempt that ended with a reply or an error.
 func resultOf(r statement.Reply, err error) Result {
-	var timeout interface{ Timeout() bool }
 	switch {
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case control.TimedOut(err):
 		return Late
 	case err != nil:
 		return Failed
--- a/internal/policy/sharing/sharing.go
+++ b/internal/policy/sharing/sharing.go
@@ -79,14 +79,8 @@
 			ranked[d] = append(ranked[d], name)
 		}
 	}
-	hashes := make(map[string]uint64, len(f.proxies))
-	for _, name := range f.proxies {
-		hashes[name] = Hash(name, key)
-	}
 	for _, names := range ranked {
-		slices.SortFunc(names, func(a, b string) int {
-			return cmp.Or(cmp.Compare(hashes[b], hashes[a]), strings.Compare(a, b))
-		})
+		sortByHash(names, key)
 	}
 	return ranked
 }
@@ -138,22 +132,21 @@
 // Highest returns the names of the n proxies with the highest rendezvous hashes for a key,
 // the highest first; of all proxies if there are fewer.
 func (f Fleet) Highest(n int, key string) []string {
-	type hashed struct {
-		name string
-		hash uint64
-	}
-	all := make([]hashed, len(f.proxies))
-	for i, name := range f.proxies {
-		all[i] = hashed{name: name, hash: Hash(name, key)}
+	names := slices.Clone(f.proxies)
+	sortByHash(names, key)
+	return names[:min(n, len(names))]
+}
+
+// sortByHash sorts the names of proxies by their rendezvous hashes for a key, the highest first,
+// and by name where these are equal.
+func sortByHash(names []string, key string) {
+	hashes := make(map[string]uint64, len(names))
+	for _, name := range names {
+		hashes[name] = Hash(name, key)
 	}
-	slices.SortFunc(all, func(a, b hashed) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashes[b], hashes[a]), strings.Compare(a, b))
 	})
-	names := make([]string, 0, n)
-	for _, h := range all[:min(n, len(all))] {
-		names = append(names, h.name)
-	}
-	return names
 }
 
 // rank returns how many other proxies have a higher hash for the key than this one. Of
--- a/internal/table/scheduler/connections.go
+++ b/internal/table/scheduler/connections.go
@@ -187,7 +187,7 @@
 	defer t.mutex.Unlock()
 	e, ok := t.endpoints[id]
 	now := t.timer.Now()
-	if !ok || e.occupied(now) >= int(e.limit) || (len(e.idle) == 0 && !e.mayConnectUrgently(now)) {
+	if !ok || e.occupied(e.stalled(now)) >= int(e.limit) || (len(e.idle) == 0 && !e.mayConnectUrgently(now)) {
 		return nil, false
 	}
 	e.running++
--- a/internal/table/scheduler/endpoint.go
+++ b/internal/table/scheduler/endpoint.go
@@ -135,7 +135,8 @@
 
 // snapshot returns what placement sees of the endpoint for a statement of a team.
 func (e *endpoint) snapshot(now time.Time, dataCentre, team string) placement.EndpointSnapshot {
-	stalled, running, connected := e.stalled(now), e.occupied(now), e.idleIndex(team) >= 0
+	stalled, connected := e.stalled(now), e.idleIndex(team) >= 0
+	running := e.occupied(stalled)
 	s := placement.EndpointSnapshot{
 		ID:          e.listed.ID,
 		Usable:      !e.unlisted && !e.listed.Leaving && e.usable(now),
@@ -179,9 +180,10 @@
 	return e.failures < minFailures && e.running == 0 && !now.Before(e.retryAt)
 }
 
-// occupied returns how many statements of this proxy occupy a slot of the endpoint.
-func (e *endpoint) occupied(now time.Time) int {
-	if e.stalled(now) {
+// occupied returns how many statements of this proxy occupy a slot of the endpoint, which may be
+// stalled.
+func (e *endpoint) occupied(stalled bool) int {
+	if stalled {
 		// Writes that wait for a replica occupy no slot.
 		return e.running - len(e.pendingWrites)
 	}
@@ -191,12 +193,17 @@
 // mayConnect reports whether a connection may be opened now, in place of an idle one of
 // another team if this proxy has its whole share.
 func (e *endpoint) mayConnect(now time.Time) bool {
-	return !now.Before(e.pace.Next()) && (e.open < e.share || len(e.idle) > 0)
+	return e.mayConnectFrom(e.pace.Next(), now)
 }
 
 // mayConnectUrgently is mayConnect for a request that may not wait for its turn.
 func (e *endpoint) mayConnectUrgently(now time.Time) bool {
-	return !now.Before(e.pace.PausedUntil()) && (e.open < e.share || len(e.idle) > 0)
+	return e.mayConnectFrom(e.pace.PausedUntil(), now)
+}
+
+// mayConnectFrom is mayConnect for a use that may open a connection from a time on.
+func (e *endpoint) mayConnectFrom(begin, now time.Time) bool {
+	return !now.Before(begin) && (e.open < e.share || len(e.idle) > 0)
 }
 
 // connectionWait returns how long it takes at least until a connection is free or may be opened.
