--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -65,9 +65,9 @@
 	// replaced, never modified.
 	proxies map[string]string
 	// departed holds the other proxies whose registrations have ended less than
-	// lenderRetention ago, by address, and proxiesSince the boot time since which this process
-	// has had the list of proxies; zero for never. departed changes only together with proxyGeneration, so that all parts
-	// count the same proxies.
+	// lenderRetention ago, by address. It changes only together with proxyGeneration, so that
+	// all parts count the same proxies. proxiesSince is the boot time since which this process
+	// has had the list of proxies; zero for never.
 	departed     map[string]departedProxy
 	proxiesSince time.Duration
 	// configuration is the item from which the current routes were decoded. It is
