Give a borrowed token to the operation that it was asked for

Callers saw: an operation of a limited team waited for one more request to another proxy, and the token that it was lent went to the own bucket, or was dropped. Cause: Admit and Next read the clock before they lock the table. An operation that read it after the worker, and got the mutex before, counted as one that began to wait after the request. Change: a request is made no earlier than the operations that it is made for began to wait. TestAnOperationOfALaterTimeGetsTheTokenAskedForIt fails without the change.

--- a/internal/table/quota/quota.go
+++ b/internal/table/quota/quota.go
@@ -256,6 +256,11 @@
 	}
 	reserve := a.waiting[0].reserve
 	n := min(a.countUrgent(reserve), policy.MaxLoan)
+	for _, w := range a.waiting[:n] {
+		// An operation whose caller read the clock later may have got the mutex earlier. It
+		// waits already, so the request is made after its time.
+		now = max(now, w.joined)
+	}
 	a.bucket = a.bucket.WithAsked(n, now)
 	return Ask{Team: a.team.Name, Tokens: n, Reserve: reserve, Lender: lender, Address: t.view.Lenders[lender], At: now}, true
 }
--- a/internal/table/quota/table_test.go
+++ b/internal/table/quota/table_test.go
@@ -63,6 +63,27 @@
 	assert.Assert(t, ok, "the next operation that waits begins no borrowing")
 }
 
+// TestAnOperationOfALaterTimeGetsTheTokenAskedForIt guards against a token that is dropped
+// because the worker that asks for it has read the clock before the operation, and has got the
+// mutex after it.
+func TestAnOperationOfALaterTimeGetsTheTokenAskedForIt(t *testing.T) {
+	now := time.Hour
+	table := newBorrower(now, 5, team.Team{Name: bakery}.WithLimit(50, 50))
+	w, _ := table.Admit(bakery, 0, now+time.Microsecond)
+	assert.Assert(t, w != nil)
+	j, ok := takeNow(table)
+	assert.Assert(t, ok)
+	ask, ok := table.Next(j, now)
+	assert.Assert(t, ok)
+	table.Receive(j, ask, ask.Tokens, Answered, now+time.Millisecond)
+	select {
+	case v := <-w.Verdict():
+		assert.DeepEqual(t, v, Verdict{Granted: true})
+	default:
+		t.Fatal("the operation has no token")
+	}
+}
+
 // TestEmptyLendersLeadToARefusal guards against operations over the limit that go on costing
 // requests, and against lenders that do not answer and are asked at once again.
 func TestEmptyLendersLeadToARefusal(t *testing.T) {
