--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/eelgrassladder ] && [ -x target/review-2 ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-2 holder review/7
+exec target/review-2 stale review/7
