--- a/internal/lab/keyvalue/server.go
+++ b/internal/lab/keyvalue/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,7 +25,7 @@
 func (s *Store) Serve(g *task.Group, l net.Listener) {
 	mux := goahttp.NewMuxer()
 	server.Mount(mux, server.New(kv.NewEndpoints(s), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, errorStatus))
-	serve(g, l, abortLostAnswers(mux))
+	serve(g, l, s.nameEra(abortLostAnswers(mux)))
 }
 
 // PromotionHandler handles the promotions that a proxy requests from the platform. An
@@ -87,6 +88,37 @@
 	})
 }
 
+// eraHeader is the header in which the store names its era.
+const eraHeader = "Store-Era"
+
+// nameEra wraps a handler so that its answers name the era of the store. An answer to a call that
+// began in a former era is lost.
+func (s *Store) nameEra(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&eraWriter{ResponseWriter: w, store: s, began: s.Era()}, r)
+	})
+}
+
+// eraWriter names the era in the header of an answer, and aborts the request if the store is in
+// another era than when it began.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+	began uint64
+}
+
+// WriteHeader writes the header with the era, or panics with http.ErrAbortHandler, which makes
+// the HTTP server close the connection.
+func (w *eraWriter) WriteHeader(code int) {
+	if w.store.Era() != w.began {
+		panic(http.ErrAbortHandler)
+	}
+	if w.began > 0 {
+		w.Header().Set(eraHeader, strconv.FormatUint(w.began, 10))
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
 // abortingWriter aborts the request if its answer has the status of errAnswerLost.
 type abortingWriter struct {
 	http.ResponseWriter
--- a/internal/lab/keyvalue/store.go
+++ b/internal/lab/keyvalue/store.go
@@ -49,9 +49,11 @@
 	// or of the conditions.
 	changed    chan struct{}
 	conditions Conditions
-	revision   uint64
-	items      map[string]*kv.Item
-	history    []*kv.Item
+	// era rises each time that the store comes back from a copy; zero if answers name no era.
+	era      uint64
+	revision uint64
+	items    map[string]*kv.Item
+	history  []*kv.Item
 	// compactedRevision is the newest revision that the history no longer holds.
 	compactedRevision uint64
 	// leases maps the ID of a lease to the time when it expires.
@@ -194,10 +196,10 @@
 	if s.conditions.Down {
 		return nil, nil, errUnavailable
 	}
-	if p.After < s.compactedRevision {
+	if p.After < s.compactedRevision || p.After > s.revision {
 		return nil, nil, errCompacted
 	}
-	result := &kv.WatchResult{AtRev: max(p.After, s.revision)}
+	result := &kv.WatchResult{AtRev: s.revision}
 	if s.conditions.WithholdEvents {
 		result.AtRev = p.After
 	} else {
--- a/internal/lab/keyvalue/view.go
+++ b/internal/lab/keyvalue/view.go
@@ -26,7 +26,7 @@
 	mux := goahttp.NewMuxer()
 	endpoints := kv.NewEndpoints(view{Store: s, rewrite: r})
 	server.Mount(mux, server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, errorStatus))
-	serve(g, l, abortLostAnswers(mux))
+	serve(g, l, s.nameEra(abortLostAnswers(mux)))
 }
 
 // Range returns what Store.Range does, with rewritten values.
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -50,6 +50,8 @@
 	// Queue is how many statements and new connections wait for a slot of a member at one time;
 	// zero for any number.
 	Queue int
+	// Eras makes the platform's store name its era in all answers, as it must before a Drill.
+	Eras bool
 	// AdvertisedAddress returns the address that the platform's store shows for the member
 	// with an ID and a listen address. If it is nil, the store shows the listen address.
 	AdvertisedAddress func(id, address string) (string, error)
@@ -104,6 +106,9 @@
 		p.ConnectTime = TeamConnectTime
 	}
 	t := &Testbed{Store: keyvalue.New(), plan: p, tasks: g, callers: map[string]bool{}}
+	if p.Eras {
+		t.Store.NameEras()
+	}
 	t.setTeams(p.Teams)
 	storeListener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
