--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -14,6 +14,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -54,7 +55,7 @@
 type decision struct {
 	group string
 	// revision is that of the group's record at the time of the decision.
-	revision uint64
+	revision revision.Revision
 	reason   policy.Reason
 	evidence policy.Evidence
 	// decidedAt is the boot time at which the evidence was collected.
@@ -117,7 +118,7 @@
 	known := ct.table.Leader(group)
 	before := ct.state.Record(group)
 	// Only an abandoned change starts from a closed record.
-	if before.Revision != d.revision || known.Closed != (reason == policy.Abandoned) || ctx.Err() != nil {
+	if before.Revision != d.revision || !before.WrittenIn(ct.state.Era()) || known.Closed != (reason == policy.Abandoned) || ctx.Err() != nil {
 		return false
 	}
 	// One refused connection does not prove that the process is down.
@@ -139,7 +140,7 @@
 	ct.reporter.Begun(group, reason)
 	defer ct.changeEnded()
 	c.informProxies(ctx)
-	for ctx.Err() == nil && ct.clock.SinceBoot()-c.began < maxTimeToPromote {
+	for ctx.Err() == nil && ct.clock.SinceBoot()-c.began < maxTimeToPromote && c.inEra() {
 		newPrimary, err := c.promote(ctx)
 		if err == nil {
 			c.openRecord(ctx, newPrimary)
@@ -154,6 +155,10 @@
 	return true
 }
 
+// inEra reports whether the store is still in the era in which the record was closed. Otherwise it
+// may have forgotten that, and another proxy may take the group for unchanged.
+func (c *change) inEra() bool { return c.record.WrittenIn(c.controller.state.Era()) }
+
 // closeRecord takes the promotion lock and closes the group's record, in one
 // transaction of the store. Proxies that learn of the closed record send no new work
 // to the old primary. It counts the change as under way before it takes the lock, so that
@@ -173,12 +178,12 @@
 	record := before.WithPrimary(c.old.ID, term).WithClosed(ct.name)
 	c.began = ct.clock.SinceBoot()
 	ct.changeBegins()
-	revision, err := ct.write(ctx, &record, &taken)
+	written, err := ct.write(ctx, &record, &taken)
 	if err != nil {
 		ct.changeEnded()
 		return err
 	}
-	c.record = record.WithRevision(revision)
+	c.record = record.WithRevision(written)
 	c.written = c.record
 	c.closedAt = ct.clock.SinceBoot()
 	c.logBegun(known, before, lock)
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -27,7 +27,9 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/control"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
@@ -58,7 +60,7 @@
 	Routes() route.Table
 	// Members reads the members of a group and the store's revision from the
 	// store. The answer is not older than the call.
-	Members(ctx context.Context, group string) ([]topology.Endpoint, uint64, error)
+	Members(ctx context.Context, group string) ([]topology.Endpoint, revision.Revision, error)
 	// Proxies returns the addresses of the other proxies by name.
 	Proxies() map[string]string
 	// RegisteredProxies reads the names of the other proxies, by address, that are
@@ -67,6 +69,19 @@
 	// DepartedProxies returns the names of the proxies, by address, that may still run
 	// although their registrations have ended. It reports whether it knows all of them.
 	DepartedProxies() (map[string]string, bool)
+	// Era returns the newest known era of the store; zero if the store names none.
+	Era() uint64
+	// Message returns a message with all known records, and Receive adopts those of another
+	// proxy's message.
+	Message() heartbeat.Message
+	Receive(m heartbeat.Message)
+	// StoredRevision reads the revision of a group's record from the store, in the era of the
+	// store, whenever the record was written; zero if there is none. It also returns the era.
+	// The answer is not older than the call.
+	StoredRevision(ctx context.Context, group string) (stored revision.Revision, era uint64, err error)
+	// CurrentRecord returns the latest known record of a group, or the one of a new primary that
+	// is not written to the store yet.
+	CurrentRecord(group string) leadership.Record
 	// Record returns the latest known record of a group.
 	Record(group string) leadership.Record
 	// KnownRecords returns the latest known records by group. The map must not be modified.
@@ -120,6 +135,8 @@
 	// elections holds the elections of each group that this process saw lately, oldest
 	// first, by the name of the group.
 	elections map[string][]sighting
+	// recall is which proxies have told their records in the present era of the store.
+	recall recall
 }
 
 // New returns a controller for the proxy with the given name. The observer is told the
@@ -143,6 +160,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticks.C():
+			ct.enterEra()
 			ct.noteAllElections()
 			for group := range ct.state.Groups() {
 				ct.checkGroup(group)
@@ -162,6 +180,11 @@
 		state = &groupState{}
 		ct.groups[group] = state
 	}
+	if !ct.state.Record(group).WrittenIn(ct.state.Era()) {
+		ct.checkUnconfirmed(group, state)
+		return
+	}
+	state.unconfirmedSince = time.Time{}
 	if diff := ct.updateDiff(group, state, ct.timer.Now()); diff.ShouldRecord() && !state.recording {
 		ct.startRecording(state, "recording of members", func(ctx context.Context) { ct.recordMembers(ctx, group, diff) })
 	}
@@ -191,6 +214,18 @@
 	}
 }
 
+// checkUnconfirmed starts the confirmation of a group's record, which is not written in the present
+// era of the store, if it is this proxy's turn. It keeps the evidence of the primary up to date, on
+// which a change may rest once the record is confirmed. The caller holds the mutex.
+func (ct *Controller) checkUnconfirmed(group string, state *groupState) {
+	if !state.busy {
+		ct.updateEvidence(group, state)
+	}
+	if ct.mayConfirm(group, state, ct.timer.Now()) && !state.recording {
+		ct.startRecording(state, "confirmation of a record", func(ctx context.Context) { ct.confirmRecord(ctx, group) })
+	}
+}
+
 // startRecording starts a task that writes to the open record of a group. No other one may
 // run. The caller holds the mutex.
 func (ct *Controller) startRecording(state *groupState, name string, f func(ctx context.Context)) {
@@ -231,7 +266,7 @@
 	if state.primary != known.Endpoint {
 		*state = groupState{
 			primary: known.Endpoint, primarySince: now, members: state.members, departed: state.departed,
-			diff: state.diff, differsSince: state.differsSince, recording: state.recording,
+			diff: state.diff, differsSince: state.differsSince, recording: state.recording, unconfirmedSince: state.unconfirmedSince,
 		}
 	}
 	state.update(endpoints, group, known.Acknowledged.Position, now)
--- a/internal/host/failover/describe.go
+++ b/internal/host/failover/describe.go
@@ -10,6 +10,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -26,7 +27,7 @@
 }
 
 // logChosen logs which endpoint was chosen, and everything that the choice was made from.
-func (c *change) logChosen(elected policy.Candidate, floor leader.Acknowledged, asked []answer, listRevision uint64) {
+func (c *change) logChosen(elected policy.Candidate, floor leader.Acknowledged, asked []answer, listRevision revision.Revision) {
 	ct := c.controller
 	now := ct.clock.SinceBoot()
 	klog.InfoS("Replica chosen", "Group", c.group, "Endpoint", elected.ID, "Received", elected.Received.String(),
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -10,6 +10,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -67,7 +68,7 @@
 // revision of the store's list. The members are those that the store lists now, after
 // the record was closed, and those that were listed recently. It reads the list anew
 // because a member that this proxy has not seen yet may have acknowledged commits.
-func (c *change) readMembers(ctx context.Context) ([]topology.Endpoint, uint64, error) {
+func (c *change) readMembers(ctx context.Context) ([]topology.Endpoint, revision.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
 	defer cancel()
 	asked := c.controller.clock.SinceBoot()
@@ -115,7 +116,7 @@
 
 // elect returns the endpoint to promote: a replica, or the old primary if no replica's
 // log holds all acknowledged commits. The revision of the store's list is only logged.
-func (c *change) elect(replicas []answer, old answer, listRevision uint64) (topology.Endpoint, error) {
+func (c *change) elect(replicas []answer, old answer, listRevision revision.Revision) (topology.Endpoint, error) {
 	if err := c.checkNotShortened(replicas); err != nil {
 		return topology.Endpoint{}, err
 	}
--- a/internal/host/failover/inform.go
+++ b/internal/host/failover/inform.go
@@ -24,12 +24,14 @@
 	maxListingTime = 500 * time.Millisecond
 )
 
-// Informer tells other proxies that a record was closed.
+// Informer tells other proxies that a record was closed, and asks them for theirs.
 type Informer interface {
 	// CloseRecord tells the proxy at an address that a group's record was closed. It
 	// returns what the proxy knows of the group once that proxy reports no more commits of
 	// the old primary as acknowledged.
 	CloseRecord(ctx context.Context, address string, r heartbeat.Record) (heartbeat.PrimaryReport, error)
+	// ExchangeOnce sends a message to the proxy at an address and returns its answer.
+	ExchangeOnce(ctx context.Context, address string, m heartbeat.Message) (heartbeat.Message, error)
 }
 
 // informProxies tells all other proxies of the closed record, and learns which commits
@@ -40,7 +42,7 @@
 func (c *change) informProxies(ctx context.Context) {
 	ct := c.controller
 	closed := heartbeat.Record{Group: c.group, Revision: c.record.Revision, Value: c.record.Bytes()}
-	proxies, allKnown, err := c.otherProxies(ctx)
+	proxies, allKnown, err := ct.otherProxies(ctx)
 	limited, cancel := context.WithTimeout(ctx, informTimeout)
 	defer cancel()
 	var mutex sync.Mutex
@@ -72,11 +74,11 @@
 
 // otherProxies returns the names of the other proxies that may run, by address, and whether
 // those are all. An error means that the store did not say which are registered.
-func (c *change) otherProxies(ctx context.Context) (names map[string]string, allKnown bool, err error) {
+func (ct *Controller) otherProxies(ctx context.Context) (names map[string]string, allKnown bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
 	defer cancel()
-	names, allKnown = c.controller.state.DepartedProxies()
-	registered, err := c.controller.state.RegisteredProxies(ctx)
+	names, allKnown = ct.state.DepartedProxies()
+	registered, err := ct.state.RegisteredProxies(ctx)
 	maps.Copy(names, registered)
 	return names, allKnown, err
 }
--- a/internal/host/failover/lock.go
+++ b/internal/host/failover/lock.go
@@ -9,6 +9,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
 
@@ -72,7 +73,7 @@
 // removed, so a new fencing token is above the revisions of all known records too: each order
 // was recorded, at a revision above its token, before it was sent.
 func (ct *Controller) withSelf(lock leadership.PromotionLock) leadership.PromotionLock {
-	newest := uint64(0)
+	newest := revision.Revision(0)
 	for _, r := range ct.state.KnownRecords() {
 		newest = max(newest, r.Revision)
 	}
--- a/internal/host/failover/lock_test.go
+++ b/internal/host/failover/lock_test.go
@@ -11,6 +11,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
 
@@ -101,7 +102,7 @@
 	assert.NilError(t, c.closeRecord(context.Background(), leader.State{Endpoint: "m-1", Term: 3}, open))
 	lock, err := leadership.ParsePromotionLock(f.store.puts[1].Value, f.store.revision)
 	assert.NilError(t, err)
-	assert.Assert(t, lock.FencingToken() > newer.Revision, "token %d, after one of at most %d", lock.FencingToken(), newer.Revision)
+	assert.Assert(t, lock.FencingToken() > uint64(newer.Revision), "token %d, after one of at most %d", lock.FencingToken(), newer.Revision)
 }
 
 // TestAnUnansweredOrderKeepsTheLockBusy guards against a lock that is released, without the
@@ -157,7 +158,7 @@
 	assert.Equal(t, len(f.store.puts), 0)
 	f.clock.now += lockCooldown
 	assert.NilError(t, taking())
-	assert.Equal(t, f.store.expected[1].Revision, uint64(9))
+	assert.Equal(t, f.store.expected[1].Revision, revision.Revision(9))
 }
 
 // TestTheTimeToPromoteCountsFromBeforeTheLockWasTaken guards against an order that is sent when
--- a/internal/host/failover/promotion.go
+++ b/internal/host/failover/promotion.go
@@ -164,11 +164,11 @@
 	renewed := ct.withSelf(lock)
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
-	revision, err := ct.write(ctx, &record, &renewed)
+	written, err := ct.write(ctx, &record, &renewed)
 	if err != nil {
 		return err
 	}
-	c.written = record.WithRevision(revision)
+	c.written = record.WithRevision(written)
 	ct.noteOwnElection(c.group, c.written)
 	return nil
 }
--- a/internal/host/failover/promotion_test.go
+++ b/internal/host/failover/promotion_test.go
@@ -12,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
@@ -46,7 +47,7 @@
 // revisionStore is a KeyValue that fails with err, or else raises the revision with each write.
 type revisionStore struct {
 	eelgrassladder.KeyValue
-	revision uint64
+	revision revision.Revision
 	err      error
 	// onApply is called at each write, before it returns; nil for nothing.
 	onApply  func()
@@ -54,7 +55,7 @@
 	puts     []eelgrassladder.Put
 }
 
-func (r *revisionStore) Apply(_ context.Context, expected []eelgrassladder.Expectation, puts []eelgrassladder.Put, _ []string) (uint64, error) {
+func (r *revisionStore) Apply(_ context.Context, expected []eelgrassladder.Expectation, puts []eelgrassladder.Put, _ []string) (revision.Revision, error) {
 	r.expected, r.puts = expected, puts
 	if r.onApply != nil {
 		r.onApply()
@@ -170,7 +171,7 @@
 		assert.Equal(t, f.promoter.orders, 0, name)
 		assert.Equal(t, len(f.store.puts) == 0, f.store.err == nil, "%s: %v", name, f.store.puts)
 		if f.store.err != nil {
-			assert.Equal(t, f.store.expected[0].Revision, uint64(7), name)
+			assert.Equal(t, f.store.expected[0].Revision, revision.Revision(7), name)
 		}
 	}
 }
@@ -226,7 +227,7 @@
 	f.state.record = f.written.WithElected("m-1", 7, false).WithRevision(8)
 	f.store.revision = 8
 	assert.NilError(t, f.orderMember("m-1"))
-	assert.Equal(t, f.store.expected[0].Revision, uint64(8))
+	assert.Equal(t, f.store.expected[0].Revision, revision.Revision(8))
 	assert.Equal(t, f.state.record.Elected, leadership.Election{Endpoint: "m-1", After: 8, Repeated: true, Token: 7})
 }
 
--- a/internal/host/failover/record.go
+++ b/internal/host/failover/record.go
@@ -14,6 +14,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/statement"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
@@ -138,10 +139,12 @@
 // write writes a group's record and the promotion lock to the store, in one transaction,
 // unless the store has another revision of one of them by now. It returns the revision of
 // what it has written, which this process then knows. A nil record or lock is left out.
-func (ct *Controller) write(ctx context.Context, r *leadership.Record, l *leadership.PromotionLock) (uint64, error) {
+func (ct *Controller) write(ctx context.Context, r *leadership.Record, l *leadership.PromotionLock) (revision.Revision, error) {
 	var expected []eelgrassladder.Expectation
 	var puts []eelgrassladder.Put
 	if r != nil {
+		current := r.WithEra(ct.state.Era())
+		r = &current
 		expected = append(expected, eelgrassladder.Expectation{Key: leadership.Key(r.Group), Revision: r.Revision})
 		puts = append(puts, eelgrassladder.Put{Key: leadership.Key(r.Group), Value: r.Bytes()})
 	}
@@ -150,15 +153,18 @@
 		puts = append(puts, eelgrassladder.Put{Key: leadership.PromotionLockKey, Value: l.Bytes()})
 	}
 	asked := ct.clock.SinceBoot()
-	revision, err := ct.store.Apply(ctx, expected, puts, nil)
+	written, err := ct.store.Apply(ctx, expected, puts, nil)
 	if err != nil {
 		return 0, err
 	}
 	if r != nil {
-		ct.state.LearnRecord(r.WithRevision(revision))
+		if written.Era() != r.Era {
+			return 0, errors.Errorf("the record was written in era %d of the store, and says %d", written.Era(), r.Era)
+		}
+		ct.state.LearnRecord(r.WithRevision(written))
 	}
 	if l != nil {
-		ct.state.LearnPromotionLock(l.WithRevision(revision, asked))
+		ct.state.LearnPromotionLock(l.WithRevision(written, asked))
 	}
-	return revision, nil
+	return written, nil
 }
--- a/internal/host/failover/record_test.go
+++ b/internal/host/failover/record_test.go
@@ -13,6 +13,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
@@ -30,6 +31,7 @@
 }
 
 func (f *fakeState) Endpoints() topology.Snapshot    { return f.endpoints }
+func (f *fakeState) Era() uint64                     { return f.record.Era }
 func (f *fakeState) Groups() map[string]bool         { return map[string]bool{"g": true} }
 func (f *fakeState) Proxies() map[string]string      { return nil }
 func (f *fakeState) Record(string) leadership.Record { return f.record }
@@ -46,7 +48,7 @@
 	records []leadership.Record
 }
 
-func (f *fakeStore) Apply(_ context.Context, _ []eelgrassladder.Expectation, puts []eelgrassladder.Put, _ []string) (uint64, error) {
+func (f *fakeStore) Apply(_ context.Context, _ []eelgrassladder.Expectation, puts []eelgrassladder.Put, _ []string) (revision.Revision, error) {
 	for _, put := range puts {
 		if group, ok := leadership.Group(put.Key); ok {
 			record, err := leadership.Parse(group, put.Value, 0)
--- a/internal/host/failover/sighting_test.go
+++ b/internal/host/failover/sighting_test.go
@@ -8,6 +8,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
 )
@@ -57,7 +58,7 @@
 	assert.Assert(t, over)
 	f.controller.endElection(context.Background(), r)
 	assert.Equal(t, f.state.record.Elected, leadership.Election{})
-	assert.Equal(t, f.store.expected[0].Revision, uint64(40))
+	assert.Equal(t, f.store.expected[0].Revision, revision.Revision(40))
 	_, over = f.controller.electionOver("g")
 	assert.Assert(t, !over)
 }
@@ -99,7 +100,7 @@
 	over := leadership.Record{Group: "g", Revision: 40, Endpoint: "m-1", Term: 4}
 	f.state.record = over.WithRevision(41).WithElected("m-2", 5, false)
 	f.controller.endElection(context.Background(), over)
-	assert.Equal(t, f.store.expected[0].Revision, uint64(40))
+	assert.Equal(t, f.store.expected[0].Revision, revision.Revision(40))
 }
 
 // TestEachElectionOfAMemberCountsFromItsOwnTime guards against a repeated order whose doubt ends
--- a/internal/host/failover/state.go
+++ b/internal/host/failover/state.go
@@ -53,6 +53,9 @@
 	diff         policy.MemberDiff
 	differsSince time.Time
 	recording    bool
+	// unconfirmedSince is since when the group's record has not been written in the present era
+	// of the store; zero if it is.
+	unconfirmedSince time.Time
 	// outpacedRejectedAt is when a change for the reason Outpaced last could not begin;
 	// zero for never.
 	outpacedRejectedAt time.Time
--- a/internal/host/failover/suspension.go
+++ b/internal/host/failover/suspension.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
@@ -18,7 +19,7 @@
 	// term is the term for which they are suspended.
 	term uint64
 	// listRevision is the revision of the store's list of members.
-	listRevision uint64
+	listRevision revision.Revision
 	// leading is the answer of a member that leads a later term than the old primary; nil
 	// for none. The members are not suspended then.
 	leading *answer
--- a/internal/host/gossip/gossip_test.go
+++ b/internal/host/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -84,36 +85,36 @@
 	sender, partner := newFakeProxy(1), newFakeProxy(1)
 	sender.partner = partner
 	exchange := func() { sender.gossip.exchange(context.Background()) }
-	change := func(p *fakeProxy, group string, revision uint64) {
-		p.records[group] = recordOf(group, revision)
+	change := func(p *fakeProxy, group string, written revision.Revision) {
+		p.records[group] = recordOf(group, written)
 	}
 
 	change(sender, "a", 5)
 	exchange()
-	assert.Equal(t, partner.records["a"].Revision, uint64(5), "the answering proxy has the sender's record")
+	assert.Equal(t, partner.records["a"].Revision, revision.Revision(5), "the answering proxy has the sender's record")
 	exchange()
 	assert.Equal(t, len(sender.sent.Records)+len(sender.answer.Records), 0, "both have the same records")
 
 	change(partner, "b", 6)
 	exchange()
-	assert.Equal(t, sender.records["b"].Revision, uint64(6), "the sender has the answering proxy's record")
+	assert.Equal(t, sender.records["b"].Revision, revision.Revision(6), "the sender has the answering proxy's record")
 	exchange()
 	assert.Equal(t, len(sender.sent.Records)+len(sender.answer.Records), 0)
 
 	change(sender, "a", 7)
 	exchange()
-	assert.Equal(t, partner.records["a"].Revision, uint64(7))
+	assert.Equal(t, partner.records["a"].Revision, revision.Revision(7))
 	change(partner, "b", 8)
 	change(sender, "b", 9)
 	exchange()
 	exchange()
-	assert.Equal(t, partner.records["b"].Revision, uint64(9), "the later record stays")
-	assert.Equal(t, sender.records["b"].Revision, uint64(9))
+	assert.Equal(t, partner.records["b"].Revision, revision.Revision(9), "the later record stays")
+	assert.Equal(t, sender.records["b"].Revision, revision.Revision(9))
 }
 
 // recordOf returns a record of a group.
-func recordOf(group string, revision uint64) heartbeat.Record {
-	return heartbeat.Record{Group: group, Revision: revision, Value: []byte("{}")}
+func recordOf(group string, written revision.Revision) heartbeat.Record {
+	return heartbeat.Record{Group: group, Revision: written, Value: []byte("{}")}
 }
 
 // TestAnAnswerReportsAtMostMaxReportsGroups guards against answers that grow with the
--- a/internal/host/gossip/record_test.go
+++ b/internal/host/gossip/record_test.go
@@ -8,6 +8,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 func TestTheAgeOfARecordIsReportedAndCountsFromWhenItWasAskedFor(t *testing.T) {
@@ -15,7 +16,7 @@
 	r, _ := report("g", known, time.Hour)
 	assert.Assert(t, r.RecordAge < 0, "the age of a record is reported that is not known")
 	r, _ = report("g", known.WithRecordOpen(time.Hour-time.Second), time.Hour)
-	assert.Equal(t, r.RecordRevision, uint64(4))
+	assert.Equal(t, r.RecordRevision, revision.Revision(4))
 	assert.Equal(t, r.RecordAge, time.Second)
 
 	const sent = 2 * time.Hour // by the receiver's clock
--- a/internal/host/metrics/node.go
+++ b/internal/host/metrics/node.go
@@ -47,6 +47,8 @@
 	refused *prometheus.CounterVec
 	// olderRecords counts the records that were applied after a newer one.
 	olderRecords prometheus.Counter
+	// era is the newest known era of the platform's store.
+	era prometheus.Gauge
 	// quotaOperations counts the operations of limited teams by Result, and quotaLoans the
 	// requests for tokens by Side and Result.
 	quotaOperations, quotaLoans *prometheus.CounterVec
@@ -90,6 +92,9 @@
 		olderRecords: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "eelgrassladder_node_older_records_total", Help: "Records of primaries that were applied after a newer one.",
 		}),
+		era: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "eelgrassladder_node_store_era", Help: "Newest known era of the platform's store; 0 if it names none.",
+		}),
 		quotaOperations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "eelgrassladder_quota_operations_total", Help: "Operations of teams with a limit.",
 		}, []string{"Result"}),
@@ -106,7 +111,7 @@
 			Name: "eelgrassladder_node_opening_seconds_total", Help: "Time that the attempts to open a connection took.",
 		}, []string{"Endpoint"}),
 	}
-	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords, n.refused, n.delegated, n.quotaOperations, n.quotaLoans, n.openings, n.openingSeconds)
+	n.Registry.MustRegister(n.PlatformCalls, n.UnexpectedAnswers, n.requests, n.latency, n.tries, n.reads, n.changes, n.unconfirmed, n.olderRecords, n.era, n.refused, n.delegated, n.quotaOperations, n.quotaLoans, n.openings, n.openingSeconds)
 	return n
 }
 
@@ -182,6 +187,9 @@
 // OlderRecordApplied records that a record was applied after a newer one of its group.
 func (n *Node) OlderRecordApplied() { n.olderRecords.Inc() }
 
+// EraLearned exports the newest known era of the store.
+func (n *Node) EraLearned(era uint64) { n.era.Set(float64(era)) }
+
 // RegisterGauges registers gauges for the version of the routes, the client
 // connections, the bytes that clients hold, and the known primaries by group. The functions are called at each
 // scrape. Like the times in leader.State, now is a time since boot.
--- a/internal/host/node/fleetrecord_test.go
+++ b/internal/host/node/fleetrecord_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/era"
 	"eelgrassladder.example/eelgrassladder/internal/model/fleetrecord"
 )
 
@@ -20,7 +21,7 @@
 // for its own alone, or that runs no operation until all others have registered.
 func TestProxiesThatStartAgainKnowHowManyTheyAre(t *testing.T) {
 	c := &movedClock{now: time.Hour}
-	s := newClusterState("proxy-1", nil, c)
+	s := newClusterState("proxy-1", nil, c, era.New())
 	changes := 0
 	s.onChange = func() { changes++ }
 	recorded := fleetrecord.Record{}.With(map[string]string{"proxy-1": "10.1.0.1:1", "proxy-2": "10.1.0.2:1", "proxy-3": "10.1.0.3:1"})
@@ -38,7 +39,7 @@
 // lost for good, and against a proxy that forgets others which still run, cut off from the store.
 func TestAProxyThatIsGoneLeavesTheRecordAfterItsRetention(t *testing.T) {
 	c := &movedClock{now: time.Hour}
-	s := newClusterState("proxy-1", nil, c)
+	s := newClusterState("proxy-1", nil, c, era.New())
 	both := fleetrecord.Record{}.With(map[string]string{"proxy-1": "10.1.0.1:1", "proxy-2": "10.1.0.2:1"})
 	r, err := fleetrecord.Parse(both.Bytes(), 9)
 	assert.NilError(t, err)
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -13,6 +13,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/model/fleetrecord"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
@@ -49,11 +50,11 @@
 }
 
 // Reset applies all items of the store, as read at a revision or later.
-func (f *follower) Reset(items []eelgrassladder.Item, revision uint64) {
+func (f *follower) Reset(items []eelgrassladder.Item, read revision.Revision) {
 	f.proxies, f.dataCentres = map[string]string{}, map[string]string{}
 	f.applyAll(topology.New(), items)
 	if !slices.ContainsFunc(items, func(i eelgrassladder.Item) bool { return i.Key == leadership.PromotionLockKey }) {
-		f.node.state.LearnPromotionLock(leadership.RemovedPromotionLock(revision))
+		f.node.state.LearnPromotionLock(leadership.RemovedPromotionLock(read))
 	}
 	if !f.node.storeRead.Swap(true) && (f.node.state.WasRegistered() || f.node.state.inFleetRecord()) {
 		// The other proxies count this one since an earlier process with its name.
@@ -82,13 +83,14 @@
 	f.applyEndpoints(endpoints)
 }
 
-// Confirmed records that the primaries whose records are open were not being replaced
-// when the store was asked.
+// Confirmed records that the primaries whose records are open, and written in the present era of
+// the store, were not being replaced when the store was asked.
 func (f *follower) Confirmed(asked time.Duration) {
 	n := f.node
-	revisions := map[string]uint64{}
+	revisions := map[string]revision.Revision{}
+	era := n.state.Era()
 	for group := range n.state.Groups() {
-		if r := n.state.Record(group); !r.Closed {
+		if r := n.state.Record(group); !r.Closed && r.WrittenIn(era) {
 			revisions[group] = r.Revision
 		}
 	}
@@ -160,6 +162,11 @@
 	if name == f.node.settings.Name {
 		f.node.noteRegistration(registered, gone)
 	}
+	f.applyProxies()
+}
+
+// applyProxies makes the registered proxies the current ones.
+func (f *follower) applyProxies() {
 	others := maps.Clone(f.proxies)
 	delete(others, f.node.settings.Name)
 	f.node.state.setDataCentres(maps.Clone(f.dataCentres))
--- a/internal/host/node/follower_test.go
+++ b/internal/host/node/follower_test.go
@@ -12,9 +12,11 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/clock"
+	"eelgrassladder.example/eelgrassladder/internal/host/era"
 	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/table/lockrank"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
@@ -29,17 +31,17 @@
 
 // newTestNode returns a node with nothing but a cluster state and a table.
 func newTestNode(c eelgrassladder.Clock) *Node {
-	n := &Node{dependencies: Dependencies{Clock: c}, state: newClusterState("c-1", nil, c), table: scheduler.New(timer.New(), c, "east")}
+	n := &Node{dependencies: Dependencies{Clock: c}, state: newClusterState("c-1", nil, c, era.New()), table: scheduler.New(timer.New(), c, "east")}
 	n.state.onRecord = n.updateLeader
 	return n
 }
 
-// recordAt returns the record of a revision. The record is closed at even revisions, and
+// recordAt returns the record of a revision. The record is closed at even numbers, and
 // open at odd ones for the primary of the term that follows from the revision.
-func recordAt(revision uint64) leadership.Record {
-	term := (revision + 1) / 2
-	r := leadership.Record{Group: testGroup, Revision: revision}.WithPrimary("member-"+strconv.FormatUint(term, 10), term)
-	if revision%2 == 0 {
+func recordAt(number uint64) leadership.Record {
+	term := (number + 1) / 2
+	r := leadership.Record{Group: testGroup, Revision: revision.Revision(number)}.WithPrimary("member-"+strconv.FormatUint(term, 10), term)
+	if number%2 == 0 {
 		return r.WithClosed("c-2")
 	}
 	return r
@@ -89,8 +91,8 @@
 	for range goroutines {
 		g.GoIsolated("source of records", func(context.Context) {
 			seen := uint64(0)
-			for revision := next.Add(1); revision <= last; revision = next.Add(1) {
-				n.state.LearnRecord(recordAt(revision))
+			for number := next.Add(1); number <= last; number = next.Add(1) {
+				n.state.LearnRecord(recordAt(number))
 				l := n.table.Leader(testGroup)
 				assert.Check(t, l.Term >= seen, "the table went back from term %d to %d", seen, l.Term)
 				seen = l.Term
@@ -120,7 +122,7 @@
 		learned := 0
 		n.state.onRecord = func(string) {
 			learned++
-			assert.Equal(t, n.state.PromotionLock().Revision, uint64(0), name)
+			assert.Equal(t, n.state.PromotionLock().Revision, revision.Revision(0), name)
 		}
 		record := recordAt(2).WithElected("member-2", 9, false)
 		apply(newFollower(n), []eelgrassladder.Item{
@@ -128,7 +130,7 @@
 			{Key: leadership.Key(testGroup), Value: record.Bytes(), Revision: 12},
 		})
 		assert.Equal(t, learned, 1, name)
-		assert.Equal(t, n.state.PromotionLock().Revision, uint64(12), name)
+		assert.Equal(t, n.state.PromotionLock().Revision, revision.Revision(12), name)
 	}
 }
 
@@ -146,10 +148,10 @@
 		n.state.LearnPromotionLock(leadership.PromotionLock{Revision: 12, Holder: "c-2", Busy: true, Token: 9})
 		remove(newFollower(n))
 		lock := n.state.PromotionLock()
-		assert.Equal(t, lock.Expected(), uint64(0), name)
+		assert.Equal(t, lock.Expected(), revision.Revision(0), name)
 		assert.Equal(t, lock.WithHolder("c-1", 0).FencingToken(), uint64(21), name)
 		n.state.LearnPromotionLock(leadership.PromotionLock{}.WithRevision(25, 0))
-		assert.Equal(t, n.state.PromotionLock().Expected(), uint64(25), name)
+		assert.Equal(t, n.state.PromotionLock().Expected(), revision.Revision(25), name)
 	}
 }
 
@@ -160,5 +162,5 @@
 	n.dependencies.Registry = keysRegistry{}
 	n.state.LearnPromotionLock(leadership.PromotionLock{Revision: 21, Holder: "c-2", Token: 20})
 	newFollower(n).Reset(nil, 20)
-	assert.Equal(t, n.state.PromotionLock().Expected(), uint64(21))
+	assert.Equal(t, n.state.PromotionLock().Expected(), revision.Revision(21))
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -88,12 +88,16 @@
 	CommitsUnconfirmed(commits int)
 	// OlderRecordApplied counts a record that was applied after a newer one of its group.
 	OlderRecordApplied()
+	// EraLearned exports the newest known era of the store.
+	EraLearned(era uint64)
 }
 
 // Dependencies are the implementations of interfaces, and the handlers, that the process
 // uses.
 type Dependencies struct {
-	Store       eelgrassladder.KeyValue
+	Store eelgrassladder.KeyValue
+	// Eras knows the era of the store.
+	Eras        eelgrassladder.Eras
 	Promoter    eelgrassladder.Promoter
 	Connector   eelgrassladder.Connector
 	Registry    Registry
@@ -160,7 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{listeners: opened, settings: s, dependencies: d, timer: timer.New(), tasks: task.New(context.Background()), state: newClusterState(s.Name, d.Registry, d.Clock)}
+	n := &Node{listeners: opened, settings: s, dependencies: d, timer: timer.New(), tasks: task.New(context.Background()), state: newClusterState(s.Name, d.Registry, d.Clock, d.Eras)}
 	n.table = scheduler.New(n.timer, d.Clock, s.DataCentre)
 	dialer := control.NewDialer(n.timer, n.table, d.Connector)
 	reader := storeReader{clusterState: n.state, store: d.Store}
@@ -175,6 +179,7 @@
 	n.gateway = gateway.New(n.timer, d.Clock, n.table, d.Connector, n.state, n.prober, d.Observer, n.tasks, gateway.WithQuotas(n.quotas), gateway.WithDelegator(s.Name, delegator))
 	n.delegations = delegation.NewServer(n.gateway, n.state, n.timer, n.tasks, d.Instruments)
 	n.gateway.OnSweep(n.delegations.Sweep)
+	d.Eras.OnRise(n.enterEra)
 	n.state.onRecord = n.updateLeader
 	n.state.onChange = n.quotas.Refresh
 	n.controller = failover.New(s.Name, n.timer, d.Clock, n.table, dialer, d.Store, d.Promoter, sibling.NewClient(), reader, n.tasks, d.Instruments)
--- a/internal/host/node/proxies_test.go
+++ b/internal/host/node/proxies_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/era"
 	"eelgrassladder.example/eelgrassladder/internal/host/quota"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
@@ -22,7 +23,7 @@
 // not wait for a proxy which is cut off from the store and still reports commits.
 func TestAProxyWhoseRegistrationEndedMayStillRun(t *testing.T) {
 	c := &steppedClock{now: time.Hour}
-	s := newClusterState("self", nil, c)
+	s := newClusterState("self", nil, c, era.New())
 	s.setProxies(map[string]string{"p": "10.0.0.1:1", "q": "10.0.0.2:1"})
 	_, allKnown := s.DepartedProxies()
 	assert.Assert(t, !allKnown, "proxies may have departed before this one had the list")
@@ -44,7 +45,7 @@
 // from the store being produced by others too.
 func TestAProxyWhoseRegistrationEndedStillLends(t *testing.T) {
 	c := &steppedClock{now: time.Hour}
-	s := newClusterState("self", nil, c)
+	s := newClusterState("self", nil, c, era.New())
 	changes := 0
 	s.onChange = func() { changes++ }
 	s.setProxies(map[string]string{"p": "10.0.0.1:1", "q": "10.0.0.2:1"})
@@ -86,7 +87,7 @@
 	}{{"found", true, 0}, {"not found", false, 3*time.Second + announceTime}} {
 		now := &steppedClock{now: time.Hour}
 		q := &countingQuotas{}
-		n := &Node{listeners: listeners{siblings: l}, dependencies: Dependencies{Clock: now, Registry: noEntries{}}, quotas: q, state: newClusterState("self", nil, now), table: scheduler.New(timer.New(), now, "east")}
+		n := &Node{listeners: listeners{siblings: l}, dependencies: Dependencies{Clock: now, Registry: noEntries{}}, quotas: q, state: newClusterState("self", nil, now, era.New()), table: scheduler.New(timer.New(), now, "east")}
 		n.settings.Name = "self"
 		var items []eelgrassladder.Item
 		if c.found {
--- a/internal/host/node/reader.go
+++ b/internal/host/node/reader.go
@@ -6,6 +6,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
@@ -39,9 +40,31 @@
 	return records, nil
 }
 
+// StoredRevision returns the revision of a group's record in the store, in the era of the store,
+// whenever it was written; zero if the store has none. It also returns the era. The answer is not
+// older than the call.
+func (r storeReader) StoredRevision(ctx context.Context, group string) (stored revision.Revision, era uint64, err error) {
+	key := leadership.Key(group)
+	items, read, err := r.store.Range(ctx, key)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, i := range items {
+		if i.Key != key {
+			continue // a group whose name begins with that of this one
+		}
+		stored = i.Revision
+		// The follower logs a record that cannot be decoded.
+		if record, err := leadership.Parse(group, i.Value, i.Revision); err == nil {
+			r.LearnRecord(record)
+		}
+	}
+	return stored, read.Era(), nil
+}
+
 // Members returns the members of a group that the store lists, and the store's
 // revision. The answer is not older than the call.
-func (r storeReader) Members(ctx context.Context, group string) ([]topology.Endpoint, uint64, error) {
+func (r storeReader) Members(ctx context.Context, group string) ([]topology.Endpoint, revision.Revision, error) {
 	_, prefix := r.registry.Keys()
 	items, revision, err := r.store.Range(ctx, prefix)
 	if err != nil {
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -125,6 +125,11 @@
 	return nil
 }
 
+// enterEra exports the newest era of the store.
+func (n *Node) enterEra(era uint64) {
+	n.dependencies.Instruments.EraLearned(era)
+}
+
 // renew renews the lease of the registration. It registers the proxy anew if the
 // lease has ended or the store no longer has the entry.
 func (n *Node) renew(ctx context.Context) error {
--- a/internal/host/node/replaced_test.go
+++ b/internal/host/node/replaced_test.go
@@ -6,10 +6,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"eelgrassladder.example/eelgrassladder/internal/host/era"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/table/scheduler"
 )
 
@@ -26,11 +28,12 @@
 
 func (c *countingInstruments) CommitsUnconfirmed(commits int) { c.unconfirmed += commits }
 func (c *countingInstruments) OlderRecordApplied()            { c.older++ }
+func (c *countingInstruments) EraLearned(uint64)              {}
 
 // newRecordNode returns a node that applies records to its table, and its counts.
 func newRecordNode() (*Node, *countingInstruments) {
 	counts := &countingInstruments{}
-	n := &Node{dependencies: Dependencies{Clock: fixedClock{}, Instruments: counts}, state: newClusterState("self", nil, fixedClock{})}
+	n := &Node{dependencies: Dependencies{Clock: fixedClock{}, Instruments: counts}, state: newClusterState("self", nil, fixedClock{}, era.New())}
 	n.table = scheduler.New(timer.NewManual(time.Unix(1000, 0)), fixedClock{}, "here")
 	n.state.onRecord = n.updateLeader
 	return n, counts
@@ -63,10 +66,10 @@
 		})
 	}
 	commit()
-	n.table.ConfirmRecords(map[string]uint64{"g": 4}, time.Hour+1)
+	n.table.ConfirmRecords(map[string]revision.Revision{"g": 4}, time.Hour+1)
 	commit()
 	commit()
-	n.table.ConfirmRecords(map[string]uint64{"g": 3}, time.Hour+2)
+	n.table.ConfirmRecords(map[string]revision.Revision{"g": 3}, time.Hour+2)
 	closed := opened.WithClosed("other").WithRevision(5)
 	n.state.LearnRecord(closed)
 	assert.Equal(t, counts.unconfirmed, 2, "commits before the record was known to be open count, or a record that was not applied")
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -87,13 +87,14 @@
 	name     string
 	registry Registry
 	clock    eelgrassladder.Clock
+	eras     eelgrassladder.Eras
 }
 
 // newClusterState returns a state without routes and endpoints.
-func newClusterState(name string, r Registry, c eelgrassladder.Clock) *clusterState {
+func newClusterState(name string, r Registry, c eelgrassladder.Clock, eras eelgrassladder.Eras) *clusterState {
 	s := &clusterState{
 		routesKnown: make(chan struct{}), mutex: lockrank.New(lockrank.Cluster), onRecord: func(string) {}, onChange: func() {},
-		name: name, registry: r, clock: c,
+		name: name, registry: r, clock: c, eras: eras,
 	}
 	s.routes.Store(&route.Table{})
 	s.endpoints.Store(&topology.Snapshot{})
@@ -291,9 +292,12 @@
 func (s *clusterState) Message() heartbeat.Message {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.message.WithSender(s.name, s.routes.Load().Version)
+	return s.message.WithSender(s.name, s.routes.Load().Version).WithEra(s.eras.Current())
 }
 
+// Era returns the newest known era of the store; zero if the store names none.
+func (s *clusterState) Era() uint64 { return s.eras.Current() }
+
 // buildMessage replaces the message for other proxies by one with the present records.
 // The caller holds the mutex.
 func (s *clusterState) buildMessage() {
@@ -307,9 +311,14 @@
 	s.message = heartbeat.Message{}.WithRecords(records)
 }
 
-// Receive adopts the configuration and the records in a message from another proxy, if
+// Receive adopts the era, the configuration and the records in a message from another proxy, if
 // they are newer.
 func (s *clusterState) Receive(m heartbeat.Message) {
+	newest := m.Era
+	for _, encoded := range m.Records {
+		newest = max(newest, encoded.Revision.Era())
+	}
+	s.eras.Learn(newest, m.Sender)
 	if len(m.Configuration) > 0 {
 		key, _ := s.registry.Keys()
 		s.setRoutes(eelgrassladder.Item{Key: key, Value: m.Configuration, Revision: m.Revision}, m.Sender, 0)
--- a/internal/host/proof/proof.go
+++ b/internal/host/proof/proof.go
@@ -59,6 +59,8 @@
 	Records(ctx context.Context) (map[string]leadership.Record, error)
 	// Record returns the latest known record of a group.
 	Record(group string) leadership.Record
+	// Era returns the newest known era of the store; zero if the store names none.
+	Era() uint64
 	// Groups returns the names of the groups that at least one route uses.
 	Groups() map[string]bool
 	// Proxies returns the addresses of the other proxies by name.
@@ -103,8 +105,9 @@
 	}
 }
 
-// KeepAlive prolongs the valid proofs of all groups until ctx ends, while reads of the
-// records fail: without the store, a proof that has expired cannot be renewed.
+// KeepAlive prolongs the valid proofs of groups until ctx ends, while reads of the records fail
+// or the record of the group is of a former era of the store: without the store, a proof that has
+// expired cannot be renewed.
 func (p *Prober) KeepAlive(ctx context.Context) error {
 	ticks := p.timer.Subscribe(keepAliveInterval)
 	defer ticks.Stop()
@@ -114,11 +117,11 @@
 			return ctx.Err()
 		case <-ticks.C():
 		}
-		if !p.storeFailed() {
-			continue
-		}
-		now := p.clock.SinceBoot()
+		now, era, failed := p.clock.SinceBoot(), p.records.Era(), p.storeFailed()
 		for group := range p.records.Groups() {
+			if !failed && p.records.Record(group).WrittenIn(era) {
+				continue
+			}
 			if l := p.table.Leader(group); l.ProvenAt(now) && l.ProofExpiring(now) {
 				p.Probe(group)
 			}
@@ -267,9 +270,10 @@
 		klog.V(1).InfoS("Could not read the records of primaries", "Error", err.Error())
 		return false
 	}
+	era := p.records.Era()
 	for name := range p.records.Groups() {
 		p.table.UpdateLeader(name, func(l leader.State) leader.State {
-			if l.Term == 0 || !l.Open() || !records[name].Proves(l.Endpoint, l.Term) {
+			if l.Term == 0 || !l.Open() || !records[name].Proves(l.Endpoint, l.Term, era) {
 				return l
 			}
 			return l.WithProof(asked).WithRecordOpen(asked)
--- a/internal/host/proof/proof_test.go
+++ b/internal/host/proof/proof_test.go
@@ -53,6 +53,8 @@
 	return leadership.Record{Group: group}
 }
 
+func (unavailableRecords) Era() uint64 { return 0 }
+
 func (unavailableRecords) Proxies() map[string]string { return nil }
 
 func (unavailableRecords) WasRegistered() bool { return true }
--- a/internal/host/watch/confirmed_test.go
+++ b/internal/host/watch/confirmed_test.go
@@ -10,6 +10,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 )
 
@@ -23,12 +24,12 @@
 
 func (s *slowStore) SinceBoot() time.Duration { return s.now }
 
-func (s *slowStore) Range(context.Context, string) ([]eelgrassladder.Item, uint64, error) {
+func (s *slowStore) Range(context.Context, string) ([]eelgrassladder.Item, revision.Revision, error) {
 	s.now += time.Second
 	return s.items, 7, s.err
 }
 
-func (s *slowStore) Watch(context.Context, string, uint64, time.Duration) ([]eelgrassladder.Item, uint64, error) {
+func (s *slowStore) Watch(context.Context, string, revision.Revision, time.Duration) ([]eelgrassladder.Item, revision.Revision, error) {
 	s.now += time.Second
 	return s.items, 7, s.err
 }
@@ -38,11 +39,13 @@
 	calls []string
 }
 
-func (r *recorder) Reset([]eelgrassladder.Item, uint64) { r.calls = append(r.calls, "Reset") }
-func (r *recorder) Changed([]eelgrassladder.Item)       { r.calls = append(r.calls, "Changed") }
-func (r *recorder) Confirmed(asked time.Duration)       { r.calls = append(r.calls, asked.String()) }
-func (r *recorder) Disconnected(error)                  {}
-func (r *recorder) Reconnected()                        {}
+func (r *recorder) Reset([]eelgrassladder.Item, revision.Revision) {
+	r.calls = append(r.calls, "Reset")
+}
+func (r *recorder) Changed([]eelgrassladder.Item) { r.calls = append(r.calls, "Changed") }
+func (r *recorder) Confirmed(asked time.Duration) { r.calls = append(r.calls, asked.String()) }
+func (r *recorder) Disconnected(error)            {}
+func (r *recorder) Reconnected()                  {}
 
 // TestAnAnswerConfirmsWhatWasKnownWhenItsCallWasSent guards against knowledge that counts
 // from when an answer came: a change may have been made while it was under way.
--- a/internal/host/watch/watch.go
+++ b/internal/host/watch/watch.go
@@ -12,6 +12,7 @@
 
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/policy/sharing"
 )
 
@@ -49,7 +50,7 @@
 type Sink interface {
 	// Reset receives all items with the prefix, as read at a revision of the store or later.
 	// Items that it does not receive are gone.
-	Reset(items []eelgrassladder.Item, revision uint64)
+	Reset(items []eelgrassladder.Item, read revision.Revision)
 	// Changed receives the items that have changed.
 	Changed(items []eelgrassladder.Item)
 	// Confirmed is called after each answer of the store, once its items were passed on:
@@ -72,7 +73,7 @@
 	fleet func() sharing.Fleet
 	// revision is the revision after which the next watch begins; zero before the
 	// first read.
-	revision uint64
+	revision revision.Revision
 	// failures counts the failed calls since the last answer.
 	failures int
 }
--- a/internal/lab/soak/harsh.go
+++ b/internal/lab/soak/harsh.go
@@ -14,6 +14,7 @@
 	"eelgrassladder.example/eelgrassladder/internal/lab/member"
 	"eelgrassladder.example/eelgrassladder/internal/lab/relay"
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // drawing draws a fault without its times.
@@ -313,8 +314,8 @@
 // lockHolder returns the process of the proxy that holds the promotion lock, or held it last;
 // nil if no proxy ever did.
 func (r *runner) lockHolder() *process {
-	value, revision := r.testbed.Store.Value(leadership.PromotionLockKey)
-	lock, err := leadership.ParsePromotionLock(value, revision)
+	value, number := r.testbed.Store.Value(leadership.PromotionLockKey)
+	lock, err := leadership.ParsePromotionLock(value, revision.Revision(number))
 	if err != nil {
 		return nil
 	}
--- a/internal/model/fleetrecord/fleetrecord.go
+++ b/internal/model/fleetrecord/fleetrecord.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // Key is the store's key of the record.
@@ -17,19 +19,19 @@
 // Record is the set of the proxies that share the limits of teams. It is immutable.
 type Record struct {
 	// Revision is the store's revision of the record; zero if the store has none.
-	Revision uint64
+	Revision revision.Revision
 	// addresses holds where each proxy is reached by others, by name. It is never modified.
 	addresses map[string]string
 }
 
 // Parse decodes the value of the store's key at a revision. It has a line NAME ADDRESS for
 // each proxy.
-func Parse(value []byte, revision uint64) (Record, error) {
-	r := Record{Revision: revision, addresses: map[string]string{}}
+func Parse(value []byte, written revision.Revision) (Record, error) {
+	r := Record{Revision: written, addresses: map[string]string{}}
 	for line := range strings.Lines(string(value)) {
 		name, address, ok := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
 		if !ok || name == "" || address == "" {
-			return Record{Revision: revision}, errors.Errorf("line %.80q of the record of proxies is not a name and an address", line)
+			return Record{Revision: written}, errors.Errorf("line %.80q of the record of proxies is not a name and an address", line)
 		}
 		r.addresses[name] = address
 	}
--- a/internal/model/fleetrecord/fleetrecord_test.go
+++ b/internal/model/fleetrecord/fleetrecord_test.go
@@ -6,13 +6,14 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/fleetrecord"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 func TestARecordIsDecodedAsItWasEncoded(t *testing.T) {
 	r := fleetrecord.Record{}.With(map[string]string{"proxy-1": "10.1.0.8:7440", "proxy-2": "10.1.0.9:7440"})
 	read, err := fleetrecord.Parse(r.Bytes(), 7)
 	assert.NilError(t, err)
-	assert.Equal(t, read.Revision, uint64(7))
+	assert.Equal(t, read.Revision, revision.Revision(7))
 	assert.Assert(t, read.SameProxies(r) && read.Holds("proxy-2") && !read.Holds("proxy-3"))
 	changed := read.With(map[string]string{"proxy-3": "10.1.0.7:7440"}).WithOnly(map[string]string{"proxy-3": "10.1.0.7:7440"})
 	assert.Equal(t, len(changed.Addresses()), 1)
--- a/internal/model/heartbeat/heartbeat.go
+++ b/internal/model/heartbeat/heartbeat.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // Message is one heartbeat. It is immutable.
@@ -20,7 +21,7 @@
 	// the receiver is known to have a lower version.
 	Configuration []byte
 	// Revision is the store's revision of the configuration.
-	Revision uint64
+	Revision revision.Revision
 	// Primaries holds what the sender knows of the groups' primaries.
 	Primaries []PrimaryReport
 	// Digest is the digest of all records of the sender. Proxies with equal digests have
@@ -28,6 +29,9 @@
 	Digest uint64
 	// Records holds all records of the sender, or none if the receiver has the same.
 	Records []Record
+	// Era is the newest era of the store that the sender knows; zero if the store names none.
+	// The sender has adopted no record of a former era from the store since it learned of it.
+	Era uint64
 }
 
 // PrimaryReport is what a proxy knows of one group's primary. It is immutable.
@@ -52,7 +56,7 @@
 	AcknowledgedAge time.Duration
 	// RecordRevision is the store's revision of the group's record if that is open; zero
 	// if the group has none.
-	RecordRevision uint64
+	RecordRevision revision.Revision
 	// RecordAge is how long ago that record, or its absence, was last known to be the
 	// newest state in the store; negative if the sender does not know.
 	RecordAge time.Duration
@@ -62,8 +66,8 @@
 type Record struct {
 	// Group is the name of the group.
 	Group string
-	// Revision is the store's revision of the record.
-	Revision uint64
+	// Revision is the store's revision of the record, in the era in which it was written.
+	Revision revision.Revision
 	// Value is the record as it is written to the store.
 	Value []byte
 	// Unwritten is true if Value is the record of a new primary that is not written to
@@ -103,9 +107,15 @@
 	return sum
 }
 
+// WithEra returns the message with the newest era of the store that its sender knows.
+func (m Message) WithEra(era uint64) Message {
+	m.Era = era
+	return m
+}
+
 // WithConfiguration returns the message with the text and the store's revision of its
 // configuration.
-func (m Message) WithConfiguration(text []byte, revision uint64) Message {
-	m.Configuration, m.Revision = text, revision
+func (m Message) WithConfiguration(text []byte, written revision.Revision) Message {
+	m.Configuration, m.Revision = text, written
 	return m
 }
--- a/internal/model/leader/recorded.go
+++ b/internal/model/leader/recorded.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // Recorded is what a proxy knows of a group's record in the store, and which commits
@@ -11,7 +12,7 @@
 type Recorded struct {
 	// Revision is the store's revision of the record that was applied last; zero for
 	// none.
-	Revision uint64
+	Revision revision.Revision
 	// OpenAt is the latest boot time at which the record, if it is open, is known to have
 	// been the newest: this proxy, or one that has told it, then sent a call to the store
 	// that returned no newer one. Any record that replaces it was written later. Zero if
@@ -43,16 +44,16 @@
 // RecordPrecedes reports whether a record is older than the one that was applied last. A
 // closed record precedes the open one that replaces it before the store has it; both
 // have the same revision.
-func (s State) RecordPrecedes(revision uint64, closed bool) bool {
-	if revision == s.Recorded.Revision {
-		return revision > 0 && closed && !s.Closed
+func (s State) RecordPrecedes(other revision.Revision, closed bool) bool {
+	if other == s.Recorded.Revision {
+		return other > 0 && closed && !s.Closed
 	}
-	return revision < s.Recorded.Revision
+	return other < s.Recorded.Revision
 }
 
 // WithRevision returns the state with the revision of the record that is applied now.
-func (s State) WithRevision(revision uint64) State {
-	s.Recorded.Revision = revision
+func (s State) WithRevision(applied revision.Revision) State {
+	s.Recorded.Revision = applied
 	return s
 }
 
--- a/internal/model/leader/recorded_test.go
+++ b/internal/model/leader/recorded_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 func TestTheAgeOfARecordCountsFromWhenItWasLastKnownToBeOpen(t *testing.T) {
@@ -47,7 +48,7 @@
 	for _, c := range []struct {
 		name     string
 		state    leader.State
-		revision uint64
+		revision revision.Revision
 		closed   bool
 		want     bool
 	}{
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
@@ -25,8 +26,9 @@
 type Record struct {
 	// Group is the name of the group; it is part of the key.
 	Group string `json:"-"`
-	// Revision is the store's revision of the record; zero if the group has none.
-	Revision uint64 `json:"-"`
+	// Revision is the store's revision of the record, in the era in which it was written;
+	// zero if the group has none.
+	Revision revision.Revision `json:"-"`
 	// Endpoint is the ID of the primary, or of the one that is being replaced; empty
 	// if none was known.
 	Endpoint string
@@ -50,6 +52,9 @@
 	// Elected is the member whose promotion was ordered, or is about to be, and an order
 	// for which may still be executed; zero for none.
 	Elected Election `json:",omitzero"`
+	// Era is the era of the store in which the record was written; zero if the store names
+	// none, or if a proxy of an earlier build wrote the record. See WrittenIn.
+	Era uint64 `json:",omitempty"`
 }
 
 // Election names the member that a change of primary orders to promote. It is immutable.
@@ -58,7 +63,7 @@
 	Endpoint string
 	// After is the revision of the record to which the election was added. It tells the
 	// orders for one member apart.
-	After uint64
+	After revision.Revision
 	// Repeated is true if an earlier order for the member may still be executed too. One
 	// of the orders can then be executed after the member has led by another.
 	Repeated bool `json:",omitzero"`
@@ -86,9 +91,11 @@
 // so a higher one is not from a proxy, and the next term has to fit as well.
 const maxTerm = 1 << 62
 
-// Parse decodes the record of a group. It returns an error for a record that no proxy
-// writes: an open one without a primary, or one with a term above maxTerm.
-func Parse(group string, value []byte, revision uint64) (Record, error) {
+// Parse decodes the record of a group that was read at a revision. It returns an error for a
+// record that no proxy writes: an open one without a primary, one with a term above maxTerm, or
+// one of a later era than that of the revision. The record that it returns has the revision in
+// the era in which it was written.
+func Parse(group string, value []byte, read revision.Revision) (Record, error) {
 	r := Record{}
 	if err := json.Unmarshal(value, &r); err != nil {
 		return r, errors.Wrapf(err, "decoding the record of group %q", group)
@@ -99,7 +106,14 @@
 	if max(r.Term, r.Acknowledged.Term) > maxTerm {
 		return Record{}, errors.Errorf("the record of group %q has a term above %d", group, uint64(maxTerm))
 	}
-	r.Group, r.Revision = group, revision
+	if r.Era > read.Era() {
+		return Record{}, errors.Errorf("the record of group %q was written in era %d, and read in era %d", group, r.Era, read.Era())
+	}
+	written, err := revision.New(r.Era, read.Number())
+	if err != nil {
+		return Record{}, errors.WithMessagef(err, "the record of group %q", group)
+	}
+	r.Group, r.Revision = group, written
 	return r, nil
 }
 
@@ -112,13 +126,20 @@
 	return b
 }
 
+// WrittenIn reports whether the store, in an era, has forgotten no change of the group's primary
+// that came after the record. A record of a former era may be that of an older copy of the store,
+// and so may the lack of one. Where the store names no eras, it forgets nothing.
+func (r Record) WrittenIn(era uint64) bool {
+	return r.Era == era && (r.Revision > 0 || era == 0)
+}
+
 // Proves reports whether the record shows that the endpoint, as the primary of the term,
-// was the only primary when the store returned the record. That is so if the record is
-// open and names the endpoint and the term, because each change of primary closes the
-// record before it demotes or suspends a member. It is also so if there is no record,
-// because the primary has then never changed.
-func (r Record) Proves(endpoint string, term uint64) bool {
-	return r.Revision == 0 || (!r.Closed && r.Endpoint == endpoint && r.Term == term)
+// was the only primary when the store returned the record, in an era. That is so if the record
+// was written in that era, is open, and names the endpoint and the term, because each change of
+// primary closes the record before it demotes or suspends a member. If the store names no eras,
+// it is also so if there is no record, because the primary has then never changed.
+func (r Record) Proves(endpoint string, term, era uint64) bool {
+	return r.WrittenIn(era) && (r.Revision == 0 || (!r.Closed && r.Endpoint == endpoint && r.Term == term))
 }
 
 // Lists reports whether the record lists the endpoint, and the endpoint has not started
@@ -200,8 +221,14 @@
 	return r
 }
 
-// WithRevision returns the record with a revision of the store.
-func (r Record) WithRevision(revision uint64) Record {
-	r.Revision = revision
+// WithEra returns the record as it is written in an era of the store.
+func (r Record) WithEra(era uint64) Record {
+	r.Era = era
+	return r
+}
+
+// WithRevision returns the record as it was written at a revision of the store, and in its era.
+func (r Record) WithRevision(written revision.Revision) Record {
+	r.Revision, r.Era = written, written.Era()
 	return r
 }
--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -9,6 +9,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
@@ -132,10 +133,10 @@
 // it has no such key, or has the key again.
 func TestARemovedLockIsExpectedToBeMissing(t *testing.T) {
 	taken := leadership.RemovedPromotionLock(20).WithHolder("a", 0)
-	assert.Equal(t, taken.Expected(), uint64(0))
+	assert.Equal(t, taken.Expected(), revision.Revision(0))
 	assert.Equal(t, taken.FencingToken(), uint64(21))
 	written := taken.WithRevision(25, 0)
-	assert.Equal(t, written.Expected(), uint64(25))
+	assert.Equal(t, written.Expected(), revision.Revision(25))
 	assert.Equal(t, written.FencingToken(), uint64(21))
 }
 
@@ -161,6 +162,31 @@
 	assert.Equal(t, earlier.WithHolder("proxy-2", 0).FencingToken(), uint64(6))
 }
 
+// in returns a revision of an era.
+func in(era, number uint64) revision.Revision {
+	r, err := revision.New(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// TestARecordProvesOnlyInTheEraInWhichItWasWritten guards against a record of an older copy of the
+// store, or the lack of one, that proves a primary which was replaced since.
+func TestARecordProvesOnlyInTheEraInWhichItWasWritten(t *testing.T) {
+	record := leadership.Record{Group: "g"}.WithPrimary("pg-1", 3).WithRevision(in(1, 12))
+	read, err := leadership.Parse("g", record.Bytes(), in(2, 9))
+	assert.NilError(t, err)
+	assert.Equal(t, read.Revision, in(1, 9), "the record is ordered by when it was written")
+	assert.Assert(t, read.Revision < record.Revision)
+	assert.Assert(t, read.Proves("pg-1", 3, 1))
+	assert.Assert(t, !read.Proves("pg-1", 3, 2))
+	assert.Assert(t, !leadership.Record{}.Proves("pg-1", 3, 2))
+	assert.Assert(t, leadership.Record{}.Proves("pg-1", 3, 0), "a store without eras forgets nothing")
+	_, err = leadership.Parse("g", record.Bytes(), in(0, 9))
+	assert.ErrorContains(t, err, "written in era 1, and read in era 0")
+}
+
 func TestKeysOfTheStoreAreThoseOfOtherBuilds(t *testing.T) {
 	assert.Equal(t, leadership.Key("g"), "eelgrassladder/primaries/g")
 	assert.Equal(t, leadership.PromotionLockKey, "eelgrassladder/duty")
--- a/internal/model/leadership/lock.go
+++ b/internal/model/leadership/lock.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // PromotionLock is the lock that a proxy must hold to order promotions, of all
 // groups. It is immutable.
 type PromotionLock struct {
 	// Revision is the store's revision of the key; zero if no state of the lock is known.
-	Revision uint64 `json:"-"`
+	Revision revision.Revision `json:"-"`
 	// Removed is true if the store had no such key at Revision. Nobody holds the lock then.
 	Removed bool `json:"-"`
 	// Seen is the boot time at which this process learned of the revision.
@@ -30,32 +32,32 @@
 // the lock.
 func (l PromotionLock) FencingToken() uint64 {
 	if l.Token == 0 {
-		return l.Revision
+		return l.Revision.Number()
 	}
 	return l.Token
 }
 
 // ParsePromotionLock decodes the value of PromotionLockKey. The lock that it returns with an
 // error has no holder and no token.
-func ParsePromotionLock(value []byte, revision uint64) (PromotionLock, error) {
+func ParsePromotionLock(value []byte, read revision.Revision) (PromotionLock, error) {
 	var l PromotionLock
 	if err := json.Unmarshal(value, &l); err != nil {
-		return PromotionLock{Revision: revision}, errors.Wrap(err, "decoding the promotion lock")
+		return PromotionLock{Revision: read}, errors.Wrap(err, "decoding the promotion lock")
 	}
-	l.Revision = revision
-	if l.Token > revision {
-		return PromotionLock{Revision: revision}, errors.Errorf("the promotion lock has the token %d, above its revision %d", l.Token, revision)
+	l.Revision = read
+	if l.Token > uint64(read) {
+		return PromotionLock{Revision: read}, errors.Errorf("the promotion lock has the token %d, above its revision %d", l.Token, read)
 	}
 	return l, nil
 }
 
 // RemovedPromotionLock returns the lock whose key the store did not have at a revision.
-func RemovedPromotionLock(revision uint64) PromotionLock {
-	return PromotionLock{Revision: revision, Removed: true}
+func RemovedPromotionLock(read revision.Revision) PromotionLock {
+	return PromotionLock{Revision: read, Removed: true}
 }
 
 // Expected returns the revision that the store has of the key; zero if it has no such key.
-func (l PromotionLock) Expected() uint64 {
+func (l PromotionLock) Expected() revision.Revision {
 	if l.Removed {
 		return 0
 	}
@@ -75,9 +77,10 @@
 // holder gets a new fencing token, above the revision of the lock and another revision of the
 // store that is known: the key of the lock may have been removed. The same holder keeps its
 // token, so that its own orders may reach the platform in any sequence.
-func (l PromotionLock) WithHolder(name string, known uint64) PromotionLock {
+func (l PromotionLock) WithHolder(name string, known revision.Revision) PromotionLock {
+	newest := max(l.Revision, known)
 	if l.Token = l.FencingToken(); l.Holder != name {
-		l.Token = max(l.Revision, known) + 1 // the store's next revision is not lower
+		l.Token = newest.Token() // the store's next revision is not lower
 	}
 	l.Holder, l.Busy = name, true
 	return l
@@ -91,7 +94,7 @@
 
 // WithRevision returns the lock as the store has it at a revision, with the boot time at
 // which this process learned of it.
-func (l PromotionLock) WithRevision(revision uint64, seen time.Duration) PromotionLock {
-	l.Revision, l.Removed, l.Seen = revision, false, seen
+func (l PromotionLock) WithRevision(written revision.Revision, seen time.Duration) PromotionLock {
+	l.Revision, l.Removed, l.Seen = written, false, seen
 	return l
 }
--- a/internal/model/topology/topology.go
+++ b/internal/model/topology/topology.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // Endpoint is one member of a database group. It is immutable.
@@ -29,7 +31,7 @@
 	// clock; zero if unknown.
 	StartedAt int64
 	// Revision is the store's revision of the endpoint's entry.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // Restarted reports whether the endpoint's process has started again since the earlier
--- a/internal/peer/sibling/client.go
+++ b/internal/peer/sibling/client.go
@@ -79,6 +79,21 @@
 	return decodeReport(answer), nil
 }
 
+// ExchangeOnce sends a heartbeat to the proxy at an address and returns its answer, over a
+// connection of its own. Only ctx bounds the call, apart from dialTimeout.
+func (c *Client) ExchangeOnce(ctx context.Context, address string, b heartbeat.Message) (heartbeat.Message, error) {
+	connection, err := dial(ctx, address)
+	if err != nil {
+		return heartbeat.Message{}, err
+	}
+	defer func() { _ = connection.Close() }()
+	answer, err := peer.NewDRPCPeerClient(connection).Exchange(ctx, encode(b))
+	if err != nil {
+		return heartbeat.Message{}, errors.WithStack(err)
+	}
+	return decode(answer), nil
+}
+
 // dial opens a connection to the proxy at an address.
 func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -10,13 +10,14 @@
 	"eelgrassladder.example/eelgrassladder/gen/peer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // encode converts a heartbeat to the generated type.
 func encode(b heartbeat.Message) *peer.Beat {
 	m := &peer.Beat{
-		Sender: b.Sender, Version: b.RoutesVersion, Configuration: b.Configuration, ConfigurationRevision: b.Revision,
-		Digest: b.Digest,
+		Sender: b.Sender, Version: b.RoutesVersion, Configuration: b.Configuration, ConfigurationRevision: b.Revision.Number(),
+		Digest: b.Digest, Era: b.Era,
 	}
 	for _, s := range b.Primaries {
 		m.Sights = append(m.Sights, encodeReport(s))
@@ -33,21 +34,21 @@
 		Group: r.Group, Endpoint: r.Endpoint, Term: r.Term,
 		ProvenMicros: r.ProofAge.Microseconds(), PositionMicros: r.PositionAge.Microseconds(),
 		Position: encodePosition(r.Position), Kept: encodePosition(r.Acknowledged), KeptMicros: r.AcknowledgedAge.Microseconds(),
-		RecordRevision: r.RecordRevision, RecordMicros: encodeAge(r.RecordAge),
+		RecordRevision: r.RecordRevision.Number(), RecordEra: r.RecordRevision.Era(), RecordMicros: encodeAge(r.RecordAge),
 	}
 }
 
 // encodeRecord converts a record to the generated type.
 func encodeRecord(r heartbeat.Record) *peer.Record {
-	return &peer.Record{Group: r.Group, Revision: r.Revision, Value: r.Value, Unwritten: r.Unwritten}
+	return &peer.Record{Group: r.Group, Revision: r.Revision.Number(), Era: r.Revision.Era(), Value: r.Value, Unwritten: r.Unwritten}
 }
 
 // decode converts a heartbeat from the generated type.
 func decode(m *peer.Beat) heartbeat.Message {
 	b := heartbeat.Message{
 		Sender: m.GetSender(), RoutesVersion: m.GetVersion(),
-		Configuration: m.GetConfiguration(), Revision: m.GetConfigurationRevision(),
-		Digest: m.GetDigest(),
+		Configuration: m.GetConfiguration(), Revision: decodeRevision(0, m.GetConfigurationRevision()),
+		Digest: m.GetDigest(), Era: decodeEra(m.GetEra()),
 	}
 	for _, s := range m.GetSights() {
 		b.Primaries = append(b.Primaries, decodeReport(s))
@@ -66,13 +67,31 @@
 		PositionAge: decodeAge(m.GetPositionMicros()),
 		Position:    decodePosition(m.GetPosition()), Acknowledged: decodePosition(m.GetKept()),
 		AcknowledgedAge: max(decodeAge(m.GetKeptMicros()), 0),
-		RecordRevision:  m.GetRecordRevision(), RecordAge: decodeOptionalAge(m.RecordMicros),
+		RecordRevision:  decodeRevision(m.GetRecordEra(), m.GetRecordRevision()), RecordAge: decodeOptionalAge(m.RecordMicros),
 	}
 }
 
 // decodeRecord converts a record from the generated type.
 func decodeRecord(m *peer.Record) heartbeat.Record {
-	return heartbeat.Record{Group: m.GetGroup(), Revision: m.GetRevision(), Value: m.GetValue(), Unwritten: m.GetUnwritten()}
+	return heartbeat.Record{Group: m.GetGroup(), Revision: decodeRevision(m.GetEra(), m.GetRevision()), Value: m.GetValue(), Unwritten: m.GetUnwritten()}
+}
+
+// decodeEra converts an era. One that does not fit is that of a store that names none: a proxy that
+// adopted it would refuse all answers of the store.
+func decodeEra(era uint64) uint64 {
+	if era > revision.MaxEra {
+		return 0
+	}
+	return era
+}
+
+// decodeRevision converts a revision. One that does not fit is that of no record.
+func decodeRevision(era, number uint64) revision.Revision {
+	r, err := revision.New(era, number)
+	if err != nil {
+		return 0
+	}
+	return r
 }
 
 // maxAge is the highest age in a report. A higher one would not fit a Duration, and could
--- a/internal/peer/sibling/codec_test.go
+++ b/internal/peer/sibling/codec_test.go
@@ -10,6 +10,7 @@
 
 	"eelgrassladder.example/eelgrassladder/gen/peer"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // TestAnAgeThatDoesNotFitIsNotALowOne guards against a report whose proof would count as
@@ -23,6 +24,26 @@
 	assert.Assert(t, decodeAge(-1<<63) < 0)
 }
 
+// TestRevisionsKeepTheirEras guards against a record of a former era of the store that another proxy
+// takes for a newer one, and against an era that does not fit.
+func TestRevisionsKeepTheirEras(t *testing.T) {
+	written, err := revision.New(3, 41)
+	assert.NilError(t, err)
+	sent := heartbeat.Message{
+		Era: 4, Records: []heartbeat.Record{{Group: "g", Revision: written}},
+		Primaries: []heartbeat.PrimaryReport{{Group: "g", ProofAge: -1, RecordRevision: written, RecordAge: time.Second}},
+	}
+	encoded := encode(sent)
+	assert.Equal(t, encoded.GetRecords()[0].GetRevision(), uint64(41), "proxies of former builds compare this with the store's number")
+	received := decode(encoded)
+	assert.Equal(t, received.Era, uint64(4))
+	assert.Equal(t, received.Records[0].Revision, written)
+	assert.Equal(t, received.Primaries[0].RecordRevision, written)
+	odd := decode(&peer.Beat{Era: 1 << 60, Records: []*peer.Record{{Group: "g", Revision: 7, Era: 1 << 60}}})
+	assert.Equal(t, odd.Era, uint64(0))
+	assert.Equal(t, odd.Records[0].Revision, revision.Revision(0))
+}
+
 // panicking is a handler whose methods panic.
 type panicking struct{}
 
@@ -78,7 +99,7 @@
 	var received peer.Beat
 	assert.NilError(t, proto.Unmarshal(text, &received))
 	reports := decode(&received).Primaries
-	assert.Equal(t, reports[0].RecordRevision, uint64(4))
+	assert.Equal(t, reports[0].RecordRevision, revision.Revision(4))
 	assert.Equal(t, reports[0].RecordAge, 1500*time.Microsecond)
 	assert.Assert(t, reports[1].RecordAge < 0)
 	assert.Assert(t, reports[2].RecordAge < 0)
--- a/internal/policy/failover/commitmodel_test.go
+++ b/internal/policy/failover/commitmodel_test.go
@@ -7,6 +7,7 @@
 
 	"eelgrassladder.example/eelgrassladder/internal/model/leadership"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 )
 
@@ -88,7 +89,7 @@
 		members = append(members, endpointOf(i, start))
 	}
 	return leadership.Record{
-		Revision: r.revision, Endpoint: fmt.Sprint(r.endpoint), Term: r.term, Closed: r.closed,
+		Revision: revision.Revision(r.revision), Endpoint: fmt.Sprint(r.endpoint), Term: r.term, Closed: r.closed,
 	}.WithMembers(members)
 }
 
@@ -127,7 +128,7 @@
 	}
 	r := m.record.leadershipRecord()
 	r.Closed = r.Closed && m.rules.requireOpenRecord
-	if p.leader.Open() && r.Proves(p.leader.Endpoint, p.leader.Term) {
+	if p.leader.Open() && r.Proves(p.leader.Endpoint, p.leader.Term, 0) {
 		p.leader = p.leader.WithProof(m.now).WithRecordOpen(m.now)
 	}
 }
--- a/internal/table/scheduler/scheduler.go
+++ b/internal/table/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"eelgrassladder.example/eelgrassladder"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
 	"eelgrassladder.example/eelgrassladder/internal/model/position"
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 	"eelgrassladder.example/eelgrassladder/internal/model/route"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	"eelgrassladder.example/eelgrassladder/internal/policy/placement"
@@ -260,11 +261,11 @@
 // ConfirmRecords records that the records of primaries with the given revisions, by the
 // name of the group, were the current ones of the store at a boot time, and open. A group
 // whose primary comes from another record is left as it is.
-func (t *Table) ConfirmRecords(revisions map[string]uint64, at time.Duration) {
+func (t *Table) ConfirmRecords(revisions map[string]revision.Revision, at time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for name, revision := range revisions {
-		if g := t.group(name); g.leader.Open() && g.leader.Recorded.Revision == revision {
+	for name, r := range revisions {
+		if g := t.group(name); g.leader.Open() && g.leader.Recorded.Revision == r {
 			g.leader = g.leader.WithRecordOpen(at)
 		}
 	}
--- a/keyvalue.go
+++ b/keyvalue.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"eelgrassladder.example/eelgrassladder/internal/model/revision"
 )
 
 // Item is one key of a KeyValue store and its value, or the removal of a key.
@@ -11,7 +13,7 @@
 	// Value is empty for a removed key.
 	Value []byte
 	// Revision is the store's revision of the last change of the key.
-	Revision uint64
+	Revision revision.Revision
 	// Gone is true if the key was removed.
 	Gone bool
 }
@@ -19,8 +21,9 @@
 // Expectation is a condition for a change: the revision that a key must have.
 type Expectation struct {
 	Key string
-	// Revision is that of the key's last change; zero if the key must not exist.
-	Revision uint64
+	// Revision is that of the key's last change; zero if the key must not exist. One of
+	// another era than the store's is never that of the key.
+	Revision revision.Revision
 }
 
 // Put sets the value of a key.
@@ -34,19 +37,21 @@
 
 // KeyValue is a key-value store with transactions, watches and leases, with which the
 // proxies of the users' platform coordinate. If a method returns another error than
-// ErrConflict, ErrLeaseEnded or ErrUnavailable, a change may or may not have been made.
+// ErrConflict, ErrLeaseEnded or ErrUnavailable, a change may or may not have been made. That
+// holds as well if the store answers in a later era than the one in which it was called: what
+// the store had when it was called may be gone.
 type KeyValue interface {
 	// Range returns all items whose keys have a prefix, and the store's revision at the
 	// time. A Watch after that revision misses no change.
-	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
+	Range(ctx context.Context, prefix string) ([]Item, revision.Revision, error)
 	// Watch returns the changes after a revision of the items whose keys have a prefix,
 	// as soon as there is one or when the wait is over. It also returns the revision to
 	// give to the next Watch.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+	Watch(ctx context.Context, prefix string, after revision.Revision, wait time.Duration) ([]Item, revision.Revision, error)
 	// Apply makes all puts and removes the given keys if all expectations hold, and
 	// returns the revision of the changes. If an expectation does not hold, it changes
 	// nothing and returns ErrConflict.
-	Apply(ctx context.Context, expected []Expectation, puts []Put, removed []string) (uint64, error)
+	Apply(ctx context.Context, expected []Expectation, puts []Put, removed []string) (revision.Revision, error)
 	// GrantLease creates a lease and returns its ID.
 	GrantLease(ctx context.Context, lifetime time.Duration) (uint64, error)
 	// RenewLease renews a lease for its lifetime. It returns ErrLeaseEnded if the lease
