Make fencing tokens order by the era of the store first

Cause: a new token is the store's next revision, which the store gives out again, and a holder of the copy kept its token although another one had held the lock since.

A holder keeps its token within an era only.

--- a/internal/model/leadership/leadership_test.go
+++ b/internal/model/leadership/leadership_test.go
@@ -187,6 +187,23 @@
 	assert.ErrorContains(t, err, "written in era 1, and read in era 0")
 }
 
+// TestATokenOfAFormerEraIsNotKept guards against one token of several holders, or a token below one
+// that the platform has seen, after the store has forgotten who held the lock.
+func TestATokenOfAFormerEraIsNotKept(t *testing.T) {
+	held := leadership.PromotionLock{}.WithRevision(in(1, 30), 0).WithHolder("a", 0)
+	newest := held.WithRevision(in(1, 900), 0).WithHolder("b", 0)
+	restored, err := leadership.ParsePromotionLock(held.Bytes(), in(2, 31))
+	assert.NilError(t, err)
+	for _, next := range []leadership.PromotionLock{
+		restored.WithHolder("a", 0), restored.WithHolder("c", 0), leadership.RemovedPromotionLock(in(2, 3)).WithHolder("a", 0),
+		leadership.PromotionLock{}.WithHolder("c", in(2, 3)),
+	} {
+		assert.Assert(t, next.FencingToken() > newest.FencingToken(), "%d after %d", next.FencingToken(), newest.FencingToken())
+	}
+	kept := restored.WithHolder("a", 0).WithRevision(in(2, 40), 0)
+	assert.Equal(t, kept.WithHolder("a", 0).FencingToken(), kept.FencingToken())
+}
+
 func TestKeysOfTheStoreAreThoseOfOtherBuilds(t *testing.T) {
 	assert.Equal(t, leadership.Key("g"), "eelgrassladder/primaries/g")
 	assert.Equal(t, leadership.PromotionLockKey, "eelgrassladder/duty")
--- a/internal/model/leadership/lock.go
+++ b/internal/model/leadership/lock.go
@@ -23,8 +23,8 @@
 	// Busy is true while the holder has a change of primary under way.
 	Busy bool
 	// Token is the fencing token of the holder's orders. It stays the same until the
-	// holder changes, is above every earlier token, and never above Revision. It is zero
-	// if a proxy of an earlier build wrote the lock; see FencingToken.
+	// holder or the era of the store changes, is above every earlier token, and never above
+	// Revision. It is zero if a proxy of an earlier build wrote the lock; see FencingToken.
 	Token uint64 `json:",omitempty"`
 }
 
@@ -76,10 +76,11 @@
 // WithHolder returns the lock as held by a proxy that has a change of primary under way. A new
 // holder gets a new fencing token, above the revision of the lock and another revision of the
 // store that is known: the key of the lock may have been removed. The same holder keeps its
-// token, so that its own orders may reach the platform in any sequence.
+// token, so that its own orders may reach the platform in any sequence, but not one of a former
+// era of the store: another proxy may have held the lock since, and the store has forgotten it.
 func (l PromotionLock) WithHolder(name string, known revision.Revision) PromotionLock {
 	newest := max(l.Revision, known)
-	if l.Token = l.FencingToken(); l.Holder != name {
+	if l.Token = l.FencingToken(); l.Holder != name || revision.TokenEra(l.Token) < newest.Era() {
 		l.Token = newest.Token() // the store's next revision is not lower
 	}
 	l.Holder, l.Busy = name, true
--- a/internal/model/revision/revision.go
+++ b/internal/model/revision/revision.go
@@ -39,3 +39,6 @@
 // Token returns a fencing token that is above those of all earlier revisions, those of former
 // eras among them.
 func (r Revision) Token() uint64 { return uint64(r) + 1 }
+
+// TokenEra returns the era in which a fencing token was made.
+func TokenEra(token uint64) uint64 { return Revision(token).Era() }
--- a/internal/model/revision/revision_test.go
+++ b/internal/model/revision/revision_test.go
@@ -21,6 +21,7 @@
 	assert.Assert(t, last.Token() <= next.Token())
 	assert.Equal(t, next.Era(), uint64(2))
 	assert.Equal(t, next.Number(), uint64(1))
+	assert.Equal(t, revision.TokenEra(next.Token()), uint64(2))
 }
 
 // TestRevisionsOfAStoreWithoutErasAreItsNumbers guards against stored values that other builds
