Register anew in each era of the store

After the store came back from a copy it may not list a proxy whose entry was written since, and may have given the ID of its lease to another one. The proxy renewed that lease and took itself for registered, so a change of primary would not have told it, and an entry of another proxy would have outlived it. A read of all keys without the own entry also left it registered, and one without any entry left the former list of proxies.

Change: a new era, and a read of all keys that lacks the own entry, make the proxy register again; a read of all keys replaces the list of proxies even if it has none.

Measured: TestAProxyRegistersAnewInANewEra fails without the change and passes with it.

--- a/internal/host/node/era_test.go
+++ b/internal/host/node/era_test.go
@@ -79,6 +79,20 @@
 	assert.Assert(t, n.state.Record(testGroup).WrittenIn(3))
 }
 
+// TestAProxyRegistersAnewInANewEra guards against a proxy that the store no longer lists, or whose
+// lease has the ID of another one: changes of primary would not tell it.
+func TestAProxyRegistersAnewInANewEra(t *testing.T) {
+	n, f, _ := newEraNode(t)
+	n.registered.Store(true)
+	n.state.eras.Learn(2, "store")
+	assert.Assert(t, !n.registered.Load())
+	n.registered.Store(true)
+	f.proxies["c-2"] = "10.0.0.1:1"
+	f.Reset(nil, revisionIn(t, 2, 5))
+	assert.Assert(t, !n.registered.Load(), "the store lists no entry of this proxy")
+	assert.Equal(t, len(n.state.Proxies()), 0)
+}
+
 // TestALeaderOfAFormerEraKeepsItsProof guards against a calm group that stops when the store comes
 // back from a copy.
 func TestALeaderOfAFormerEraKeepsItsProof(t *testing.T) {
--- a/internal/host/node/follower.go
+++ b/internal/host/node/follower.go
@@ -56,6 +56,10 @@
 	if !slices.ContainsFunc(items, func(i eelgrassladder.Item) bool { return i.Key == leadership.PromotionLockKey }) {
 		f.node.state.LearnPromotionLock(leadership.RemovedPromotionLock(read))
 	}
+	if _, ok := f.proxies[f.node.settings.Name]; !ok {
+		f.node.registered.Store(false)
+	}
+	f.applyProxies() // no item says so of those that are gone
 	if !f.node.storeRead.Swap(true) && (f.node.state.WasRegistered() || f.node.state.inFleetRecord()) {
 		// The other proxies count this one since an earlier process with its name.
 		f.node.produceFrom(f.node.dependencies.Clock.SinceBoot())
--- a/internal/host/node/registration.go
+++ b/internal/host/node/registration.go
@@ -125,8 +125,10 @@
 	return nil
 }
 
-// enterEra exports the newest era of the store.
+// enterEra has the proxy registered anew, because the store came back from an older copy: its
+// entry may be gone, and the ID of its lease may be given to another lease.
 func (n *Node) enterEra(era uint64) {
+	n.registered.Store(false)
 	n.dependencies.Instruments.EraLearned(era)
 }
 
