--- a/cmd/eelgrasslab/soak.go
+++ b/cmd/eelgrasslab/soak.go
@@ -29,6 +29,7 @@
 	Harsh       bool     `long:"harsh" description:"Inject faults like those of the users' machines, unless --fault is given"`
 	Orders      bool     `long:"orders" description:"Inject faults around orders to promote, unless --fault is given"`
 	Stutter     bool     `long:"stutter" description:"Inject members that answer twice, beside other faults, unless --fault is given"`
+	Drill       bool     `long:"drill" description:"Inject a store that comes back from older copies, beside other faults, unless --fault is given"`
 	Teams       int      `long:"teams" description:"Teams in whose names the clients call; 0 for a platform without teams. Inject faults of keys and limits, unless --fault is given"`
 	CheckQuotas bool     `long:"check-quotas" description:"Check that no team exceeds its limit; for proxies that limit teams"`
 	Connections int      `long:"connections" description:"Connections that a member accepts; 0 for 24, or two for each proxy"`
@@ -94,6 +95,8 @@
 		plan.Faults = soak.HarshFaults()
 	case c.Orders:
 		plan.Faults = soak.OrderFaults()
+	case c.Drill:
+		plan.Faults = soak.DrillFaults()
 	case c.Stutter:
 		plan.Faults = soak.StutterFaults()
 	}
--- a/internal/lab/soak/harsh.go
+++ b/internal/lab/soak/harsh.go
@@ -31,6 +31,7 @@
 	"Crash": (*runner).crashFault, "Scatter": (*runner).scatterFault, "Answer": (*runner).answerFault, "Backlog": (*runner).backlogFault,
 	"OrderStop": (*runner).orderStopFault, "RollingRestart": (*runner).rollingRestartFault, stutterName: (*runner).stutterFault,
 	"Keys": (*runner).keysFault, "Limits": (*runner).limitsFault, "Hot": (*runner).hotFault, "Refuse": (*runner).refuseFault, "PowerLoss": (*runner).powerLossFault,
+	drillName: (*runner).drillFault,
 }
 
 // UsualFaults returns the names of the faults of a run on a machine with time to spare.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -167,6 +167,7 @@
 	platformPlan := testbed.DefaultPlan()
 	platformPlan.Groups, platformPlan.Connections = p.Groups, cmp.Or(p.Connections, max(24, 2*p.Proxies))
 	platformPlan.Slots, platformPlan.StatementTime = p.Slots, p.StatementTime
+	platformPlan.Eras = slices.Contains(p.Faults, drillName)
 	if p.Teams > 0 {
 		platformPlan.Teams = r.firstTeams()
 		r.versions.begin(newVersion(platformPlan.Teams))
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -76,6 +76,21 @@
 	assert.Assert(t, result.Served > 500, "%+v", result)
 }
 
+// TestTheSoakFindsNoBrokenPromiseInDrills is the same with a store that comes back from older copies,
+// while primaries are replaced and processes end, stand still or are cut off.
+func TestTheSoakFindsNoBrokenPromiseInDrills(t *testing.T) {
+	t.Parallel()
+	binary, err := soak.Build(t.TempDir())
+	assert.NilError(t, err)
+	plan := soak.DefaultPlan(9901)
+	plan.Length, plan.DataCentres, plan.Binary, plan.Folder = 8*time.Second, 2, binary, t.TempDir()
+	plan.Faults, plan.FaultPause = soak.DrillFaults(), 1200*time.Millisecond
+	result, err := soak.Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
+	assert.Assert(t, result.Served > 500, "%+v", result)
+}
+
 // TestTheSoakFindsNoBrokenPromiseWithTeams is the same with teams whose keys and limits change
 // while sessions are open. It runs alone, because it judges service in calm.
 func TestTheSoakFindsNoBrokenPromiseWithTeams(t *testing.T) {
