Rely on the records of settled proxies alone after a drill

A process that closed a record, ordered a promotion and was killed may be the only one that knew of it. If it starts again at its address before the others ask for records, its answer counted as that of the former process, and the record was confirmed without asking the members.

Cause: an answer says which era a proxy knows, not since when it runs.

Found by reading, and no run has shown the fault.

--- a/internal/host/failover/confirmation.go
+++ b/internal/host/failover/confirmation.go
@@ -33,7 +33,7 @@
 	// answered in this era.
 	begun bool
 	told  map[string]bool
-	// incomplete is true if a proxy of a former era has ended, or may have, without telling its
+	// incomplete is true if a process of a former era has ended, or may have, without telling its
 	// records.
 	incomplete bool
 }
@@ -152,7 +152,7 @@
 		delete(proxies, address)
 	}
 	ct.mutex.Unlock()
-	answered, silent, ended := ct.askProxies(ctx, era, proxies)
+	answered, silent, lost := ct.askProxies(ctx, era, proxies)
 	ct.mutex.Lock()
 	defer ct.mutex.Unlock()
 	if ct.recall.era != era {
@@ -162,14 +162,15 @@
 		ct.recall.told[address] = true
 	}
 	age := ct.clock.SinceBoot() - ct.recall.since
-	ct.recall.incomplete = ct.recall.incomplete || ended
+	ct.recall.incomplete = ct.recall.incomplete || lost
 	return recallResult{age: age, all: !ct.recall.incomplete && len(silent) == 0}, silent, nil
 }
 
 // askProxies exchanges records with proxies, whose names are given by address. It returns the
 // addresses of those that have answered in the era, and the names of those that have not but may
-// run, and reports whether one has ended.
-func (ct *Controller) askProxies(ctx context.Context, era uint64, proxies map[string]string) (answered, silent []string, ended bool) {
+// run. It reports whether records may be lost with a process that has ended: one does not run any
+// more, or has started again lately.
+func (ct *Controller) askProxies(ctx context.Context, era uint64, proxies map[string]string) (answered, silent []string, lost bool) {
 	limited, cancel := context.WithTimeout(ctx, informTimeout)
 	defer cancel()
 	message := ct.state.Message()
@@ -185,18 +186,19 @@
 			defer mutex.Unlock()
 			switch {
 			case control.Refused(err):
-				ended = true
+				lost = true
 			case err != nil || answer.Era < era:
 				silent = append(silent, name)
 			default:
 				answered = append(answered, address)
+				lost = lost || !answer.Settled
 			}
 			return nil
 		})
 	}
 	_ = g.Wait() // each function returns nil
 	slices.Sort(silent)
-	return answered, silent, ended
+	return answered, silent, lost
 }
 
 // viewMembers asks the members of a group that are listed, or were until recently, for their
--- a/internal/host/node/era_test.go
+++ b/internal/host/node/era_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrassladder.example/eelgrassladder"
+	"eelgrassladder.example/eelgrassladder/internal/host/era"
 	"eelgrassladder.example/eelgrassladder/internal/host/quota"
 	"eelgrassladder.example/eelgrassladder/internal/model/heartbeat"
 	"eelgrassladder.example/eelgrassladder/internal/model/leader"
@@ -79,6 +80,19 @@
 	assert.Assert(t, n.state.Record(testGroup).WrittenIn(3))
 }
 
+// TestAProxyThatHasJustStartedIsNotSettled guards against a record that is confirmed although the
+// only process that knew of a change of primary has ended and started again.
+func TestAProxyThatHasJustStartedIsNotSettled(t *testing.T) {
+	c := &steppedClock{now: time.Hour}
+	s := newClusterState("self", nil, c, era.New())
+	assert.Assert(t, !s.Message().Settled)
+	s.setProxies(map[string]string{"p": "10.0.0.1:1"})
+	c.now += proxyRetention - 1
+	assert.Assert(t, !s.Message().Settled)
+	c.now++
+	assert.Assert(t, s.Message().Settled)
+}
+
 // TestAProxyRegistersAnewInANewEra guards against a proxy that the store no longer lists, or whose
 // lease has the ID of another one: changes of primary would not tell it.
 func TestAProxyRegistersAnewInANewEra(t *testing.T) {
--- a/internal/host/node/state.go
+++ b/internal/host/node/state.go
@@ -247,7 +247,7 @@
 			names[address] = d.name
 		}
 	}
-	return names, s.proxiesSince > 0 && now-s.proxiesSince >= proxyRetention
+	return names, s.settled(now)
 }
 
 // presentLenders returns the addresses, by name, of the other proxies that are registered, or
@@ -292,7 +292,13 @@
 func (s *clusterState) Message() heartbeat.Message {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.message.WithSender(s.name, s.routes.Load().Version).WithEra(s.eras.Current())
+	return s.message.WithSender(s.name, s.routes.Load().Version).WithEra(s.eras.Current()).WithSettled(s.settled(s.clock.SinceBoot()))
+}
+
+// settled reports whether this process has had the list of proxies for long enough to know all
+// that may still run. The caller holds the mutex.
+func (s *clusterState) settled(now time.Duration) bool {
+	return s.proxiesSince > 0 && now-s.proxiesSince >= proxyRetention
 }
 
 // Era returns the newest known era of the store; zero if the store names none.
--- a/internal/model/heartbeat/heartbeat.go
+++ b/internal/model/heartbeat/heartbeat.go
@@ -32,6 +32,10 @@
 	// Era is the newest era of the store that the sender knows; zero if the store names none.
 	// The sender has adopted no record of a former era from the store since it learned of it.
 	Era uint64
+	// Settled is true if the sender has had the list of proxies for long enough to know all that
+	// may still run. An earlier process of a proxy that is not settled may have known of a change
+	// of primary that the sender does not know of.
+	Settled bool
 }
 
 // PrimaryReport is what a proxy knows of one group's primary. It is immutable.
@@ -113,6 +117,12 @@
 	return m
 }
 
+// WithSettled returns the message of a sender that is settled.
+func (m Message) WithSettled(settled bool) Message {
+	m.Settled = settled
+	return m
+}
+
 // WithConfiguration returns the message with the text and the store's revision of its
 // configuration.
 func (m Message) WithConfiguration(text []byte, written revision.Revision) Message {
--- a/internal/peer/sibling/codec.go
+++ b/internal/peer/sibling/codec.go
@@ -17,7 +17,7 @@
 func encode(b heartbeat.Message) *peer.Beat {
 	m := &peer.Beat{
 		Sender: b.Sender, Version: b.RoutesVersion, Configuration: b.Configuration, ConfigurationRevision: b.Revision.Number(),
-		Digest: b.Digest, Era: b.Era,
+		Digest: b.Digest, Era: b.Era, Settled: b.Settled,
 	}
 	for _, s := range b.Primaries {
 		m.Sights = append(m.Sights, encodeReport(s))
@@ -48,7 +48,7 @@
 	b := heartbeat.Message{
 		Sender: m.GetSender(), RoutesVersion: m.GetVersion(),
 		Configuration: m.GetConfiguration(), Revision: decodeRevision(0, m.GetConfigurationRevision()),
-		Digest: m.GetDigest(), Era: decodeEra(m.GetEra()),
+		Digest: m.GetDigest(), Era: decodeEra(m.GetEra()), Settled: m.GetSettled(),
 	}
 	for _, s := range m.GetSights() {
 		b.Primaries = append(b.Primaries, decodeReport(s))
--- a/internal/peer/sibling/codec_test.go
+++ b/internal/peer/sibling/codec_test.go
@@ -30,13 +30,14 @@
 	written, err := revision.New(3, 41)
 	assert.NilError(t, err)
 	sent := heartbeat.Message{
-		Era: 4, Records: []heartbeat.Record{{Group: "g", Revision: written}},
+		Era: 4, Settled: true, Records: []heartbeat.Record{{Group: "g", Revision: written}},
 		Primaries: []heartbeat.PrimaryReport{{Group: "g", ProofAge: -1, RecordRevision: written, RecordAge: time.Second}},
 	}
 	encoded := encode(sent)
 	assert.Equal(t, encoded.GetRecords()[0].GetRevision(), uint64(41), "proxies of former builds compare this with the store's number")
 	received := decode(encoded)
 	assert.Equal(t, received.Era, uint64(4))
+	assert.Assert(t, received.Settled)
 	assert.Equal(t, received.Records[0].Revision, written)
 	assert.Equal(t, received.Primaries[0].RecordRevision, written)
 	odd := decode(&peer.Beat{Era: 1 << 60, Records: []*peer.Record{{Group: "g", Revision: 7, Era: 1 << 60}}})
