Free the memory of deallocated statements

Cause: a map keeps the memory of deleted entries.

Change: a session copies its prepared statements to a new map once a quarter or less of at least 64 is left.

--- a/internal/host/gateway/memory.go
+++ b/internal/host/gateway/memory.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,10 @@
 	// copies is how often each byte that a session keeps is counted: it is copied once, to
 	// set it at an endpoint.
 	copies = 2
+	// minShrunk is the number of prepared statements from which the map of them is made smaller,
+	// once one in shrinkFactor is left. Smaller maps take a few kilobytes.
+	minShrunk    = 64
+	shrinkFactor = 4
 	// maxShown is how much of a client's text goes into the detail of a reply or into the log.
 	maxShown = 128
 )
@@ -46,6 +51,7 @@
 	}
 	s.preparedSize = size
 	s.prepared[strings.Clone(st.Name)] = statement.Prepared{Writes: st.Prepared.Writes, Text: strings.Clone(st.Prepared.Text)}
+	s.preparedPeak = max(s.preparedPeak, len(s.prepared))
 	return statement.Reply{}
 }
 
@@ -53,10 +59,22 @@
 func (s *Session) deallocate(st statement.Statement) statement.Reply {
 	s.preparedSize -= s.sizeOfPrepared(st.Name)
 	delete(s.prepared, st.Name)
+	s.shrinkPrepared()
 	s.release()
 	return statement.Reply{}
 }
 
+// shrinkPrepared replaces the map of prepared statements by a smaller one if most of them were
+// deallocated: a map keeps the memory of deleted entries, for which the session is not charged.
+func (s *Session) shrinkPrepared() {
+	if s.preparedPeak < minShrunk || len(s.prepared) > s.preparedPeak/shrinkFactor {
+		return
+	}
+	kept := make(map[string]statement.Prepared, len(s.prepared))
+	maps.Copy(kept, s.prepared)
+	s.prepared, s.preparedPeak = kept, len(kept)
+}
+
 // sizeOfPrepared returns what the statement that is prepared under a name takes in memory;
 // zero if there is none.
 func (s *Session) sizeOfPrepared(name string) int {
--- a/internal/host/gateway/session.go
+++ b/internal/host/gateway/session.go
@@ -33,6 +33,8 @@
 	// preparedSize is what they take in memory.
 	prepared     map[string]statement.Prepared
 	preparedSize int
+	// preparedPeak is the largest number of them since the map was made.
+	preparedPeak int
 	// account is charged for what the session keeps.
 	account eelgrassladder.Account
 	// written is a position that covers all commits of the session; zero for none.
