Write a record with the era in which it was decided

A record could count as confirmed in an era of the store that began after the other proxies and the members were asked.

- The write put the era of the moment into the record.
For a group without a record it expects no key, which the next era does not refuse.
- A proxy that had told its records in one era was left out in the next, if this proxy noted the next era while it asked the others.

Change: the record carries the era in which it was decided, and write leaves it alone; proxies are asked only for the era that was noted.

Measured: TestARecordIsWrittenInTheEraInWhichItWasDecided and TestProxiesThatToldInAFormerEraAreAskedAgain fail without the change and pass with it. No run of the system has shown either.

--- a/internal/host/failover/confirmation.go
+++ b/internal/host/failover/confirmation.go
@@ -109,7 +109,7 @@
 	}
 	before := record
 	record.Group = group
-	record = record.WithPrimary(primary, term).WithRevision(stored)
+	record = record.WithPrimary(primary, term).WithRevision(stored).WithEra(era)
 	if before.Revision == 0 {
 		record.Holder = ct.name
 	}
@@ -145,6 +145,10 @@
 		proxies[address] = name
 	}
 	ct.mutex.Lock()
+	if ct.recall.era != era {
+		defer ct.mutex.Unlock()
+		return recallResult{}, nil, errors.Errorf("the store was last seen in era %d", ct.recall.era)
+	}
 	if !ct.recall.begun {
 		ct.recall.begun, ct.recall.incomplete = true, !allKnown
 	}
--- a/internal/host/failover/record.go
+++ b/internal/host/failover/record.go
@@ -138,13 +138,12 @@
 
 // write writes a group's record and the promotion lock to the store, in one transaction,
 // unless the store has another revision of one of them by now. It returns the revision of
-// what it has written, which this process then knows. A nil record or lock is left out.
+// what it has written, which this process then knows. A nil record or lock is left out. The record
+// says in which era of the store it was decided, and is confirmed in no later one.
 func (ct *Controller) write(ctx context.Context, r *leadership.Record, l *leadership.PromotionLock) (revision.Revision, error) {
 	var expected []eelgrassladder.Expectation
 	var puts []eelgrassladder.Put
 	if r != nil {
-		current := r.WithEra(ct.state.Era())
-		r = &current
 		expected = append(expected, eelgrassladder.Expectation{Key: leadership.Key(r.Group), Revision: r.Revision})
 		puts = append(puts, eelgrassladder.Put{Key: leadership.Key(r.Group), Value: r.Bytes()})
 	}
