Reuse what the confirmation of records wrote again

No behaviour is meant to change, but for two lines of log that list silent proxies, now in order of name, and one call less in mayConfirm.

- informProxies and the recall of records asked all proxies at once with the same loop, time limit and sorting of errors: askProxies does both.
- viewMembers joined the listed members with those seen lately by itself; noteListed and replicas do that for a change of primary.
- The commands to members need the controller alone, so they are its methods, and the recall makes no empty change to call them.
- mayConfirm hashed the names of all proxies every 50 ms also while a confirmation was under way; that is checked first.
- ShouldRecord and MayConfirm share the wait for earlier writers (turn), CloseRecord and ExchangeOnce the call over a connection of its own.
- Parse of a record had an error branch that no value reaches.

--- a/internal/host/failover/change.go
+++ b/internal/host/failover/change.go
@@ -266,9 +266,9 @@
 	ct := c.controller
 	deadline := ct.clock.SinceBoot() + newTermTimeout
 	for !c.oldDown && ctx.Err() == nil {
-		behind := behindTerm(c.lastStatuses(ctx, others), term)
+		behind := behindTerm(c.controller.lastStatuses(ctx, others), term)
 		if len(behind) == 0 {
-			behind = behindTerm(c.statuses(ctx, others), term)
+			behind = behindTerm(c.controller.statuses(ctx, others), term)
 		}
 		if len(behind) == 0 {
 			break
--- a/internal/host/failover/check.go
+++ b/internal/host/failover/check.go
@@ -28,10 +28,10 @@
 	// later, all that the primary had when it answered.
 	old := answer{err: errNotAsked}
 	if c.oldReachable() {
-		old = c.statuses(ctx, []topology.Endpoint{c.old})[0]
+		old = c.controller.statuses(ctx, []topology.Endpoint{c.old})[0]
 		c.noteOldLog(old)
 	}
-	answers := c.statuses(ctx, append(replicas, departed...))
+	answers := c.controller.statuses(ctx, append(replicas, departed...))
 	answers = append(answers[:len(replicas)], c.readmitDeparted(answers[len(replicas):])...)
 	c.leaderAnswered = c.leads(old) || slices.ContainsFunc(answers, c.leads)
 	for _, a := range answers {
@@ -150,7 +150,7 @@
 	if !c.retry || c.old.Address == "" {
 		return nil
 	}
-	if old := c.statuses(ctx, []topology.Endpoint{c.old})[0]; old.err == nil && old.status.Primary {
+	if old := c.controller.statuses(ctx, []topology.Endpoint{c.old})[0]; old.err == nil && old.status.Primary {
 		return errors.Errorf("primary %s answers again", c.old.ID)
 	}
 	return nil
--- a/internal/host/failover/command.go
+++ b/internal/host/failover/command.go
@@ -35,13 +35,13 @@
 
 // sendAll sends a command to all endpoints at once and returns their answers in
 // the same order. A reply whose code is not OK becomes an error.
-func (c *change) sendAll(ctx context.Context, endpoints []topology.Endpoint, run command) []answer {
+func (ct *Controller) sendAll(ctx context.Context, endpoints []topology.Endpoint, run command) []answer {
 	answers := make([]answer, len(endpoints))
 	var mutex sync.Mutex
 	g := task.New(ctx)
 	for i, e := range endpoints {
 		g.Go("command to an endpoint", func(ctx context.Context) error {
-			a := c.send(ctx, e, run)
+			a := ct.send(ctx, e, run)
 			mutex.Lock()
 			defer mutex.Unlock()
 			answers[i] = a
@@ -53,15 +53,15 @@
 }
 
 // send sends a command to one endpoint.
-func (c *change) send(ctx context.Context, e topology.Endpoint, run command) answer {
+func (ct *Controller) send(ctx context.Context, e topology.Endpoint, run command) answer {
 	a := answer{endpoint: e}
-	conn, err := c.controller.dialer.DialUrgent(ctx, e)
+	conn, err := ct.dialer.DialUrgent(ctx, e)
 	if err != nil {
-		a.err, a.at = err, c.controller.clock.SinceBoot()
+		a.err, a.at = err, ct.clock.SinceBoot()
 		return a
 	}
 	status, reply, err := run(conn)
-	a.at = c.controller.clock.SinceBoot()
+	a.at = ct.clock.SinceBoot()
 	conn.Release(err, reply.Position)
 	if err == nil && reply.Code != statement.OK {
 		err = errors.Errorf("the command was refused: %v %s", reply.Code, reply.Detail)
@@ -71,16 +71,16 @@
 }
 
 // statuses asks all endpoints for their status.
-func (c *change) statuses(ctx context.Context, endpoints []topology.Endpoint) []answer {
-	return c.sendAll(ctx, endpoints, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
-		return conn.Status(c.controller.timer.Now().Add(commandTimeout))
+func (ct *Controller) statuses(ctx context.Context, endpoints []topology.Endpoint) []answer {
+	return ct.sendAll(ctx, endpoints, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+		return conn.Status(ct.timer.Now().Add(commandTimeout))
 	})
 }
 
 // lastStatuses asks all endpoints for their status, and accepts one that is older than the call.
-func (c *change) lastStatuses(ctx context.Context, endpoints []topology.Endpoint) []answer {
-	return c.sendAll(ctx, endpoints, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
-		return conn.LastStatus(c.controller.timer.Now().Add(commandTimeout))
+func (ct *Controller) lastStatuses(ctx context.Context, endpoints []topology.Endpoint) []answer {
+	return ct.sendAll(ctx, endpoints, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+		return conn.LastStatus(ct.timer.Now().Add(commandTimeout))
 	})
 }
 
@@ -95,7 +95,7 @@
 		return answer{endpoint: c.old, err: errNotAsked}
 	}
 	term := c.record.Term + 1
-	a := c.send(ctx, c.old, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+	a := c.controller.send(ctx, c.old, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
 		return c.suspendOrDemote(conn, term)
 	})
 	if a.err == nil && a.status.Primary {
@@ -112,7 +112,7 @@
 // than the given one. It returns an error unless all of them confirm: a single replica
 // that still receives could acknowledge writes of the old primary.
 func (c *change) suspendAll(ctx context.Context, others []topology.Endpoint, term uint64) ([]answer, error) {
-	answers := c.sendAll(ctx, others, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+	answers := c.controller.sendAll(ctx, others, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
 		return c.suspendOrDemote(conn, term)
 	})
 	return answers, checkSuspended(answers, term)
@@ -126,7 +126,7 @@
 	for _, a := range replicas {
 		members = append(members, a.endpoint)
 	}
-	answers := c.statuses(ctx, members)
+	answers := c.controller.statuses(ctx, members)
 	if err := checkSuspended(answers, term); err != nil {
 		return err
 	}
@@ -139,7 +139,7 @@
 	if old.err != nil {
 		return nil
 	}
-	if a := c.statuses(ctx, []topology.Endpoint{c.old})[0]; a.err == nil && a.status.Primary {
+	if a := c.controller.statuses(ctx, []topology.Endpoint{c.old})[0]; a.err == nil && a.status.Primary {
 		return errors.Errorf("old primary %s leads again", c.old.ID)
 	}
 	return nil
@@ -162,11 +162,11 @@
 // resumeAll ends the suspension of members that an earlier attempt has suspended for
 // a later term than the new primary's. Otherwise they would not receive its log.
 func (c *change) resumeAll(ctx context.Context, others []topology.Endpoint, term uint64) {
-	for _, a := range c.statuses(ctx, others) {
+	for _, a := range c.controller.statuses(ctx, others) {
 		if a.err != nil || a.status.SuspendedTerm <= term {
 			continue
 		}
-		resumed := c.send(ctx, a.endpoint, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+		resumed := c.controller.send(ctx, a.endpoint, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
 			return conn.Resume(c.controller.timer.Now().Add(commandTimeout))
 		})
 		klog.InfoS("Replica of an earlier attempt resumed", "Group", c.group, "Endpoint", a.endpoint.ID, "Suspended", a.status.SuspendedTerm,
@@ -204,7 +204,7 @@
 	if c.old.Address == "" || c.oldDown || c.oldStopped.Load() {
 		return
 	}
-	a := c.send(ctx, c.old, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
+	a := c.controller.send(ctx, c.old, func(conn *control.Connection) (topology.Status, statement.Reply, error) {
 		return conn.Demote(c.controller.timer.Now().Add(commandTimeout), term)
 	})
 	if a.err != nil {
--- a/internal/host/failover/confirmation.go
+++ b/internal/host/failover/confirmation.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"eelgrassladder.example/eelgrassladder/internal/host/control"
-	"eelgrassladder.example/eelgrassladder/internal/host/task"
 	"eelgrassladder.example/eelgrassladder/internal/host/timer"
 	"eelgrassladder.example/eelgrassladder/internal/model/topology"
 	policy "eelgrassladder.example/eelgrassladder/internal/policy/failover"
@@ -48,18 +45,15 @@
 	}
 }
 
-// mayConfirm reports whether it is this proxy's turn to confirm the group's record, which is not
-// written in the present era of the store. The earlier proxies in the order of writers come first.
-// It waits until the list of members can be relied on if what the proxies know is not enough. The
-// caller holds the mutex.
-func (ct *Controller) mayConfirm(group string, state *groupState, now time.Time) bool {
-	if state.unconfirmedSince.IsZero() {
-		state.unconfirmedSince = now
-	}
+// mayConfirm reports whether it is this proxy's turn to confirm the group's record, which has not
+// been written in the present era of the store for a time. The earlier proxies in the order of
+// writers come first. It waits until the list of members can be relied on if what the proxies know
+// is not enough. The caller holds the mutex.
+func (ct *Controller) mayConfirm(group string, unconfirmed time.Duration) bool {
 	if ct.recall.incomplete && !policy.MayRely(ct.clock.SinceBoot()-ct.recall.since) {
 		return false
 	}
-	return policy.MayConfirm(now.Sub(state.unconfirmedSince), policy.WriterIndex(ct.name, ct.state.Proxies(), group))
+	return policy.MayConfirm(unconfirmed, policy.WriterIndex(ct.name, ct.state.Proxies(), group))
 }
 
 // confirmRecord writes the record of a group anew in the present era of the store, after it has
@@ -79,7 +73,7 @@
 // tryConfirm makes one attempt to confirm the record of a group.
 func (ct *Controller) tryConfirm(ctx context.Context, group string) error {
 	era := ct.state.Era()
-	told, silent, err := ct.recallRecords(ctx, era)
+	told, err := ct.recallRecords(ctx, era)
 	if err != nil {
 		return err
 	}
@@ -99,13 +93,13 @@
 	}
 	record := ct.state.CurrentRecord(group)
 	recollection := policy.Recollection{
-		EraAge: told.age, AllTold: told.all, Silent: len(silent),
+		EraAge: told.age, AllTold: told.all, Silent: len(told.silent),
 		Recorded: record.Revision > 0, Endpoint: record.Endpoint, Term: record.Term, Closed: record.Closed,
 		Members: ct.viewMembers(ctx, group, listed),
 	}
 	verdict, primary, term := recollection.Decide()
 	if verdict == policy.Undecided {
-		return errors.Errorf("a change of primary that is not known here cannot be ruled out: %+v; silent proxies: %v", recollection, silent)
+		return errors.Errorf("a change of primary that is not known here cannot be ruled out: %+v; silent proxies: %v", recollection, told.silent)
 	}
 	before := record
 	record.Group = group
@@ -131,15 +125,16 @@
 	age time.Duration
 	// all is true if every proxy that may know of a change has told its records.
 	all bool
+	// silent holds the names of the proxies that have not answered and may still run.
+	silent []string
 }
 
 // recallRecords has all other proxies that may run tell their records, unless they have done so in
 // this era of the store. They learn of the era by that, and so end their changes of former eras.
-// It returns the names of those that have not answered and may still run.
-func (ct *Controller) recallRecords(ctx context.Context, era uint64) (recallResult, []string, error) {
+func (ct *Controller) recallRecords(ctx context.Context, era uint64) (recallResult, error) {
 	proxies, allKnown, err := ct.otherProxies(ctx)
 	if err != nil {
-		return recallResult{}, nil, errors.WithMessage(err, "reading the registered proxies")
+		return recallResult{}, errors.WithMessage(err, "reading the registered proxies")
 	}
 	for name, address := range ct.state.Proxies() {
 		proxies[address] = name
@@ -147,7 +142,7 @@
 	ct.mutex.Lock()
 	if ct.recall.era != era {
 		defer ct.mutex.Unlock()
-		return recallResult{}, nil, errors.Errorf("the store was last seen in era %d", ct.recall.era)
+		return recallResult{}, errors.Errorf("the store was last seen in era %d", ct.recall.era)
 	}
 	if !ct.recall.begun {
 		ct.recall.begun, ct.recall.incomplete = true, !allKnown
@@ -156,68 +151,46 @@
 		delete(proxies, address)
 	}
 	ct.mutex.Unlock()
-	answered, silent, lost := ct.askProxies(ctx, era, proxies)
+	var unsettled atomic.Bool
+	message := ct.state.Message()
+	answered, silent, ended := askProxies(ctx, proxies, func(ctx context.Context, address string) error {
+		answer, err := ct.informer.ExchangeOnce(ctx, address, message)
+		if err != nil {
+			return err
+		}
+		ct.state.Receive(answer)
+		if answer.Era < era {
+			return errors.Errorf("the proxy knows the store in era %d", answer.Era)
+		}
+		if !answer.Settled {
+			unsettled.Store(true)
+		}
+		return nil
+	})
 	ct.mutex.Lock()
 	defer ct.mutex.Unlock()
 	if ct.recall.era != era {
-		return recallResult{}, nil, errors.Errorf("the store is in era %d", ct.recall.era)
+		return recallResult{}, errors.Errorf("the store is in era %d", ct.recall.era)
 	}
 	for _, address := range answered {
 		ct.recall.told[address] = true
 	}
-	age := ct.clock.SinceBoot() - ct.recall.since
-	ct.recall.incomplete = ct.recall.incomplete || lost
-	return recallResult{age: age, all: !ct.recall.incomplete && len(silent) == 0}, silent, nil
-}
-
-// askProxies exchanges records with proxies, whose names are given by address. It returns the
-// addresses of those that have answered in the era, and the names of those that have not but may
-// run. It reports whether records may be lost with a process that has ended: one does not run any
-// more, or has started again lately.
-func (ct *Controller) askProxies(ctx context.Context, era uint64, proxies map[string]string) (answered, silent []string, lost bool) {
-	limited, cancel := context.WithTimeout(ctx, informTimeout)
-	defer cancel()
-	message := ct.state.Message()
-	var mutex sync.Mutex
-	g := task.New(limited)
-	for address, name := range proxies {
-		g.Go("records of another proxy", func(ctx context.Context) error {
-			answer, err := ct.informer.ExchangeOnce(ctx, address, message)
-			if err == nil {
-				ct.state.Receive(answer)
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			switch {
-			case control.Refused(err):
-				lost = true
-			case err != nil || answer.Era < era:
-				silent = append(silent, name)
-			default:
-				answered = append(answered, address)
-				lost = lost || !answer.Settled
-			}
-			return nil
-		})
-	}
-	_ = g.Wait() // each function returns nil
-	slices.Sort(silent)
-	return answered, silent, lost
+	ct.recall.incomplete = ct.recall.incomplete || ended || unsettled.Load()
+	return recallResult{
+		age: ct.clock.SinceBoot() - ct.recall.since, all: !ct.recall.incomplete && len(silent) == 0, silent: silent,
+	}, nil
 }
 
 // viewMembers asks the members of a group that are listed, or were until recently, for their
 // status.
 func (ct *Controller) viewMembers(ctx context.Context, group string, listed []topology.Endpoint) []policy.MemberView {
-	asked := slices.Clone(listed)
-	for _, e := range ct.replicas(group, "") {
-		if !slices.ContainsFunc(listed, func(l topology.Endpoint) bool { return l.ID == e.ID }) {
-			asked = append(asked, e)
-		}
-	}
-	c := &change{controller: ct}
-	views := make([]policy.MemberView, 0, len(asked))
-	for i, a := range c.statuses(ctx, asked) {
-		v := policy.MemberView{ID: a.endpoint.ID, Listed: i < len(listed), Answered: a.err == nil}
+	ct.noteListed(group, listed)
+	isListed := topology.New(listed...)
+	answers := ct.statuses(ctx, ct.replicas(group, ""))
+	views := make([]policy.MemberView, 0, len(answers))
+	for _, a := range answers {
+		v := policy.MemberView{ID: a.endpoint.ID, Answered: a.err == nil}
+		_, v.Listed = isListed.Endpoint(a.endpoint.ID)
 		if v.Answered {
 			v.Primary, v.Term, v.SuspendedTerm = a.status.Primary, a.status.Term, a.status.SuspendedTerm
 		}
--- a/internal/host/failover/confirmation_test.go
+++ b/internal/host/failover/confirmation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,13 +36,17 @@
 // which are settled.
 type askedInformer struct {
 	Informer
+	// mutex guards asked. No other lock is taken while it is held.
+	mutex sync.Mutex
 	asked []string
 	// onAsk is called before each answer; nil for nothing.
 	onAsk func()
 }
 
 func (a *askedInformer) ExchangeOnce(_ context.Context, address string, m heartbeat.Message) (heartbeat.Message, error) {
+	a.mutex.Lock()
 	a.asked = append(a.asked, address)
+	a.mutex.Unlock()
 	if a.onAsk != nil {
 		a.onAsk()
 	}
@@ -73,14 +78,14 @@
 	state, informer := &eraState{era: 2, proxies: map[string]string{"p": "10.0.0.1:1"}}, &askedInformer{}
 	f.controller.state, f.controller.informer = state, informer
 	f.controller.enterEra()
-	_, _, err := f.controller.recallRecords(context.Background(), 2)
+	_, err := f.controller.recallRecords(context.Background(), 2)
 	assert.NilError(t, err)
 	state.era, state.proxies = 3, map[string]string{"p": "10.0.0.1:1", "q": "10.0.0.2:1"}
 	informer.asked, informer.onAsk = nil, f.controller.enterEra
-	_, _, err = f.controller.recallRecords(context.Background(), 3)
+	_, err = f.controller.recallRecords(context.Background(), 3)
 	assert.ErrorContains(t, err, "era 2")
 	f.controller.enterEra()
-	_, _, err = f.controller.recallRecords(context.Background(), 3)
+	_, err = f.controller.recallRecords(context.Background(), 3)
 	assert.NilError(t, err)
 	slices.Sort(informer.asked)
 	assert.DeepEqual(t, informer.asked, []string{"10.0.0.1:1", "10.0.0.2:1"})
--- a/internal/host/failover/controller.go
+++ b/internal/host/failover/controller.go
@@ -218,10 +218,14 @@
 // era of the store, if it is this proxy's turn. It keeps the evidence of the primary up to date, on
 // which a change may rest once the record is confirmed. The caller holds the mutex.
 func (ct *Controller) checkUnconfirmed(group string, state *groupState) {
+	now := ct.timer.Now()
+	if state.unconfirmedSince.IsZero() {
+		state.unconfirmedSince = now
+	}
 	if !state.busy {
 		ct.updateEvidence(group, state)
 	}
-	if ct.mayConfirm(group, state, ct.timer.Now()) && !state.recording {
+	if !state.recording && ct.mayConfirm(group, now.Sub(state.unconfirmedSince)) {
 		ct.startRecording(state, "confirmation of a record", func(ctx context.Context) { ct.confirmRecord(ctx, group) })
 	}
 }
--- a/internal/host/failover/election.go
+++ b/internal/host/failover/election.go
@@ -181,7 +181,7 @@
 	deadline := ct.clock.SinceBoot() + promotionTimeout
 	for ct.clock.SinceBoot() < deadline && ctx.Err() == nil {
 		timer.Pause(ctx, ct.timer, pollInterval)
-		a := c.lastStatuses(ctx, []topology.Endpoint{promoted})[0]
+		a := c.controller.lastStatuses(ctx, []topology.Endpoint{promoted})[0]
 		if a.leadsAfter(c.record.Term) {
 			return a, nil
 		}
--- a/internal/host/failover/inform.go
+++ b/internal/host/failover/inform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,8 @@
 )
 
 const (
-	// informTimeout is the timeout of telling one proxy of a closed record. The proxy
-	// answers after leader.CommitGrace.
+	// informTimeout is the timeout of a call to another proxy. One that is told of a closed
+	// record answers after leader.CommitGrace.
 	informTimeout = 300 * time.Millisecond
 	// maxListingTime is how long after it has started to receive the log of a primary a
 	// member is listed by the store.
@@ -43,33 +44,49 @@
 	ct := c.controller
 	closed := heartbeat.Record{Group: c.group, Revision: c.record.Revision, Value: c.record.Bytes()}
 	proxies, allKnown, err := ct.otherProxies(ctx)
-	limited, cancel := context.WithTimeout(ctx, informTimeout)
+	_, silent, _ := askProxies(ctx, proxies, func(ctx context.Context, address string) error {
+		asked := ct.clock.SinceBoot()
+		r, err := ct.informer.CloseRecord(ctx, address, closed)
+		if err == nil {
+			ct.learnReport(c.group, proxies[address], r, asked)
+		}
+		return err
+	})
+	if remaining := c.closedAt + leader.CommitGrace - ct.clock.SinceBoot(); remaining > 0 {
+		timer.Pause(ctx, ct.timer, remaining)
+	}
+	c.informed = err == nil && len(silent) == 0 && (allKnown || c.oldDown)
+	klog.InfoS("Proxies informed of the change", "Group", c.group, "Token", c.record.Revision, "Proxies", len(proxies),
+		"Silent", silent, "AllKnown", allKnown, "Told", ct.table.Leader(c.group).Acknowledged.Position.String())
+}
+
+// askProxies calls ask for all proxies at once, whose names are given by address, and waits for at
+// most informTimeout. It returns the addresses of those that have answered, and the names of those
+// that have not but may run. It reports whether one has ended: its host refuses the connection.
+func askProxies(ctx context.Context, proxies map[string]string, ask func(ctx context.Context, address string) error) (answered, silent []string, ended bool) {
+	ctx, cancel := context.WithTimeout(ctx, informTimeout)
 	defer cancel()
 	var mutex sync.Mutex
-	var silent []string
-	g := task.New(limited)
+	g := task.New(ctx)
 	for address, name := range proxies {
-		g.Go("closed record", func(ctx context.Context) error {
-			asked := ct.clock.SinceBoot()
-			r, err := ct.informer.CloseRecord(ctx, address, closed)
+		g.Go("call to a proxy", func(ctx context.Context) error {
+			err := ask(ctx, address)
+			mutex.Lock()
+			defer mutex.Unlock()
 			switch {
 			case err == nil:
-				ct.learnReport(c.group, name, r, asked)
-			case !control.Refused(err):
-				mutex.Lock()
-				defer mutex.Unlock()
+				answered = append(answered, address)
+			case control.Refused(err):
+				ended = true
+			default:
 				silent = append(silent, name)
 			}
 			return nil
 		})
 	}
 	_ = g.Wait() // each function returns nil
-	if remaining := c.closedAt + leader.CommitGrace - ct.clock.SinceBoot(); remaining > 0 {
-		timer.Pause(ctx, ct.timer, remaining)
-	}
-	c.informed = err == nil && len(silent) == 0 && (allKnown || c.oldDown)
-	klog.InfoS("Proxies informed of the change", "Group", c.group, "Token", c.record.Revision, "Proxies", len(proxies),
-		"Silent", silent, "AllKnown", allKnown, "Told", ct.table.Leader(c.group).Acknowledged.Position.String())
+	slices.Sort(silent)
+	return answered, silent, ended
 }
 
 // otherProxies returns the names of the other proxies that may run, by address, and whether
--- a/internal/host/failover/suspension.go
+++ b/internal/host/failover/suspension.go
@@ -34,7 +34,7 @@
 	}
 	memberCount := len(others)
 	others = slices.DeleteFunc(others, func(e topology.Endpoint) bool { return !c.required(e) })
-	answers := c.statuses(ctx, others)
+	answers := c.controller.statuses(ctx, others)
 	term, leading, err := c.newestTerm(answers)
 	if err != nil {
 		return suspension{}, err
--- a/internal/model/leadership/leadership.go
+++ b/internal/model/leadership/leadership.go
@@ -109,11 +109,7 @@
 	if r.Era > read.Era() {
 		return Record{}, errors.Errorf("the record of group %q was written in era %d, and read in era %d", group, r.Era, read.Era())
 	}
-	written, err := revision.New(r.Era, read.Number())
-	if err != nil {
-		return Record{}, errors.WithMessagef(err, "the record of group %q", group)
-	}
-	r.Group, r.Revision = group, written
+	r.Group, r.Revision = group, read.WithEra(r.Era)
 	return r, nil
 }
 
--- a/internal/model/revision/revision.go
+++ b/internal/model/revision/revision.go
@@ -36,6 +36,9 @@
 // Number returns the store's number within the era.
 func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
 
+// WithEra returns the revision with the same number in an era that is not above MaxEra.
+func (r Revision) WithEra(era uint64) Revision { return Revision(era<<numberBits | r.Number()) }
+
 // Token returns a fencing token that is above those of all earlier revisions, those of former
 // eras among them.
 func (r Revision) Token() uint64 { return uint64(r) + 1 }
--- a/internal/peer/sibling/client.go
+++ b/internal/peer/sibling/client.go
@@ -67,31 +67,36 @@
 // primary as acknowledged. It uses a connection of its own, so that notices for several
 // groups do not wait for one another. Only ctx bounds the call, apart from dialTimeout.
 func (c *Client) CloseRecord(ctx context.Context, address string, r heartbeat.Record) (heartbeat.PrimaryReport, error) {
-	connection, err := dial(ctx, address)
+	answer, err := callOnce(ctx, address, func(p peer.DRPCPeerClient) (*peer.Sight, error) { return p.Close(ctx, encodeRecord(r)) })
 	if err != nil {
 		return heartbeat.PrimaryReport{}, err
 	}
-	defer func() { _ = connection.Close() }()
-	answer, err := peer.NewDRPCPeerClient(connection).Close(ctx, encodeRecord(r))
-	if err != nil {
-		return heartbeat.PrimaryReport{}, errors.WithStack(err)
-	}
 	return decodeReport(answer), nil
 }
 
 // ExchangeOnce sends a heartbeat to the proxy at an address and returns its answer, over a
 // connection of its own. Only ctx bounds the call, apart from dialTimeout.
 func (c *Client) ExchangeOnce(ctx context.Context, address string, b heartbeat.Message) (heartbeat.Message, error) {
-	connection, err := dial(ctx, address)
+	answer, err := callOnce(ctx, address, func(p peer.DRPCPeerClient) (*peer.Beat, error) { return p.Exchange(ctx, encode(b)) })
 	if err != nil {
 		return heartbeat.Message{}, err
 	}
+	return decode(answer), nil
+}
+
+// callOnce makes one call to the proxy at an address, over a connection of its own.
+func callOnce[T any](ctx context.Context, address string, call func(peer.DRPCPeerClient) (T, error)) (T, error) {
+	var none T
+	connection, err := dial(ctx, address)
+	if err != nil {
+		return none, err
+	}
 	defer func() { _ = connection.Close() }()
-	answer, err := peer.NewDRPCPeerClient(connection).Exchange(ctx, encode(b))
+	answer, err := call(peer.NewDRPCPeerClient(connection))
 	if err != nil {
-		return heartbeat.Message{}, errors.WithStack(err)
+		return none, errors.WithStack(err)
 	}
-	return decode(answer), nil
+	return answer, nil
 }
 
 // dial opens a connection to the proxy at an address.
--- a/internal/policy/failover/confirmation.go
+++ b/internal/policy/failover/confirmation.go
@@ -18,7 +18,7 @@
 // era of the store for a time. As long as no earlier writer has done so, each further proxy may
 // write when its turn comes; see WriterIndex.
 func MayConfirm(unconfirmed time.Duration, writerIndex int) bool {
-	return unconfirmed >= time.Duration(writerIndex)*writerDelay
+	return unconfirmed >= turn(writerIndex)
 }
 
 // MayRely reports whether a proxy that has known the era of the store for a time may rely on the
--- a/internal/policy/failover/memberdiff.go
+++ b/internal/policy/failover/memberdiff.go
@@ -97,7 +97,7 @@
 // the record now. As long as no earlier writer has done so, each further proxy
 // may write when its turn comes.
 func (d ObservedDiff) ShouldRecord() bool {
-	wait := time.Duration(d.WriterIndex) * writerDelay
+	wait := turn(d.WriterIndex)
 	if len(d.Restarted) > 0 {
 		return d.Lasted >= restartDelay+wait
 	}
@@ -112,6 +112,9 @@
 // again if the store was down; see minListAge.
 func (d ObservedDiff) LeaveConfirmed() bool { return d.Lasted >= leaveDelay && d.ListAge >= minListAge }
 
+// turn returns how long the writer with an index waits for the earlier ones.
+func turn(writerIndex int) time.Duration { return time.Duration(writerIndex) * writerDelay }
+
 // WriterIndex returns how many of the other proxies come before self in the
 // group's order of writers, at most maxWriterIndex. Only the keys of others,
 // the names of the proxies, are used.
